Build the thin whole path as separate processes

Cause: nothing existed yet; the first end is one request of each workload served from start to finish. Ruled out: a log whose old positions are deleted (a holder paused past the deletion would create a deleted position again and believe it); the ledger is a ring of slots written by compare-and-swap instead. Conclusion: the path stands; the parts are built out side by side.

--- /dev/null
+++ b/src/persimmonsail/cli.py
@@ -0,0 +1,142 @@
+"""The command line: one program, a subcommand for each role."""
+
+import argparse
+import importlib
+import pathlib
+import sys
+import typing as t
+
+import anyio
+
+from persimmonsail import __version__
+from persimmonsail import exceptions
+from persimmonsail import exits
+from persimmonsail import logs
+from persimmonsail import settings as settings_module
+
+_ROLES = ('entry', 'sidecar')
+_CATALOGUE_ACTIONS = {
+    'show': 'print the catalogue in force',
+    'history': 'list every accepted revision',
+    'check': 'validate a catalogue file',
+    'diff': 'compare a file with the catalogue in force',
+    'apply': 'put a file in force, if nobody else was faster',
+}
+_WITH_FILE = ('check', 'diff', 'apply')
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the whole command line."""
+    parser = argparse.ArgumentParser(
+        prog='persimmonsail',
+        description='Scheduler for colocated latency-critical and batch work.',
+    )
+    parser.add_argument(
+        '--version', action='version', version=f'%(prog)s {__version__}'
+    )
+    commands = parser.add_subparsers(dest='command', required=True)
+    for role in _ROLES:
+        command = commands.add_parser(role, help=f'run the {role} role')
+        command.add_argument('settings', type=pathlib.Path, help='INI file')
+    check = commands.add_parser('check', help='validate a settings file')
+    check.add_argument('settings', type=pathlib.Path, help='INI file')
+    check.add_argument('--role', choices=_ROLES, required=True)
+    _add_catalogue(commands)
+    _add_audit(commands)
+    return parser
+
+
+def _add_catalogue(commands: t.Any) -> None:
+    catalogue = commands.add_parser(
+        'catalogue', help='read and edit the catalogue'
+    )
+    actions = catalogue.add_subparsers(dest='action', required=True)
+    for name, text in _CATALOGUE_ACTIONS.items():
+        action = actions.add_parser(name, help=text)
+        if name in _WITH_FILE:
+            action.add_argument('file', type=pathlib.Path)
+        _add_store(action)
+        if name == 'apply':
+            action.add_argument(
+                '--base',
+                type=int,
+                help='the revision that the edit was made from',
+            )
+            action.add_argument('--author', default='')
+
+
+def _add_audit(commands: t.Any) -> None:
+    audit = commands.add_parser(
+        'audit', help='check every promise from ledger and logs'
+    )
+    audit.add_argument('logs', type=pathlib.Path, nargs='+')
+    _add_store(audit)
+
+
+def _add_store(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--store', required=True, help='host:port')
+    parser.add_argument('--store-kind', default='http')
+    parser.add_argument('--timeout', type=float, default=2.0)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run one command.
+
+    Parameters
+    ----------
+    arguments : list of str, optional
+        The command line without the program's name.
+
+    Returns
+    -------
+    int
+        One of the codes in ``persimmonsail.exits``.
+    """
+    parsed = make_parser().parse_args(arguments)
+    try:
+        return _COMMANDS[parsed.command](parsed)
+    except exceptions.InvalidInput as group:
+        print(group.message, file=sys.stderr)
+        for finding in group.exceptions:
+            print(f'  {finding}', file=sys.stderr)
+        return exits.INVALID_INPUT
+    except OSError as error:
+        print(error, file=sys.stderr)
+        return exits.INVALID_INPUT
+
+
+def _run_role(arguments: argparse.Namespace) -> int:
+    settings = settings_module.load(arguments.settings, arguments.command)
+    logs.configure(settings.process.name)
+    # Only the role that runs is imported, to stay small in memory.
+    importlib.import_module('persimmonsail.httpstore')
+    role = importlib.import_module(f'persimmonsail.{arguments.command}')
+    anyio.run(role.run, settings)
+    return exits.OK
+
+
+def _run_check(arguments: argparse.Namespace) -> int:
+    settings_module.load(arguments.settings, arguments.role)
+    print('ok')
+    return exits.OK
+
+
+def _run_catalogue(arguments: argparse.Namespace) -> int:
+    importlib.import_module('persimmonsail.httpstore')
+    commands = importlib.import_module('persimmonsail.commands')
+    return anyio.run(commands.run, arguments)
+
+
+def _run_audit(arguments: argparse.Namespace) -> int:
+    importlib.import_module('persimmonsail.httpstore')
+    audit = importlib.import_module('persimmonsail.audit')
+    return anyio.run(audit.run, arguments)
+
+
+_COMMANDS: dict[str, t.Callable[[argparse.Namespace], int]] = {
+    'entry': _run_role,
+    'sidecar': _run_role,
+    'check': _run_check,
+    'catalogue': _run_catalogue,
+    'audit': _run_audit,
+}
--- /dev/null
+++ b/src/persimmonsail/exits.py
@@ -0,0 +1,8 @@
+"""Exit codes of every command."""
+
+OK = 0
+BROKEN = 1
+USAGE = 2
+INVALID_INPUT = 3
+UNAVAILABLE = 4
+LOST_RACE = 5
--- /dev/null
+++ b/src/persimmonsail/gateway.py
@@ -0,0 +1,212 @@
+"""The callers' HTTP interface of an entry."""
+
+import json
+import time
+import typing as t
+import uuid
+
+import pydantic
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from persimmonsail import catalogue
+from persimmonsail import control_pb2
+from persimmonsail import logs
+from persimmonsail import problems
+from persimmonsail import quick as quick_module
+
+MAX_WAIT_SECONDS = 30.0
+_Timeout = t.Annotated[float, pydantic.Field(gt=0, le=3600)]
+
+
+class RequestHeaders(pydantic.BaseModel):
+    """The headers of a caller's request that have a meaning here."""
+
+    model_config = pydantic.ConfigDict(extra='ignore')
+
+    idempotency_key: t.Annotated[
+        str,
+        pydantic.Field(alias='idempotency-key', min_length=1, max_length=200),
+    ] = ''
+    request_timeout: t.Annotated[
+        _Timeout | None, pydantic.Field(alias='request-timeout')
+    ] = None
+
+
+class Gateway:
+    """Translates between HTTP and the entry; holds no state."""
+
+    def __init__(self, entry: t.Any) -> None:
+        self._entry = entry
+        self.app = applications.Starlette(
+            routes=[
+                routing.Route(
+                    '/v1/workloads/{name}/requests',
+                    self._post_request,
+                    methods=['POST'],
+                ),
+                routing.Route(
+                    '/v1/tasks/{task}', self._get_task, methods=['GET']
+                ),
+                routing.Route(
+                    '/v1/tasks/{task}', self._delete_task, methods=['DELETE']
+                ),
+                routing.Route('/health', self._get_health),
+                routing.Route('/ready', self._get_ready),
+                routing.Route('/metrics', self._get_metrics),
+            ],
+            exception_handlers={problems.Problem: self._respond_problem},
+        )
+
+    async def _respond_problem(
+        self, request: requests.Request, problem: problems.Problem
+    ) -> responses.Response:
+        number = getattr(request.state, 'number', '')
+        logs.write_event(
+            'refusal',
+            request=number,
+            status=problem.status,
+            work=problem.work,
+            reason=problem.detail,
+            retry_after=problem.retry_after,
+        )
+        return problems.respond(problem, number)
+
+    async def _post_request(
+        self, request: requests.Request
+    ) -> responses.Response:
+        request.state.number = uuid.uuid4().hex
+        name = request.path_params['name']
+        headers = _read_headers(request)
+        self._entry.check_serving()
+        workload = self._entry.view.catalogue.workloads.get(name)
+        if workload is None:
+            raise problems.Problem(
+                404, 'No such workload', problems.NOT_RUN, name
+            )
+        body = await request.body()
+        timeout = headers.request_timeout or workload.timeout
+        if workload.workload_class is catalogue.WorkloadClass.LATENCY_CRITICAL:
+            return await self._run_quick(
+                request, name, workload, body, timeout
+            )
+        return await self._submit(request, name, headers, body, timeout)
+
+    async def _run_quick(
+        self,
+        request: requests.Request,
+        name: str,
+        workload: catalogue.Workload,
+        body: bytes,
+        timeout: float,
+    ) -> responses.Response:
+        message = quick_module.QuickRequest(
+            request.state.number,
+            name,
+            workload,
+            body,
+            request.headers.get('content-type', ''),
+            time.monotonic() + timeout,
+        )
+        reply = await self._entry.quick.send(message)
+        return responses.Response(
+            reply.body,
+            status_code=reply.status,
+            media_type=reply.content_type,
+            headers={'request-id': message.id},
+        )
+
+    async def _submit(
+        self,
+        request: requests.Request,
+        name: str,
+        headers: RequestHeaders,
+        body: bytes,
+        timeout: float,
+    ) -> responses.Response:
+        _check_payload(body)
+        key = headers.idempotency_key or request.state.number
+        task = self._entry.name_task(name, key)
+        reply = await self._entry.tasks.submit(task, name, body, timeout)
+        response = _respond_task(task, reply, status=202)
+        response.headers['location'] = f'/v1/tasks/{task}'
+        return response
+
+    async def _get_task(self, request: requests.Request) -> responses.Response:
+        task = request.path_params['task']
+        wait = _read_wait(request)
+        reply = await self._entry.tasks.query(task, wait)
+        return _respond_task(task, reply)
+
+    async def _delete_task(
+        self, request: requests.Request
+    ) -> responses.Response:
+        task = request.path_params['task']
+        reply = await self._entry.tasks.cancel(task)
+        return _respond_task(task, reply, status=202)
+
+    async def _get_health(
+        self, request: requests.Request
+    ) -> responses.Response:
+        return responses.PlainTextResponse('ok')
+
+    async def _get_ready(
+        self, request: requests.Request
+    ) -> responses.Response:
+        reason = self._entry.find_unready()
+        status = 503 if reason else 200
+        return responses.PlainTextResponse(reason or 'ready', status)
+
+    async def _get_metrics(
+        self, request: requests.Request
+    ) -> responses.Response:
+        return responses.PlainTextResponse('')
+
+
+def _read_headers(request: requests.Request) -> RequestHeaders:
+    try:
+        return RequestHeaders.model_validate(dict(request.headers))
+    except pydantic.ValidationError as error:
+        details = '; '.join(
+            f'{detail["loc"][0]}: {detail["msg"]}' for detail in error.errors()
+        )
+        raise problems.Problem(
+            400, 'Invalid headers', problems.NOT_RUN, details
+        ) from error
+
+
+def _check_payload(body: bytes) -> None:
+    try:
+        json.loads(body or b'{}')
+    except ValueError as error:
+        raise problems.Problem(
+            400, 'Invalid JSON', problems.NOT_RUN, str(error)
+        ) from error
+
+
+def _read_wait(request: requests.Request) -> float:
+    text = request.query_params.get('wait', '0')
+    try:
+        wait = float(text)
+    except ValueError as error:
+        raise problems.Problem(
+            400, 'Invalid wait', problems.NOT_RUN, f'wait={text}'
+        ) from error
+    return min(max(wait, 0.0), MAX_WAIT_SECONDS)
+
+
+def _respond_task(
+    task: str, reply: control_pb2.TaskReply, status: int = 200
+) -> responses.Response:
+    body = {
+        'task': task,
+        'workload': reply.workload,
+        'phase': reply.phase,
+        'attempt': reply.attempt,
+        'instance': reply.instance,
+        'answer': reply.answer,
+        'reason': reply.reason,
+    }
+    return responses.JSONResponse(body, status_code=status)
--- /dev/null
+++ b/src/persimmonsail/httpstore.py
@@ -0,0 +1,100 @@
+"""The platform's store over HTTP with JSON bodies."""
+
+import typing as t
+
+import httpx
+
+from persimmonsail import exceptions
+from persimmonsail import store
+
+_WATCH_MARGIN = 1.0
+
+
+@store.register('http')
+class HttpStore(store.Store):
+    """Use with ``kind = http`` in the settings' ``[store]`` section."""
+
+    def __init__(self, address: str, timeout: float) -> None:
+        self._timeout = timeout
+        self._client = httpx.AsyncClient(
+            base_url=f'http://{address}', timeout=timeout, trust_env=False
+        )
+
+    async def get(self, key: str) -> store.Item | None:
+        """See ``Store.get``."""
+        found = await self._call('get', {'key': key})
+        return _read_item(found['item']) if found['item'] else None
+
+    async def scan(self, prefix: str) -> store.Page:
+        """See ``Store.scan``."""
+        return _read_page(await self._call('scan', {'prefix': prefix}))
+
+    async def put(
+        self,
+        key: str,
+        value: str,
+        expected: int | None = None,
+        lease: str | None = None,
+    ) -> int:
+        """See ``Store.put``."""
+        body = {
+            'key': key,
+            'value': value,
+            'expected': expected,
+            'lease': lease,
+        }
+        return (await self._call('put', body))['revision']
+
+    async def delete(self, key: str, expected: int | None = None) -> None:
+        """See ``Store.delete``."""
+        await self._call('delete', {'key': key, 'expected': expected})
+
+    async def grant_lease(self, seconds: float) -> str:
+        """See ``Store.grant_lease``."""
+        return (await self._call('lease/grant', {'seconds': seconds}))['lease']
+
+    async def renew_lease(self, lease: str) -> None:
+        """See ``Store.renew_lease``."""
+        await self._call('lease/renew', {'lease': lease})
+
+    async def revoke_lease(self, lease: str) -> None:
+        """See ``Store.revoke_lease``."""
+        await self._call('lease/revoke', {'lease': lease})
+
+    async def watch(self, prefix: str, after: int, wait: float) -> store.Page:
+        """See ``Store.watch``."""
+        body = {'prefix': prefix, 'after': after, 'wait': wait}
+        timeout = wait + self._timeout + _WATCH_MARGIN
+        return _read_page(await self._call('watch', body, timeout))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def _call(
+        self, name: str, body: dict[str, t.Any], timeout: float | None = None
+    ) -> dict[str, t.Any]:
+        try:
+            answer = await self._client.post(
+                f'/v1/{name}', json=body, timeout=timeout or self._timeout
+            )
+        except httpx.HTTPError as error:
+            raise exceptions.StoreUnavailable(
+                f'{name}: {type(error).__name__}'
+            ) from error
+        if answer.status_code == httpx.codes.CONFLICT:
+            raise exceptions.Conflict(body['key'], answer.json()['revision'])
+        if answer.status_code == httpx.codes.GONE:
+            raise exceptions.LeaseExpired(str(body.get('lease')))
+        if answer.status_code != httpx.codes.OK:
+            raise exceptions.StoreUnavailable(f'{name}: {answer.status_code}')
+        return answer.json()
+
+
+def _read_item(item: dict[str, t.Any]) -> store.Item:
+    return store.Item(item['key'], item['value'], item['revision'])
+
+
+def _read_page(page: dict[str, t.Any]) -> store.Page:
+    items = tuple(_read_item(item) for item in page['items'])
+    return store.Page(page['revision'], items)
--- /dev/null
+++ b/src/persimmonsail/ledger.py
@@ -0,0 +1,225 @@
+"""A partition's ledger: a ring of batches plus a snapshot in the store.
+
+A batch's position maps to one of a fixed number of slots. A slot is
+written by compare-and-swap on the revision that its previous round
+left. Two holders that race for a position therefore cannot both win,
+however long one of them was paused: a log whose old positions are
+deleted would let a paused holder create a deleted one again.
+"""
+
+import dataclasses
+import uuid
+
+import anyio
+import pydantic
+
+from persimmonsail import exceptions
+from persimmonsail import logs
+from persimmonsail import records
+from persimmonsail import store as store_module
+from persimmonsail import tasks
+
+SLOTS = 512
+SNAPSHOT_EVERY = 128
+GENESIS = ''
+_RETRY_DELAY = 0.2
+_LOAD_TRIES = 10
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """The table after the batch at ``position``, whose hash is ``hash``."""
+
+    position: int
+    hash: str
+    table: str
+
+
+class Ledger:
+    """Reads one partition's ledger and appends batches to it.
+
+    Use it from one task at a time: ``load`` first, then ``append``.
+    """
+
+    def __init__(self, store: store_module.Store, partition: int) -> None:
+        self.partition = partition
+        self.table = tasks.Table()
+        self.position = 0
+        self.hash = GENESIS
+        self._store = store
+        self._prefix = f'ledger/{partition:03d}'
+        self._slot_revisions: dict[int, int] = {}
+        self._snapshot_revision = 0
+        self._snapshot_position = 0
+
+    async def load(self) -> None:
+        """Read the snapshot and every later batch.
+
+        Raises
+        ------
+        persimmonsail.exceptions.LedgerCorrupt
+            If the chain stays broken over several reads.
+        persimmonsail.exceptions.StoreUnavailable
+            If the store gives no answer.
+        """
+        for _ in range(_LOAD_TRIES):
+            await self._load_snapshot()
+            slots = await self._store.scan(f'{self._prefix}/slot/')
+            try:
+                self._replay(slots)
+                return
+            except exceptions.LedgerCorrupt as error:
+                # The ring may have gone round between the two reads; a
+                # fresh snapshot then fits. A real fault stays.
+                problem = error
+        raise problem
+
+    async def append(self, items: tuple[records.Record, ...]) -> records.Batch:
+        """Commit records as the next batch, and apply them.
+
+        The call returns only when the outcome is certain: an answer
+        lost after the write took effect is resolved by writing the same
+        batch again and, on a conflict, comparing the batch's id.
+
+        Raises
+        ------
+        persimmonsail.exceptions.NotHolder
+            If another holder wrote this position.
+        """
+        position = self.position + 1
+        batch = records.Batch(
+            position, uuid.uuid4().hex, self.table.epoch, self.hash, items
+        )
+        text = records.dump_batch(batch)
+        slot = position % SLOTS
+        await self._write_slot(slot, text, batch)
+        self._advance(batch, text)
+        logs.write_event(
+            'ledger-commit',
+            partition=self.partition,
+            position=position,
+            hash=self.hash,
+            batch=text,
+        )
+        return batch
+
+    async def take_over(self, holder: str) -> int:
+        """Open a new epoch, behind all that others have written.
+
+        Returns
+        -------
+        int
+            The new epoch.
+        """
+        while True:
+            epoch = self.table.epoch + 1
+            try:
+                await self.append((records.Opened(holder, epoch),))
+                return epoch
+            except exceptions.NotHolder:
+                await self.load()
+
+    def needs_snapshot(self) -> bool:
+        """Whether a snapshot is due, well before the ring is full."""
+        return self.position - self._snapshot_position >= SNAPSHOT_EVERY
+
+    async def write_snapshot(self) -> None:
+        """Store the table so that older slots may be written again."""
+        snapshot = Snapshot(
+            self.position,
+            self.hash,
+            tasks.TABLE.dump_json(self.table).decode(),
+        )
+        text = _SNAPSHOT.dump_json(snapshot).decode()
+        try:
+            self._snapshot_revision = await self._store.put(
+                f'{self._prefix}/snapshot',
+                text,
+                expected=self._snapshot_revision,
+            )
+        except exceptions.Conflict:
+            await self._adopt_own_snapshot(text)
+        self._snapshot_position = snapshot.position
+
+    async def _adopt_own_snapshot(self, text: str) -> None:
+        found = await self._store.get(f'{self._prefix}/snapshot')
+        if found is None or found.value != text:
+            raise exceptions.NotHolder('another holder wrote a snapshot')
+        self._snapshot_revision = found.revision
+
+    async def _load_snapshot(self) -> None:
+        found = await self._store.get(f'{self._prefix}/snapshot')
+        if found is None:
+            self.table = tasks.Table()
+            self.position = 0
+            self.hash = GENESIS
+            self._snapshot_revision = 0
+        else:
+            snapshot = _SNAPSHOT.validate_json(found.value)
+            self.table = tasks.TABLE.validate_json(snapshot.table)
+            self.position = snapshot.position
+            self.hash = snapshot.hash
+            self._snapshot_revision = found.revision
+        self._snapshot_position = self.position
+
+    def _replay(self, page: store_module.Page) -> None:
+        self._slot_revisions = {}
+        later = []
+        for item in page.items:
+            batch = records.load_batch(item.value)
+            slot = batch.position % SLOTS
+            self._slot_revisions[slot] = item.revision
+            if batch.position > self.position:
+                later.append((batch, item.value))
+        later.sort(key=lambda pair: pair[0].position)
+        for batch, text in later:
+            self._check_chain(batch)
+            self._advance(batch, text)
+
+    def _check_chain(self, batch: records.Batch) -> None:
+        if batch.position != self.position + 1:
+            raise exceptions.LedgerCorrupt(
+                f'partition {self.partition}: no position {self.position + 1}'
+            )
+        if batch.previous != self.hash:
+            raise exceptions.LedgerCorrupt(
+                f'partition {self.partition}: chain broken at {batch.position}'
+            )
+
+    def _advance(self, batch: records.Batch, text: str) -> None:
+        for record in batch.records:
+            self.table.apply(record)
+        self.position = batch.position
+        self.hash = records.hash_text(text)
+
+    async def _write_slot(
+        self, slot: int, text: str, batch: records.Batch
+    ) -> None:
+        key = f'{self._prefix}/slot/{slot:04d}'
+        expected = self._slot_revisions.get(slot, 0)
+        while True:
+            try:
+                revision = await self._store.put(key, text, expected)
+                break
+            except exceptions.Conflict:
+                revision = await self._find_own(key, batch)
+                break
+            except exceptions.StoreUnavailable:
+                await anyio.sleep(_RETRY_DELAY)
+        self._slot_revisions[slot] = revision
+
+    async def _find_own(self, key: str, batch: records.Batch) -> int:
+        while True:
+            try:
+                found = await self._store.get(key)
+            except exceptions.StoreUnavailable:
+                await anyio.sleep(_RETRY_DELAY)
+                continue
+            if found and records.load_batch(found.value).id == batch.id:
+                return found.revision
+            raise exceptions.NotHolder(
+                f'position {batch.position} was written by another holder'
+            )
+
+
+_SNAPSHOT = pydantic.TypeAdapter(Snapshot)
--- /dev/null
+++ b/src/persimmonsail/logs.py
@@ -0,0 +1,117 @@
+"""Structured logs: one line of key=value pairs for each event.
+
+A value is written bare when it consists of letters, digits and
+``_./:+@%,-`` only, else as a JSON string. ``parse_line`` reads back
+exactly what ``format_line`` wrote.
+"""
+
+import json
+import logging
+import re
+import sys
+import time
+import typing as t
+
+from absl import logging as absl_logging
+
+from persimmonsail import exceptions
+
+_BARE = re.compile(r'[A-Za-z0-9_./:+@%,-]+')
+_PAIR = re.compile(
+    r'(?P<key>[a-z][a-z0-9_]*)='
+    r'(?:(?P<quoted>"(?:[^"\\]|\\.)*")|(?P<bare>[A-Za-z0-9_./:+@%,-]+))'
+    r'(?: |$)'
+)
+
+
+class LogSyntaxError(exceptions.PersimmonsailError):
+    """A line is not made of key=value pairs."""
+
+
+def format_line(fields: t.Mapping[str, object]) -> str:
+    """Write fields as one line of key=value pairs."""
+    return ' '.join(f'{key}={_quote(v)}' for key, v in fields.items())
+
+
+def parse_line(line: str) -> dict[str, str]:
+    """Read a line that ``format_line`` wrote.
+
+    Raises
+    ------
+    LogSyntaxError
+        If any part of the line is not a key=value pair.
+    """
+    fields: dict[str, str] = {}
+    position = 0
+    line = line.rstrip('\n')
+    while position < len(line):
+        pair = _PAIR.match(line, position)
+        if pair is None:
+            raise LogSyntaxError(f'no key=value at column {position}')
+        quoted = pair['quoted']
+        fields[pair['key']] = json.loads(quoted) if quoted else pair['bare']
+        position = pair.end()
+    return fields
+
+
+def _quote(value: object) -> str:
+    if isinstance(value, bool):
+        text = 'yes' if value else 'no'
+    elif isinstance(value, float):
+        text = f'{value:.6g}'
+    else:
+        text = str(value)
+    return text if _BARE.fullmatch(text) else json.dumps(text)
+
+
+class _LineFormatter(logging.Formatter):
+    """Adds time, level and process to an event's own fields."""
+
+    def __init__(self, process: str) -> None:
+        super().__init__()
+        self._process = process
+
+    def format(self, record: logging.LogRecord) -> str:
+        head = {
+            'time': f'{record.created:.6f}',
+            'level': record.levelname.lower(),
+            'process': self._process,
+        }
+        text = record.getMessage()
+        if not text.startswith('event='):
+            text = format_line({'event': 'message', 'text': text})
+        return f'{format_line(head)} {text}'
+
+
+def configure(process: str, stream: t.TextIO | None = None) -> None:
+    """Send every log line of this process to standard output.
+
+    Parameters
+    ----------
+    process : str
+        The name each line carries as ``process``.
+    stream : file object, optional
+        Where lines go instead of standard output.
+    """
+    handler = absl_logging.get_absl_handler()
+    handler.python_handler.stream = stream or sys.stdout
+    handler.python_handler.setFormatter(_LineFormatter(process))
+    absl_logging.use_absl_handler()
+    absl_logging.set_verbosity(absl_logging.INFO)
+    logging.getLogger('httpx').setLevel(logging.WARNING)
+    logging.getLogger('hypercorn').setLevel(logging.WARNING)
+
+
+def write_event(event: str, **fields: object) -> None:
+    """Log one event; the fields follow the event's name."""
+    absl_logging.info('%s', format_line({'event': event, **fields}))
+
+
+def write_warning(event: str, **fields: object) -> None:
+    """Log one event that whoever is on call may have to act on."""
+    absl_logging.warning('%s', format_line({'event': event, **fields}))
+
+
+def wall_time() -> float:
+    """Return seconds since the epoch, for evidence only."""
+    return time.time()
--- /dev/null
+++ b/src/persimmonsail/settings.py
@@ -0,0 +1,164 @@
+"""Settings of a process, read from an INI file and validated."""
+
+import pathlib
+import typing as t
+
+import pydantic
+
+from persimmonsail import findings
+
+_ADDRESS_PATTERN = r'^[0-9A-Za-z.\-\[\]:]+:\d{1,5}$'
+Address = t.Annotated[str, pydantic.Field(pattern=_ADDRESS_PATTERN)]
+Name = t.Annotated[str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9.-]*$')]
+Seconds = t.Annotated[float, pydantic.Field(gt=0, le=3600)]
+
+
+def _split(value: object) -> object:
+    if isinstance(value, str):
+        return [part.strip() for part in value.split(',') if part.strip()]
+    return value
+
+
+Addresses = t.Annotated[list[Address], pydantic.BeforeValidator(_split)]
+
+
+def _to_option(name: str) -> str:
+    return name.replace('_', '-')
+
+
+class Section(pydantic.BaseModel):
+    """Base of every section; unknown options are findings."""
+
+    model_config = pydantic.ConfigDict(
+        extra='forbid', frozen=True, alias_generator=_to_option
+    )
+
+
+class Process(Section):
+    """Who this process is and where it listens."""
+
+    name: Name
+    region: Name
+    zone: Name
+    rack: Name = 'none'
+    control: Address = '127.0.0.1:0'
+    control_advertised: Address | None = None
+    http: Address = '127.0.0.1:0'
+
+
+class Store(Section):
+    """How the platform's key-value service is reached."""
+
+    kind: Name = 'http'
+    address: Address
+    timeout: Seconds = 1.0
+
+
+class Entry(Section):
+    """Options of the entry role."""
+
+    partitions: t.Annotated[int, pydantic.Field(ge=1, le=256)] = 8
+    partition_lease: Seconds = 6.0
+    task_lease: Seconds = 6.0
+    commit_interval: Seconds = 0.1
+    freshness: Seconds = 3.0
+    catalogue_poll: Seconds = 2.0
+    drain: Seconds = 10.0
+
+
+class Sidecar(Section):
+    """Options of the sidecar role."""
+
+    entries: Addresses
+    worker: Address
+    service: Name
+    backend: Address
+    slots: t.Annotated[int, pydantic.Field(ge=1, le=4096)] = 8
+    connections: t.Annotated[int, pydantic.Field(ge=1, le=65536)] = 64
+    queue: t.Annotated[int, pydantic.Field(ge=0, le=65536)] = 16
+    report_interval: Seconds = 0.5
+    drain: Seconds = 10.0
+
+
+class Links(Section):
+    """Time limits of the links between processes."""
+
+    heartbeat: Seconds = 0.5
+    silence: Seconds = 2.0
+    connect: Seconds = 1.0
+
+
+class Settings(Section):
+    """All sections of one file."""
+
+    process: Process
+    store: Store | None = None
+    entry: Entry = Entry()
+    sidecar: Sidecar | None = None
+    links: Links = Links()
+
+
+_MODELS: dict[str, type[Section]] = {
+    'process': Process,
+    'store': Store,
+    'entry': Entry,
+    'sidecar': Sidecar,
+    'links': Links,
+}
+_NEEDED = {
+    'entry': ('process', 'store'),
+    'sidecar': ('process', 'sidecar'),
+}
+
+
+def load(path: pathlib.Path, role: str) -> Settings:
+    """Read a settings file for one role.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The INI file.
+    role : str
+        ``entry`` or ``sidecar``: decides which sections are needed.
+
+    Returns
+    -------
+    Settings
+        The validated settings.
+
+    Raises
+    ------
+    persimmonsail.exceptions.InvalidInput
+        With every finding of the file.
+    OSError
+        If the file can't be read.
+    """
+    return parse(str(path), path.read_text(encoding='utf-8'), role)
+
+
+def parse(file: str, text: str, role: str) -> Settings:
+    """Validate settings text; see ``load``."""
+    collector = findings.Collector(f'settings in {file}')
+    places = findings.Places(file, text)
+    parser = findings.read_ini(file, text, collector)
+    sections: dict[str, Section] = {}
+    for name in parser.sections():
+        model = _MODELS.get(name)
+        if model is None:
+            allowed = ', '.join(_MODELS)
+            collector.add(
+                places.find(name), f'unknown section; allowed: {allowed}'
+            )
+            continue
+        try:
+            sections[name] = model.model_validate(dict(parser[name]))
+        except pydantic.ValidationError as error:
+            collector.add_validation(places, name, error)
+    for name in _NEEDED[role]:
+        if name not in parser.sections():
+            collector.add(
+                findings.Place(file, section=name),
+                f'section is missing; the {role} role needs it',
+            )
+    collector.raise_if_any()
+    return Settings.model_validate(sections)
--- /dev/null
+++ b/src/persimmonsail/store.py
@@ -0,0 +1,121 @@
+"""The narrow interface to the platform's key-value service.
+
+Another store is one more module with a class under ``register``.
+"""
+
+import abc
+import dataclasses
+import typing as t
+
+
+@dataclasses.dataclass(frozen=True)
+class Item:
+    """A key's value and the revision of its last change."""
+
+    key: str
+    value: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Page:
+    """All items below a prefix at one store revision."""
+
+    revision: int
+    items: tuple[Item, ...]
+
+
+class Store(abc.ABC):
+    """What the system asks of the platform's store.
+
+    Each call raises ``StoreUnavailable`` when no answer came in time;
+    a write may then have taken effect all the same.
+    """
+
+    @abc.abstractmethod
+    async def get(self, key: str) -> Item | None:
+        """Return a key's item, or nothing."""
+
+    @abc.abstractmethod
+    async def scan(self, prefix: str) -> Page:
+        """Return all items below a prefix."""
+
+    @abc.abstractmethod
+    async def put(
+        self,
+        key: str,
+        value: str,
+        expected: int | None = None,
+        lease: str | None = None,
+    ) -> int:
+        """Write a key and return its new revision.
+
+        Parameters
+        ----------
+        key, value : str
+            What to write; at most a megabyte.
+        expected : int, optional
+            Write only if the key is at this revision; 0 means absent.
+        lease : str, optional
+            The key is deleted when this lease ends.
+
+        Raises
+        ------
+        Conflict
+            If the key is at another revision.
+        LeaseExpired
+            If the store does not know the lease.
+        """
+
+    @abc.abstractmethod
+    async def delete(self, key: str, expected: int | None = None) -> None:
+        """Delete a key, if it is at the expected revision."""
+
+    @abc.abstractmethod
+    async def grant_lease(self, seconds: float) -> str:
+        """Return a new lease's identifier."""
+
+    @abc.abstractmethod
+    async def renew_lease(self, lease: str) -> None:
+        """Extend a lease by its full time."""
+
+    @abc.abstractmethod
+    async def revoke_lease(self, lease: str) -> None:
+        """End a lease and delete its keys."""
+
+    @abc.abstractmethod
+    async def watch(self, prefix: str, after: int, wait: float) -> Page:
+        """Wait for changes below a prefix.
+
+        Parameters
+        ----------
+        prefix : str
+            The keys to watch.
+        after : int
+            Return once something below the prefix changed after this
+            revision.
+        wait : float
+            Seconds to wait at the most.
+
+        Returns
+        -------
+        Page
+            The items changed since; none when the time is over.
+        """
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Release connections."""
+
+
+KINDS: dict[str, t.Callable[..., Store]] = {}
+
+
+def register(kind: str) -> t.Callable[[type], type]:
+    """Add a store class under the name that settings use."""
+
+    def add(cls: type) -> type:
+        KINDS[kind] = cls
+        return cls
+
+    return add
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,292 @@
+"""Starts the system and its stand-ins as processes on loopback.
+
+Each process logs to a file of its own below a directory; the addresses
+that a process picked are read from its ``listening`` line.
+"""
+
+import contextlib
+import dataclasses
+import pathlib
+import signal
+import subprocess
+import sys
+import typing as t
+
+import anyio
+import anyio.abc
+import httpx
+
+from persimmonsail import logs
+
+START_SECONDS = 30.0
+STOP_SECONDS = 30.0
+
+
+class ProcessEnded(Exception):
+    """A process ended before the awaited event."""
+
+
+@dataclasses.dataclass
+class Process:
+    """One running process, and the events that it has logged."""
+
+    name: str
+    handle: anyio.abc.Process
+    log: pathlib.Path
+    events: list[dict[str, str]] = dataclasses.field(default_factory=list)
+    ended: bool = False
+    changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    @property
+    def pid(self) -> int:
+        """The operating system's number."""
+        return self.handle.pid
+
+    def find(self, event: str, **fields: str) -> list[dict[str, str]]:
+        """Return the logged events of one kind with these fields."""
+        return [
+            found
+            for found in self.events
+            if found.get('event') == event
+            and all(found.get(k) == v for k, v in fields.items())
+        ]
+
+    async def wait_event(
+        self,
+        event: str,
+        count: int = 1,
+        seconds: float = START_SECONDS,
+        **fields: str,
+    ) -> dict[str, str]:
+        """Wait until an event was logged ``count`` times.
+
+        Raises
+        ------
+        ProcessEnded
+            If the process ended first.
+        TimeoutError
+            If it did not come within ``seconds``.
+        """
+        with anyio.fail_after(seconds):
+            while len(found := self.find(event, **fields)) < count:
+                if self.ended:
+                    raise ProcessEnded(f'{self.name} ended; see {self.log}')
+                await self.changed.wait()
+        return found[count - 1]
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to this process only."""
+        self.handle.send_signal(number)
+
+    async def stop(self, number: int = signal.SIGTERM) -> int:
+        """End the process and return its exit code."""
+        if self.handle.returncode is None:
+            self.send_signal(number)
+        with anyio.fail_after(STOP_SECONDS):
+            return await self.handle.wait()
+
+
+class Deployment:
+    """Owns processes; use inside ``async with``.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        Where settings and logs go.
+    program : sequence of str, optional
+        How the shipped program is run.
+    """
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        program: t.Sequence[str] = (sys.executable, '-m', 'persimmonsail'),
+    ) -> None:
+        self.directory = directory
+        self.processes: dict[str, Process] = {}
+        self.store = ''
+        self._program = list(program)
+        self._owned = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> 'Deployment':
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self._group = await self._owned.enter_async_context(
+            anyio.create_task_group()
+        )
+        self.client = await self._owned.enter_async_context(
+            httpx.AsyncClient(timeout=60, trust_env=False)
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: t.Any) -> bool | None:
+        with anyio.CancelScope(shield=True):
+            for process in self.processes.values():
+                if process.handle.returncode is None:
+                    process.handle.kill()
+                    await process.handle.wait()
+        self._group.cancel_scope.cancel()
+        return await self._owned.__aexit__(*exc_info)
+
+    @property
+    def log_files(self) -> list[pathlib.Path]:
+        """The logs of all processes that ever ran."""
+        return sorted(self.directory.glob('*.log'))
+
+    async def start(self, name: str, command: t.Sequence[str]) -> Process:
+        """Start a process whose log carries on an earlier one's file."""
+        log = self.directory / f'{name}.log'
+        handle = await anyio.open_process(
+            list(command), stdout=subprocess.PIPE, stderr=subprocess.STDOUT
+        )
+        process = Process(name, handle, log)
+        self.processes[name] = process
+        self._group.start_soon(self._read_log, process)
+        return process
+
+    async def start_stand_in(self, kind: str, name: str, *options: str) -> str:
+        """Start a stand-in and return its HTTP address."""
+        process = await self.start(
+            name,
+            [
+                sys.executable,
+                '-m',
+                f'standins.{kind}',
+                '--name',
+                name,
+                *options,
+            ],
+        )
+        return (await process.wait_event('listening'))['http']
+
+    async def start_store(self) -> str:
+        """Start the store stand-in."""
+        self.store = await self.start_stand_in('store', 'store')
+        return self.store
+
+    async def start_proxy(self, name: str, target: str) -> tuple[str, str]:
+        """Start a proxy; return its address and its control address."""
+        control = await self.start_stand_in('proxy', name, '--target', target)
+        found = await self.processes[name].wait_event('proxying')
+        return found['address'], control
+
+    async def start_role(
+        self, role: str, name: str, sections: dict[str, dict[str, object]]
+    ) -> Process:
+        """Start a role of the shipped program with these settings."""
+        path = self.directory / f'{name}.ini'
+        path.write_text(_format_ini(sections), encoding='utf-8')
+        process = await self.start(name, [*self._program, role, str(path)])
+        await process.wait_event('listening')
+        return process
+
+    async def start_entry(
+        self,
+        name: str,
+        zone: str = 'piedmont-a',
+        store: str = '',
+        process: dict[str, object] | None = None,
+        entry: dict[str, object] | None = None,
+    ) -> Process:
+        """Start an entry; further options go to its sections."""
+        region = zone.rpartition('-')[0] or zone
+        return await self.start_role(
+            'entry',
+            name,
+            {
+                'process': {
+                    'name': name,
+                    'region': region,
+                    'zone': zone,
+                    **(process or {}),
+                },
+                'store': {'address': store or self.store},
+                'entry': entry or {},
+            },
+        )
+
+    async def start_sidecar(
+        self,
+        name: str,
+        entries: t.Sequence[str],
+        worker: str,
+        backend: str,
+        service: str,
+        zone: str = 'piedmont-a',
+        process: dict[str, object] | None = None,
+        sidecar: dict[str, object] | None = None,
+    ) -> Process:
+        """Start a sidecar; further options go to its sections."""
+        region = zone.rpartition('-')[0] or zone
+        return await self.start_role(
+            'sidecar',
+            name,
+            {
+                'process': {
+                    'name': name,
+                    'region': region,
+                    'zone': zone,
+                    **(process or {}),
+                },
+                'sidecar': {
+                    'entries': ', '.join(entries),
+                    'worker': worker,
+                    'backend': backend,
+                    'service': service,
+                    **(sidecar or {}),
+                },
+            },
+        )
+
+    async def run_command(self, *arguments: str) -> tuple[int, str]:
+        """Run a command of the shipped program to its end."""
+        result = await anyio.run_process(
+            [*self._program, *arguments],
+            check=False,
+            stderr=subprocess.STDOUT,
+        )
+        return result.returncode, result.stdout.decode()
+
+    async def apply_catalogue(self, text: str) -> tuple[int, str]:
+        """Put a catalogue in force with the operators' command."""
+        path = self.directory / 'catalogue.ini'
+        path.write_text(text, encoding='utf-8')
+        return await self.run_command(
+            'catalogue', 'apply', str(path), '--store', self.store
+        )
+
+    async def set_faults(self, address: str, **faults: object) -> None:
+        """Set the faults of a stand-in or a proxy."""
+        answer = await self.client.post(
+            f'http://{address}/faults', json=faults
+        )
+        answer.raise_for_status()
+
+    async def _read_log(self, process: Process) -> None:
+        rest = b''
+        with process.log.open('ab') as log:
+            async for chunk in process.handle.stdout:
+                log.write(chunk)
+                log.flush()
+                *lines, rest = (rest + chunk).split(b'\n')
+                for line in lines:
+                    _note_line(process, line.decode())
+        process.ended = True
+        process.changed.set()
+
+
+def _note_line(process: Process, line: str) -> None:
+    try:
+        process.events.append(logs.parse_line(line))
+    except logs.LogSyntaxError:
+        return
+    process.changed.set()
+    process.changed = anyio.Event()
+
+
+def _format_ini(sections: dict[str, dict[str, object]]) -> str:
+    lines = []
+    for section, options in sections.items():
+        lines.append(f'[{section}]')
+        lines.extend(f'{key} = {value}' for key, value in options.items())
+        lines.append('')
+    return '\n'.join(lines)
--- /dev/null
+++ b/standins/proxy.py
@@ -0,0 +1,139 @@
+"""Fault-injecting TCP proxy: ``python -m standins.proxy``.
+
+``--target host:port`` is where bytes go. ``POST /faults`` on the
+control address takes JSON: ``mode`` is one of pass, cut (close all and
+refuse), freeze (hold bytes of all connections), silent (drop bytes of
+the connections open now; new ones work), and ``delay`` in seconds.
+"""
+
+import collections.abc
+
+import anyio
+import anyio.abc
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from persimmonsail import httpserver
+from persimmonsail import logs
+from standins import serving
+
+_CHUNK = 65536
+
+
+class Connection:
+    """One proxied connection and whether its bytes are dropped."""
+
+    def __init__(self) -> None:
+        self.silent = False
+        self.scope = anyio.CancelScope()
+
+
+class Proxy:
+    """Forwards connections to a target, with faults."""
+
+    def __init__(self, listen: str, target: str) -> None:
+        self._target = httpserver.split_address(target)
+        self._socket = httpserver.bind(listen)
+        self.address = httpserver.name_of(self._socket)
+        self._mode = 'pass'
+        self._delay = 0.0
+        self._thawed = anyio.Event()
+        self._connections: set[Connection] = set()
+        self.app = applications.Starlette(
+            routes=[
+                routing.Route('/faults', self._set_faults, methods=['POST'])
+            ]
+        )
+
+    def set_mode(self, mode: str, delay: float = 0.0) -> None:
+        """Bring a fault about, or end it with ``pass``."""
+        self._mode = mode
+        self._delay = delay
+        if mode == 'silent':
+            for connection in self._connections:
+                connection.silent = True
+        if mode == 'cut':
+            for connection in self._connections:
+                connection.scope.cancel()
+        if mode != 'freeze':
+            self._thawed.set()
+            self._thawed = anyio.Event()
+
+    async def run(self) -> None:
+        """Accept connections until cancelled."""
+        listener = await anyio.abc.SocketListener.from_socket(self._socket)
+        async with listener:
+            await listener.serve(self._handle)
+
+    async def _handle(self, client: anyio.abc.ByteStream) -> None:
+        connection = Connection()
+        async with client:
+            if self._mode == 'cut':
+                return
+            try:
+                server = await anyio.connect_tcp(*self._target)
+            except OSError:
+                return
+            self._connections.add(connection)
+            try:
+                with connection.scope:
+                    await self._join(client, server, connection)
+            finally:
+                self._connections.discard(connection)
+
+    async def _join(self, client, server, connection: Connection) -> None:
+        async with server, anyio.create_task_group() as group:
+            group.start_soon(self._copy, client, server, connection, group)
+            group.start_soon(self._copy, server, client, connection, group)
+
+    async def _copy(self, source, target, connection, group) -> None:
+        try:
+            async for chunk in _read(source):
+                while self._mode == 'freeze':
+                    await self._thawed.wait()
+                if connection.silent:
+                    continue
+                if self._delay:
+                    await anyio.sleep(self._delay)
+                await target.send(chunk)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            pass
+        if not connection.silent:
+            group.cancel_scope.cancel()
+
+    async def _set_faults(self, request: requests.Request):
+        body = await request.json()
+        self.set_mode(body['mode'], body.get('delay', 0.0))
+        return responses.JSONResponse({})
+
+
+async def _read(
+    source: anyio.abc.ByteStream,
+) -> collections.abc.AsyncIterator[bytes]:
+    while True:
+        try:
+            yield await source.receive(_CHUNK)
+        except anyio.EndOfStream:
+            return
+
+
+async def run(listen: str, control: str, target: str) -> None:
+    """Run a proxy and its control interface until SIGTERM."""
+    proxy = Proxy(listen, target)
+    logs.write_event('proxying', address=proxy.address, target=target)
+    await serving.serve(proxy.app, control, proxy.run)
+
+
+def main() -> None:
+    """Run the stand-in until SIGTERM."""
+    arguments = serving.parse_arguments(
+        'Proxy stand-in', 'control=127.0.0.1:0', 'target='
+    )
+    logs.configure(arguments.name)
+    anyio.run(run, arguments.listen, arguments.control, arguments.target)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,59 @@
+import testtools
+
+from persimmonsail import exceptions
+from persimmonsail import ledger
+from persimmonsail import records
+from standins import memory
+from tests import base
+
+
+def submit(task: str) -> records.Submitted:
+    return records.Submitted(task, 'build', 'team', '{}', 1)
+
+
+class LedgerTest(base.TestCase):
+    async def test_second_holder_reads_what_the_first_wrote(self):
+        store = memory.MemoryStore()
+        first = ledger.Ledger(store, 0)
+        await first.take_over('one')
+        await first.append((submit('a'), submit('b')))
+        second = ledger.Ledger(store, 0)
+        await second.load()
+        self.assertEqual(2, await second.take_over('two'))
+        self.assertEqual({'a', 'b'}, set(second.table.tasks))
+
+    async def test_paused_holder_cannot_write_after_a_takeover(self):
+        """A build runs twice.
+
+        Its first holder is frozen, a second takes the partition over,
+        writes so much that the ring goes round, and the first wakes and
+        claims the build at a position that it still takes for free.
+        """
+        store = memory.MemoryStore()
+        first = ledger.Ledger(store, 0)
+        await first.take_over('one')
+        second = ledger.Ledger(store, 0)
+        await second.load()
+        await second.take_over('two')
+        for number in range(ledger.SLOTS + 5):
+            if second.needs_snapshot():
+                await second.write_snapshot()
+            await second.append((submit(f't{number}'),))
+        with testtools.ExpectedException(exceptions.NotHolder):
+            await first.append((submit('late'),))
+
+    async def test_lost_answer_is_resolved_by_the_batch_id(self):
+        """A task is refused although it was accepted.
+
+        The store commits the batch, its answer is lost, and the retry
+        meets its own write as a conflict.
+        """
+        store = memory.MemoryStore()
+        first = ledger.Ledger(store, 0)
+        await first.take_over('one')
+        store.faults.lose_answers = 1
+        await first.append((submit('a'),))
+        again = ledger.Ledger(store, 0)
+        await again.load()
+        self.assertEqual(['a'], list(again.table.tasks))
+        self.assertEqual(first.hash, again.hash)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,46 @@
+from persimmonsail import exceptions
+from persimmonsail import settings
+from tests import base
+
+GOOD = """\
+[process]
+name = entry-1
+region = piedmont
+zone = piedmont-a
+
+[store]
+address = 127.0.0.1:4000
+"""
+
+BAD = """\
+[process]
+name = entry 1
+region = piedmont
+colour = red
+
+[stoer]
+address = 127.0.0.1:4000
+"""
+
+
+class SettingsTest(base.TestCase):
+    def test_reads_a_file(self):
+        found = settings.parse('entry.ini', GOOD, 'entry')
+        self.assertEqual('piedmont-a', found.process.zone)
+        self.assertEqual('127.0.0.1:4000', found.store.address)
+
+    def test_reports_every_finding_with_its_place(self):
+        error = self.assertRaises(
+            exceptions.InvalidInput, settings.parse, 'e.ini', BAD, 'entry'
+        )
+        texts = [str(finding) for finding in error.exceptions]
+        starts = (
+            'e.ini:2 [process] name: ',
+            'e.ini:1 [process] zone: ',
+            'e.ini:4 [process] colour: ',
+            'e.ini:6 [stoer]: unknown section; allowed: process, store',
+            'e.ini [store]: section is missing; the entry role needs it',
+        )
+        for start in starts:
+            self.assertTrue(any(text.startswith(start) for text in texts))
+        self.assertEqual(len(starts), len(texts))
