Enforce the tasks' headroom at admission

Cause: two entries placed builds from reports some time old; each left headroom in its own view, together they took it. Ruled out: the queue (no refusal said 'queue full'). Conclusion: headroom holds only where commitments are made.

--- a/src/persimmonsail/admission.py
+++ b/src/persimmonsail/admission.py
@@ -43,6 +43,19 @@
 
 _ROUNDING = 1e-9
 
+# Tasks leave this part of an instance's processors and memory free, so
+# that a quick request finds room at once.
+HEADROOM = 0.15
+
+
+def leave_headroom(capacity: Size) -> Size:
+    """Return the part of a capacity that tasks may take."""
+    return Size(
+        capacity.cores * (1 - HEADROOM),
+        capacity.memory_gb * (1 - HEADROOM),
+        capacity.accelerators,
+    )
+
 
 def read_size(message: control_pb2.Size) -> Size:
     """Read the protocol's form of a size."""
@@ -61,8 +74,10 @@
         """The sum of all commitments."""
         return sum(self._sizes.values(), Size())
 
-    def try_commit(self, holder: str, size: Size) -> bool:
-        """Commit a size for a holder, if it fits.
+    def try_commit(
+        self, holder: str, size: Size, limit: Size | None = None
+    ) -> bool:
+        """Commit a size for a holder, if all then fits the limit.
 
         The check against capacity answers overcommitment: entries
         choose from reports that are some time old, so several of them
@@ -70,7 +85,7 @@
         """
         if holder in self._sizes:
             return True
-        if not (self.total + size).fits(self.capacity):
+        if not (self.total + size).fits(limit or self.capacity):
             return False
         self._sizes[holder] = size
         return True
--- a/src/persimmonsail/sidecar.py
+++ b/src/persimmonsail/sidecar.py
@@ -304,7 +304,8 @@
         reason = self._find_task_refusal(request)
         holder = f'task/{request.task}'
         size = admission.read_size(request.size)
-        if not reason and not self.commitments.try_commit(holder, size):
+        limit = admission.leave_headroom(self.commitments.capacity)
+        if not reason and not self.commitments.try_commit(holder, size, limit):
             reason = 'no capacity'
         if reason:
             self._barred.add((request.task, request.attempt))
