--- /dev/null
+++ b/src/persimmonsail/announcer.py
@@ -0,0 +1,108 @@
+"""A sidecar's links to entries, over which it announces its instance."""
+
+import typing as t
+
+import anyio
+import grpclib.exceptions
+
+from persimmonsail import control_grpc
+from persimmonsail import control_pb2
+from persimmonsail import instance as instance_module
+from persimmonsail import links
+from persimmonsail import logs
+from persimmonsail import settings as settings_module
+
+
+class Announcer:
+    """Announces an instance to entries, one task for each entry."""
+
+    def __init__(
+        self,
+        own: instance_module.OwnInstance,
+        settings: settings_module.Settings,
+        address: str,
+        opened: links.Links,
+    ) -> None:
+        self._own = own
+        self._settings = settings
+        self._address = settings.process.control_advertised or address
+        self._links = opened
+        self._known: set[str] = set()
+        self.changed = anyio.Event()
+
+    async def run(self) -> None:
+        """Keep a link to every known entry, until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            self._add(self._settings.sidecar.entries)
+            await anyio.sleep_forever()
+
+    def announce_now(self) -> None:
+        """Send a report at once, on every link."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def describe(self, sequence: int) -> control_pb2.SidecarReport:
+        """Return the announcement of this instance."""
+        process = self._settings.process
+        limits = self._settings.sidecar
+        return control_pb2.SidecarReport(
+            instance=process.name,
+            zone=process.zone,
+            rack=process.rack,
+            incarnation=self._own.incarnation,
+            address=self._address,
+            service=limits.service,
+            leaving=self._own.leaving,
+            slots=limits.slots,
+            max_connections=limits.connections,
+            capacity=self._own.commitments.capacity.to_message(),
+            load=self._own.describe_load(),
+            revision=self._own.revision,
+            sequence=sequence,
+        )
+
+    def _add(self, addresses: t.Iterable[str]) -> None:
+        for address in addresses:
+            if address not in self._known:
+                self._known.add(address)
+                self._group.start_soon(self._keep_link, address)
+
+    async def _keep_link(self, address: str) -> None:
+        limits = self._settings.links
+        while True:
+            try:
+                await self._run_link(address)
+            except (
+                OSError,
+                TimeoutError,
+                grpclib.exceptions.GRPCError,
+                grpclib.exceptions.StreamTerminatedError,
+            ) as error:
+                name = type(error).__name__
+                logs.write_event('link-lost', entry=address, error=name)
+            self._links.drop(address)
+            await anyio.sleep(limits.heartbeat)
+
+    async def _run_link(self, address: str) -> None:
+        settings = self._settings
+        stub = control_grpc.EntryStub(self._links.open(address))
+        sequence = 0
+        with anyio.fail_after(settings.links.silence) as scope:
+            async with stub.Link.open() as stream:
+                while True:
+                    sequence += 1
+                    await stream.send_message(self.describe(sequence))
+                    notice = await stream.recv_message()
+                    if notice is None:
+                        return
+                    self._note(notice)
+                    scope.deadline = (
+                        anyio.current_time() + settings.links.silence
+                    )
+                    with anyio.move_on_after(settings.sidecar.report_interval):
+                        await self.changed.wait()
+
+    def _note(self, notice: control_pb2.EntryNotice) -> None:
+        self._own.note_revision(notice.revision)
+        self._add(notice.entries)
