--- a/src/persimmonsail/execution.py
+++ b/src/persimmonsail/execution.py
@@ -11,6 +11,7 @@
 from persimmonsail import backends
 from persimmonsail import control_pb2
 from persimmonsail import instance as instance_module
+from persimmonsail import metrics
 from persimmonsail import settings as settings_module
 
 _BUSY_RETRY_AFTER = 0.1
@@ -107,7 +108,8 @@
     async def _queue_and_send(
         self, request: control_pb2.ExecuteRequest
     ) -> control_pb2.ExecuteReply:
-        deadline = time.monotonic() + request.timeout_seconds
+        begun = time.monotonic()
+        deadline = begun + request.timeout_seconds
         self._own.queued += 1
         try:
             with anyio.fail_after(request.timeout_seconds):
@@ -116,6 +118,9 @@
             return _refuse('deadline passed in the queue')
         finally:
             self._own.queued -= 1
+            metrics.QUEUE_SECONDS.record(
+                time.monotonic() - begun, request.workload
+            )
         self._own.busy_slots += 1
         holder = f'request/{request.attempt}'
         size = admission.read_size(request.size)
--- a/src/persimmonsail/gateway.py
+++ b/src/persimmonsail/gateway.py
@@ -1,5 +1,6 @@
 """The callers' HTTP interface of an entry."""
 
+import functools
 import json
 import time
 import typing as t
@@ -14,10 +15,13 @@
 from persimmonsail import catalogue
 from persimmonsail import control_pb2
 from persimmonsail import logs
+from persimmonsail import metrics
 from persimmonsail import problems
 from persimmonsail import quick as quick_module
 
 MAX_WAIT_SECONDS = 30.0
+_EXPOSITION = 'text/plain; version=0.0.4'
+_UNKNOWN_WORKLOAD = 'none'
 _Timeout = t.Annotated[float, pydantic.Field(gt=0, le=3600)]
 
 
@@ -35,11 +39,39 @@
     ] = None
 
 
+_Handler = t.Callable[..., t.Awaitable[responses.Response]]
+
+
+def _measure(handler: _Handler) -> _Handler:
+    """Record the time from a request to its final answer."""
+
+    @functools.wraps(handler)
+    async def handle(
+        gateway: 'Gateway', request: requests.Request
+    ) -> responses.Response:
+        begun = time.monotonic()
+        outcome = 'cut-off'
+        try:
+            response = await handler(gateway, request)
+            outcome = 'accepted' if response.status_code == 202 else 'answered'
+            return response
+        except problems.Problem as problem:
+            outcome = problem.work
+            raise
+        finally:
+            seconds = time.monotonic() - begun
+            workload = gateway.find_workload(request)
+            metrics.REQUEST_SECONDS.record(seconds, workload, outcome)
+
+    return handle
+
+
 class Gateway:
     """Translates between HTTP and the entry; holds no state."""
 
     def __init__(self, entry: t.Any) -> None:
         self._entry = entry
+        self._gauges = _make_gauges(entry)
         self.app = applications.Starlette(
             routes=[
                 routing.Route(
@@ -60,6 +92,12 @@
             exception_handlers={problems.Problem: self._respond_problem},
         )
 
+    def find_workload(self, request: requests.Request) -> str:
+        """Return the catalogue's name of what a request asks for."""
+        name = request.path_params['name']
+        known = name in self._entry.view.catalogue.workloads
+        return name if known else _UNKNOWN_WORKLOAD
+
     async def _respond_problem(
         self, request: requests.Request, problem: problems.Problem
     ) -> responses.Response:
@@ -72,8 +110,10 @@
             reason=problem.detail,
             retry_after=problem.retry_after,
         )
+        metrics.REFUSALS.increase(problem.title, problem.work)
         return problems.respond(problem, number)
 
+    @_measure
     async def _post_request(
         self, request: requests.Request
     ) -> responses.Response:
@@ -162,7 +202,39 @@
     async def _get_metrics(
         self, request: requests.Request
     ) -> responses.Response:
-        return responses.PlainTextResponse('')
+        return responses.PlainTextResponse(
+            metrics.render(*self._gauges), media_type=_EXPOSITION
+        )
+
+
+def _make_gauges(entry: t.Any) -> tuple[metrics.Gauge, ...]:
+    return (
+        metrics.Gauge(
+            'persimmonsail_catalogue_revision',
+            'The catalogue revision in force here.',
+            lambda: entry.view.revision,
+        ),
+        metrics.Gauge(
+            'persimmonsail_catalogue_age_seconds',
+            'Time since the revision was confirmed to be the newest.',
+            lambda: entry.view.age,
+        ),
+        metrics.Gauge(
+            'persimmonsail_instances_live',
+            'Instances that may get new work from this entry.',
+            lambda: len(entry.fleet.list_live()),
+        ),
+        metrics.Gauge(
+            'persimmonsail_partitions_held',
+            'Partitions of the task ledger held here.',
+            lambda: len(entry.partitions.held),
+        ),
+        metrics.Gauge(
+            'persimmonsail_ready',
+            'One if callers may be sent here.',
+            lambda: not entry.find_unready(),
+        ),
+    )
 
 
 def _read_headers(request: requests.Request) -> RequestHeaders:
--- a/src/persimmonsail/httpstore.py
+++ b/src/persimmonsail/httpstore.py
@@ -1,13 +1,20 @@
 """The platform's store over HTTP with JSON bodies."""
 
+import time
 import typing as t
 
 import httpx
 
 from persimmonsail import exceptions
+from persimmonsail import metrics
 from persimmonsail import store
 
 _WATCH_MARGIN = 1.0
+_OUTCOMES = {
+    httpx.codes.OK: 'ok',
+    httpx.codes.CONFLICT: 'conflict',
+    httpx.codes.GONE: 'lease-expired',
+}
 
 
 @store.register('http')
@@ -74,14 +81,17 @@
     async def _call(
         self, name: str, body: dict[str, t.Any], timeout: float | None = None
     ) -> dict[str, t.Any]:
+        begun = time.monotonic()
         try:
             answer = await self._client.post(
                 f'/v1/{name}', json=body, timeout=timeout or self._timeout
             )
         except httpx.HTTPError as error:
+            metrics.STORE_CALLS.increase(name, 'no-answer')
             raise exceptions.StoreUnavailable(
                 f'{name}: {type(error).__name__}'
             ) from error
+        _count_answer(name, answer.status_code, time.monotonic() - begun)
         if answer.status_code == httpx.codes.CONFLICT:
             raise exceptions.Conflict(body['key'], answer.json()['revision'])
         if answer.status_code == httpx.codes.GONE:
@@ -91,6 +101,14 @@
         return answer.json()
 
 
+def _count_answer(name: str, status: int, seconds: float) -> None:
+    outcome = _OUTCOMES.get(status, 'error')
+    metrics.STORE_CALLS.increase(name, outcome)
+    # A watch waits on purpose; its time says nothing of the store.
+    if name != 'watch':
+        metrics.STORE_SECONDS.record(seconds, name)
+
+
 def _read_item(item: dict[str, t.Any]) -> store.Item:
     return store.Item(item['key'], item['value'], item['revision'])
 
--- a/src/persimmonsail/ledger.py
+++ b/src/persimmonsail/ledger.py
@@ -15,6 +15,7 @@
 
 from persimmonsail import exceptions
 from persimmonsail import logs
+from persimmonsail import metrics
 from persimmonsail import records
 from persimmonsail import store as store_module
 from persimmonsail import tasks
@@ -94,6 +95,8 @@
         slot = position % SLOTS
         await self._write_slot(slot, text, batch)
         self._advance(batch, text)
+        metrics.LEDGER_COMMITS.increase()
+        metrics.LEDGER_RECORDS.increase(by=len(items))
         logs.write_event(
             'ledger-commit',
             partition=self.partition,
--- a/src/persimmonsail/links.py
+++ b/src/persimmonsail/links.py
@@ -13,6 +13,7 @@
 
 from persimmonsail import exceptions
 from persimmonsail import httpserver
+from persimmonsail import metrics
 
 _T = t.TypeVar('_T')
 _LOST = (OSError, grpclib.exceptions.GRPCError, TimeoutError)
@@ -69,5 +70,6 @@
         except (*_LOST, *_STREAM_LOST) as error:
             if self._channels.get(address) is channel:
                 self.drop(address)
+            metrics.LINKS_LOST.increase(method)
             name = type(error).__name__
             raise exceptions.LinkLost(f'{method} {address}: {name}') from error
--- a/src/persimmonsail/quick.py
+++ b/src/persimmonsail/quick.py
@@ -12,6 +12,7 @@
 from persimmonsail import fleet as fleet_module
 from persimmonsail import links as links_module
 from persimmonsail import logs
+from persimmonsail import metrics
 from persimmonsail import problems
 from persimmonsail import revisions
 from persimmonsail import routing
@@ -70,6 +71,8 @@
             instance = self._choose(request, tried)
             if instance is None or request.left <= 0:
                 break
+            if tried:
+                metrics.RETRIES.increase(request.workload)
             tried.add(instance.name)
             reply = await self._attempt(request, instance)
             if reply.verdict == control_pb2.ANSWERED:
@@ -140,6 +143,7 @@
         finally:
             instance.outstanding -= 1
         self._fleet.note_load(instance.name, reply.load)
+        metrics.ATTEMPTS.increase(control_pb2.Verdict.Name(reply.verdict))
         return reply
 
     async def _settle(
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,91 @@
+import re
+
+from persimmonsail import metrics
+from tests import base
+
+LINE = re.compile(
+    r'(?P<name>[a-z_]+)(\{(?P<labels>.*)\})? (?P<value>[0-9.e+-]+)'
+)
+
+
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def read_quantile(duration, quantile):
+    values = [
+        sample.value
+        for sample in duration.collect()
+        if sample.labels.get('quantile') == str(quantile)
+    ]
+    return values[0] if values else None
+
+
+class MetricsTest(base.TestCase):
+    def test_counts_by_labels(self):
+        counter = metrics.Counter('calls', 'Calls.', ('kind',))
+        counter.increase('get')
+        counter.increase('put', by=2)
+        counter.increase('get')
+        self.assertEqual((2, 2), (counter.read('get'), counter.read('put')))
+
+    def test_quantiles_are_near_the_recorded_values(self):
+        duration = metrics.Duration('wait', 'Waits.', (), Clock())
+        for milliseconds in range(1, 1001):
+            duration.record(milliseconds / 1000)
+        self.assertAlmostEqual(0.5, read_quantile(duration, 0.5), delta=0.01)
+        self.assertAlmostEqual(0.99, read_quantile(duration, 0.99), delta=0.01)
+
+    def test_a_slow_hour_is_forgotten(self):
+        """The tail looks bad all day after one bad morning.
+
+        Durations of the whole life go into one histogram, a slow hour
+        stays in its tail, and nobody sees that it is over.
+        """
+        clock = Clock()
+        duration = metrics.Duration('wait', 'Waits.', (), clock)
+        duration.record(30.0)
+        self.assertAlmostEqual(30, read_quantile(duration, 0.99), delta=0.5)
+        clock.now += metrics.WINDOW_SECONDS
+        duration.record(0.01)
+        self.assertAlmostEqual(30, read_quantile(duration, 0.99), delta=0.5)
+        clock.now += metrics.WINDOW_SECONDS
+        self.assertAlmostEqual(
+            0.01, read_quantile(duration, 0.99), delta=0.001
+        )
+        clock.now += 2 * metrics.WINDOW_SECONDS
+        self.assertIsNone(read_quantile(duration, 0.99))
+
+    def test_extreme_durations_are_kept_within_bounds(self):
+        duration = metrics.Duration('wait', 'Waits.', (), Clock())
+        for seconds in (-1.0, 0.0, 1e9):
+            duration.record(seconds)
+        self.assertAlmostEqual(600, read_quantile(duration, 0.999), delta=6)
+
+    def test_label_sets_are_bounded(self):
+        """An entry outgrows its 64 MB after a day.
+
+        A caller asks for ever new names, each becomes a label, and a
+        histogram of its own.
+        """
+        duration = metrics.Duration('wait', 'Waits.', ('name',), Clock())
+        for number in range(5 * metrics.MAX_SERIES):
+            duration.record(1.0, f'name-{number}')
+        names = {sample.labels['name'] for sample in duration.collect()}
+        self.assertEqual(metrics.MAX_SERIES + 1, len(names))
+        self.assertIn(metrics.OTHER, names)
+
+    def test_exposition_has_help_type_and_escaped_labels(self):
+        counter = metrics.Counter('odd', 'Odd names.', ('name',))
+        counter.increase('a"b\\c\nd')
+        lines = metrics.render(counter).splitlines()
+        self.assertIn('# HELP odd Odd names.', lines)
+        self.assertIn('# TYPE odd counter', lines)
+        self.assertIn(r'odd{name="a\"b\\c\nd"} 1', lines)
+        for line in lines:
+            if not line.startswith('#'):
+                self.assertIsNotNone(LINE.fullmatch(line), line)
