Report an unforeseen error as one event line

Cause: a role's crash left a traceback of many lines on standard error; a library's error lost its exception; a failed request handler answered in plain text without saying whether the work ran. Ruled out: giving absl another handler; the flags' own call is enough.

--- a/src/persimmonsail/cli.py
+++ b/src/persimmonsail/cli.py
@@ -9,6 +9,7 @@
 import anyio
 
 from persimmonsail import __version__
+from persimmonsail import crashes
 from persimmonsail import exceptions
 from persimmonsail import exits
 from persimmonsail import logs
@@ -111,7 +112,14 @@
     # Only the role that runs is imported, to stay small in memory.
     importlib.import_module('persimmonsail.httpstore')
     role = importlib.import_module(f'persimmonsail.{arguments.command}')
-    anyio.run(role.run, settings)
+    crashes.install_hooks()
+    try:
+        anyio.run(role.run, settings)
+    except Exception as error:
+        # Left to the interpreter this is a traceback of many lines,
+        # which no collector of log lines takes for one event.
+        crashes.report(error)
+        return exits.CRASHED
     return exits.OK
 
 
--- a/src/persimmonsail/gateway.py
+++ b/src/persimmonsail/gateway.py
@@ -8,6 +8,7 @@
 
 import pydantic
 from starlette import applications
+from starlette import exceptions as http_exceptions
 from starlette import requests
 from starlette import responses
 from starlette import routing
@@ -18,6 +19,7 @@
 from persimmonsail import metrics
 from persimmonsail import problems
 from persimmonsail import quick as quick_module
+from persimmonsail import tracebacks
 
 MAX_WAIT_SECONDS = 30.0
 _EXPOSITION = 'text/plain; version=0.0.4'
@@ -89,7 +91,11 @@
                 routing.Route('/ready', self._get_ready),
                 routing.Route('/metrics', self._get_metrics),
             ],
-            exception_handlers={problems.Problem: self._respond_problem},
+            exception_handlers={
+                problems.Problem: self._respond_problem,
+                http_exceptions.HTTPException: self._respond_unrouted,
+                Exception: self._respond_error,
+            },
         )
 
     def find_workload(self, request: requests.Request) -> str:
@@ -113,6 +119,35 @@
         metrics.REFUSALS.increase(problem.title, problem.work)
         return problems.respond(problem, number)
 
+    async def _respond_unrouted(
+        self,
+        request: requests.Request,
+        error: http_exceptions.HTTPException,
+    ) -> responses.Response:
+        problem = problems.Problem(
+            error.status_code,
+            error.detail,
+            problems.NOT_RUN,
+            f'{request.method} {request.url.path}',
+        )
+        response = problems.respond(problem)
+        response.headers.update(error.headers or {})
+        return response
+
+    async def _respond_error(
+        self, request: requests.Request, error: Exception
+    ) -> responses.Response:
+        # Whatever failed here may have failed after the work began.
+        number = getattr(request.state, 'number', '')
+        logs.write_error(
+            'request-error', request=number, **tracebacks.describe(error)
+        )
+        problem = problems.Problem(
+            500, 'Internal error', problems.UNKNOWN, type(error).__name__
+        )
+        metrics.REFUSALS.increase(problem.title, problem.work)
+        return problems.respond(problem, number)
+
     @_measure
     async def _post_request(
         self, request: requests.Request
--- a/src/persimmonsail/httpserver.py
+++ b/src/persimmonsail/httpserver.py
@@ -1,5 +1,6 @@
 """Serving an ASGI application over HTTP, with a graceful end."""
 
+import logging
 import socket
 import typing as t
 
@@ -69,7 +70,7 @@
         config.bind = [f'fd://{self._socket.detach()}']
         config.graceful_timeout = self._drain
         config.accesslog = None
-        config.errorlog = None
+        config.errorlog = logging.getLogger('hypercorn.error')
         config.include_server_header = False
         try:
             await hypercorn.asyncio.serve(
--- a/src/persimmonsail/logs.py
+++ b/src/persimmonsail/logs.py
@@ -12,9 +12,11 @@
 import time
 import typing as t
 
+from absl import flags
 from absl import logging as absl_logging
 
 from persimmonsail import exceptions
+from persimmonsail import tracebacks
 
 _BARE = re.compile(r'[A-Za-z0-9_./:+@%,-]+')
 _PAIR = re.compile(
@@ -64,6 +66,16 @@
     return text if _BARE.fullmatch(text) else json.dumps(text)
 
 
+def _describe_message(record: logging.LogRecord, text: str) -> dict[str, str]:
+    fields = {'event': 'message', 'logger': record.name, 'text': text}
+    error = record.exc_info[1] if record.exc_info else None
+    if error is not None:
+        found = tracebacks.describe(error)
+        fields |= {name: found[name] for name in ('error', 'where', 'trace')}
+        fields['error_text'] = found['text']
+    return fields
+
+
 class _LineFormatter(logging.Formatter):
     """Adds time, level and process to an event's own fields."""
 
@@ -78,8 +90,8 @@
             'process': self._process,
         }
         text = record.getMessage()
-        if not text.startswith('event='):
-            text = format_line({'event': 'message', 'text': text})
+        if record.name != 'absl' or not text.startswith('event='):
+            text = format_line(_describe_message(record, text))
         return f'{format_line(head)} {text}'
 
 
@@ -93,11 +105,15 @@
     stream : file object, optional
         Where lines go instead of standard output.
     """
+    # Before absl's flags count as parsed, its handler writes to standard
+    # error whatever its stream is.
+    flags.FLAGS.mark_as_parsed()
     handler = absl_logging.get_absl_handler()
     handler.python_handler.stream = stream or sys.stdout
     handler.python_handler.setFormatter(_LineFormatter(process))
     absl_logging.use_absl_handler()
     absl_logging.set_verbosity(absl_logging.INFO)
+    logging.captureWarnings(True)
     logging.getLogger('httpx').setLevel(logging.WARNING)
     logging.getLogger('hypercorn').setLevel(logging.WARNING)
 
@@ -112,6 +128,11 @@
     absl_logging.warning('%s', format_line({'event': event, **fields}))
 
 
+def write_error(event: str, **fields: object) -> None:
+    """Log one event that ended something before its time."""
+    absl_logging.error('%s', format_line({'event': event, **fields}))
+
+
 def wall_time() -> float:
     """Return seconds since the epoch, for evidence only."""
     return time.time()
