--- a/src/persimmonsail/commands.py
+++ b/src/persimmonsail/commands.py
@@ -9,6 +9,7 @@
 from persimmonsail import catalogue
 from persimmonsail import exceptions
 from persimmonsail import exits
+from persimmonsail import logs
 from persimmonsail import revisions
 from persimmonsail import store as store_module
 
@@ -98,9 +99,21 @@
         won, _ = await kept.read()
         return _report_lost_race(won, new, arguments)
     print(f'accepted revision={accepted.revision} id={accepted.id}')
+    _print_evidence(accepted)
     return exits.OK
 
 
+def _print_evidence(accepted: revisions.Head) -> None:
+    fields = {
+        'time': f'{logs.wall_time():.6f}',
+        'process': 'catalogue',
+        'event': 'catalogue-accepted',
+        'revision': accepted.revision,
+        'id': accepted.id,
+    }
+    print(logs.format_line(fields))
+
+
 def _read_file(path: pathlib.Path) -> str:
     text = path.read_text(encoding='utf-8')
     catalogue.parse(str(path), text)
--- a/src/persimmonsail/execution.py
+++ b/src/persimmonsail/execution.py
@@ -11,6 +11,7 @@
 from persimmonsail import backends
 from persimmonsail import control_pb2
 from persimmonsail import instance as instance_module
+from persimmonsail import logs
 from persimmonsail import settings as settings_module
 
 _BUSY_RETRY_AFTER = 0.1
@@ -103,6 +104,36 @@
             reply = await self._queue_and_send(request)
         finally:
             attempt.end(reply)
+            self._note_outcome(request, reply)
+
+    def _note_dispatch(self, request: control_pb2.ExecuteRequest) -> None:
+        logs.write_event(
+            'dispatch',
+            request=request.request,
+            attempt=request.attempt,
+            incarnation=self._own.incarnation,
+            idempotent=request.idempotent,
+            revision=request.revision,
+            cores=request.size.cores,
+            memory_gb=request.size.memory_gb,
+            accelerators=request.size.accelerators,
+        )
+
+    def _note_outcome(
+        self,
+        request: control_pb2.ExecuteRequest,
+        reply: control_pb2.ExecuteReply,
+    ) -> None:
+        logs.write_event(
+            'outcome',
+            request=request.request,
+            attempt=request.attempt,
+            incarnation=self._own.incarnation,
+            verdict=instance_module.name_verdict(reply.verdict),
+            status=reply.status,
+            answer=logs.digest(reply.body),
+            reason=reply.reason,
+        )
 
     async def _queue_and_send(
         self, request: control_pb2.ExecuteRequest
@@ -135,6 +166,7 @@
         left = deadline - time.monotonic()
         if left <= 0:
             return _refuse('deadline passed in the queue')
+        self._note_dispatch(request)
         try:
             answer = await self._backend.send(
                 request.request, request.body, request.content_type, left
--- a/src/persimmonsail/gateway.py
+++ b/src/persimmonsail/gateway.py
@@ -67,6 +67,7 @@
         logs.write_event(
             'refusal',
             request=number,
+            task=getattr(request.state, 'task', ''),
             status=problem.status,
             work=problem.work,
             reason=problem.detail,
@@ -79,6 +80,7 @@
     ) -> responses.Response:
         request.state.number = uuid.uuid4().hex
         name = request.path_params['name']
+        logs.write_event('request', request=request.state.number, name=name)
         headers = _read_headers(request)
         self._entry.check_serving()
         workload = self._entry.view.catalogue.workloads.get(name)
@@ -111,6 +113,12 @@
             time.monotonic() + timeout,
         )
         reply = await self._entry.quick.send(message)
+        logs.write_event(
+            'answer',
+            request=message.id,
+            status=reply.status,
+            answer=logs.digest(reply.body),
+        )
         return responses.Response(
             reply.body,
             status_code=reply.status,
@@ -129,7 +137,9 @@
         _check_payload(body)
         key = headers.idempotency_key or request.state.number
         task = self._entry.name_task(name, key)
+        request.state.task = task
         reply = await self._entry.tasks.submit(task, name, body, timeout)
+        _note_task_answer(request.state.number, task, reply)
         response = _respond_task(task, reply, status=202)
         response.headers['location'] = f'/v1/tasks/{task}'
         return response
@@ -138,6 +148,7 @@
         task = request.path_params['task']
         wait = _read_wait(request)
         reply = await self._entry.tasks.query(task, wait)
+        _note_task_answer('', task, reply)
         return _respond_task(task, reply)
 
     async def _delete_task(
@@ -197,6 +208,19 @@
     return min(max(wait, 0.0), MAX_WAIT_SECONDS)
 
 
+def _note_task_answer(
+    request: str, task: str, reply: control_pb2.TaskReply
+) -> None:
+    logs.write_event(
+        'task-answer',
+        request=request,
+        task=task,
+        attempt=reply.attempt,
+        phase=reply.phase,
+        answer=logs.digest(reply.answer.encode()),
+    )
+
+
 def _respond_task(
     task: str, reply: control_pb2.TaskReply, status: int = 200
 ) -> responses.Response:
--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -227,6 +227,9 @@
             attempt=attempt,
             epoch=self.table.epoch,
             chosen=chosen.name,
+            incarnation=chosen.incarnation,
+            idempotent=workload.idempotent,
+            checkpoint=logs.digest(task.checkpoint.encode()),
             revision=self._view.revision,
         )
         request = control_pb2.StartTaskRequest(
--- a/src/persimmonsail/instance.py
+++ b/src/persimmonsail/instance.py
@@ -5,12 +5,18 @@
 
 from persimmonsail import admission
 from persimmonsail import control_pb2
+from persimmonsail import logs
 
 
 def _make_incarnation() -> str:
     return uuid.uuid4().hex
 
 
+def name_verdict(verdict: int) -> str:
+    """Return a verdict as log lines write it."""
+    return control_pb2.Verdict.Name(verdict).lower().replace('_', '-')
+
+
 @dataclasses.dataclass
 class OwnInstance:
     """The sidecar's own instance: commitments, queue and state.
@@ -38,4 +44,8 @@
 
     def note_revision(self, revision: int) -> None:
         """Remember the highest catalogue revision seen."""
-        self.revision = max(self.revision, revision)
+        if revision > self.revision:
+            self.revision = revision
+            logs.write_event(
+                'catalogue', revision=revision, incarnation=self.incarnation
+            )
--- a/src/persimmonsail/logs.py
+++ b/src/persimmonsail/logs.py
@@ -5,6 +5,7 @@
 exactly what ``format_line`` wrote.
 """
 
+import hashlib
 import json
 import logging
 import re
@@ -16,6 +17,7 @@
 
 from persimmonsail import exceptions
 
+_DIGEST_LENGTH = 16
 _BARE = re.compile(r'[A-Za-z0-9_./:+@%,-]+')
 _PAIR = re.compile(
     r'(?P<key>[a-z][a-z0-9_]*)='
@@ -112,6 +114,13 @@
     absl_logging.warning('%s', format_line({'event': event, **fields}))
 
 
+def digest(data: bytes) -> str:
+    """Return a short hash of an answer, for evidence; empty for none."""
+    if not data:
+        return ''
+    return hashlib.sha256(data).hexdigest()[:_DIGEST_LENGTH]
+
+
 def wall_time() -> float:
     """Return seconds since the epoch, for evidence only."""
     return time.time()
--- a/src/persimmonsail/quick.py
+++ b/src/persimmonsail/quick.py
@@ -99,6 +99,7 @@
             request=request.id,
             workload=request.workload,
             chosen=chosen.name,
+            incarnation=chosen.incarnation,
             score=routing.score(chosen, self._zone),
             candidates=len(fresh),
             revision=self._view.revision,
--- a/src/persimmonsail/sidecar.py
+++ b/src/persimmonsail/sidecar.py
@@ -10,7 +10,6 @@
 from persimmonsail import announcer as announcer_module
 from persimmonsail import backends
 from persimmonsail import control_grpc
-from persimmonsail import control_pb2
 from persimmonsail import execution
 from persimmonsail import httpserver
 from persimmonsail import instance as instance_module
@@ -65,7 +64,7 @@
             workload=request.workload,
             incarnation=self.own.incarnation,
             revision=self.own.revision,
-            verdict=_name(reply.verdict),
+            verdict=instance_module.name_verdict(reply.verdict),
             reason=reply.reason,
         )
         await stream.send_message(reply)
@@ -78,7 +77,7 @@
             'settle',
             attempt=request.attempt,
             incarnation=self.own.incarnation,
-            verdict=_name(reply.verdict),
+            verdict=instance_module.name_verdict(reply.verdict),
             reason=reply.reason,
         )
         await stream.send_message(reply)
@@ -95,8 +94,9 @@
             attempt=request.attempt,
             partition=request.partition,
             epoch=request.epoch,
+            revision=request.revision,
             incarnation=self.own.incarnation,
-            verdict=_name(reply.verdict),
+            verdict=instance_module.name_verdict(reply.verdict),
             reason=reply.reason,
         )
         await stream.send_message(reply)
@@ -114,10 +114,6 @@
         await stream.send_message(await self.supervisor.stop(request))
 
 
-def _name(verdict: int) -> str:
-    return control_pb2.Verdict.Name(verdict).lower().replace('_', '-')
-
-
 async def run(settings: settings_module.Settings) -> None:
     """Run the role until SIGTERM, then stop gracefully."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -143,13 +139,13 @@
                     group.cancel_scope.cancel()
             server.close()
             await server.wait_closed()
-    logs.write_event('stopped')
+    logs.write_event('stopped', incarnation=sidecar.own.incarnation)
 
 
 async def _stop(
     sidecar: Sidecar, announcer: announcer_module.Announcer
 ) -> None:
-    logs.write_event('stopping')
+    logs.write_event('stopping', incarnation=sidecar.own.incarnation)
     sidecar.own.leaving = True
     announcer.announce_now()
     with anyio.move_on_after(sidecar.settings.sidecar.drain):
--- a/src/persimmonsail/supervisor.py
+++ b/src/persimmonsail/supervisor.py
@@ -1,5 +1,6 @@
 """Tasks on one instance: their admission, leases and ends."""
 
+import dataclasses
 import typing as t
 
 import anyio
@@ -51,8 +52,15 @@
             view.cores, view.memory_gb, view.accelerators
         )
         self._own.commitments = admission.Commitments(capacity)
+        logs.write_event(
+            'takeover',
+            incarnation=self._own.incarnation,
+            worker_boot=view.boot,
+            **_describe_size(capacity),
+        )
         for task in view.tasks:
             if task.phase == 'active':
+                self._note_found(task)
                 size = admission.Size(
                     task.cores, task.memory_gb, task.accelerators
                 )
@@ -77,6 +85,7 @@
                 reason=reason,
                 retry_after_seconds=_BUSY_RETRY_AFTER,
             )
+        self._note_dispatch(request)
         try:
             await self._worker.start(self._describe_start(request))
         except exceptions.StaleIncarnation as error:
@@ -131,9 +140,12 @@
         self._epochs[request.partition] = request.epoch
         wanted = [(ref.task, ref.attempt) for ref in request.tasks]
         try:
-            view = await self._worker.renew(
-                self._own.incarnation, wanted, request.lease_seconds
-            )
+            try:
+                view = await self._worker.renew(
+                    self._own.incarnation, wanted, request.lease_seconds
+                )
+            finally:
+                self._note_renewal(request)
         except (
             exceptions.WorkerUnavailable,
             exceptions.StaleIncarnation,
@@ -155,11 +167,13 @@
             # after the holder has claimed the task elsewhere.
             self._barred.add(key)
             state.phase = control_pb2.ABSENT
+            self._note_ended(key, 'absent', '')
             return state
         state.phase = _PHASES[task.phase]
         state.answer = task.answer
         state.checkpoint = task.checkpoint
         if task.phase != 'active':
+            self._note_ended(key, task.phase, task.checkpoint)
             self._own.commitments.release(f'task/{task.task}')
         return state
 
@@ -186,3 +200,58 @@
         reply.accepted = True
         reply.state.CopyFrom(self._describe_state(key, task))
         return reply
+
+    def _note_found(self, task: workers.WorkerTask) -> None:
+        logs.write_event(
+            'task-found',
+            task=task.task,
+            attempt=task.attempt,
+            incarnation=self._own.incarnation,
+            cores=task.cores,
+            memory_gb=task.memory_gb,
+            accelerators=task.accelerators,
+        )
+
+    def _note_dispatch(self, request: control_pb2.StartTaskRequest) -> None:
+        # Written before the worker is called: a sidecar that dies in
+        # the call leaves evidence that the attempt may have run.
+        logs.write_event(
+            'task-dispatch',
+            task=request.task,
+            attempt=request.attempt,
+            partition=request.partition,
+            epoch=request.epoch,
+            incarnation=self._own.incarnation,
+            revision=request.revision,
+            lease_seconds=request.lease_seconds,
+            checkpoint=logs.digest(request.checkpoint.encode()),
+            **_describe_size(admission.read_size(request.size)),
+        )
+
+    def _note_renewal(self, request: control_pb2.RenewRequest) -> None:
+        # Written after the call: the worker's own deadline is not later
+        # than this line's time and the lease.
+        logs.write_event(
+            'renewal',
+            partition=request.partition,
+            epoch=request.epoch,
+            incarnation=self._own.incarnation,
+            lease_seconds=request.lease_seconds,
+            tasks=','.join(f'{r.task}/{r.attempt}' for r in request.tasks),
+        )
+
+    def _note_ended(
+        self, key: tuple[str, int], phase: str, checkpoint: str
+    ) -> None:
+        logs.write_event(
+            'task-ended',
+            task=key[0],
+            attempt=key[1],
+            incarnation=self._own.incarnation,
+            phase=phase,
+            checkpoint=logs.digest(checkpoint.encode()),
+        )
+
+
+def _describe_size(size: admission.Size) -> dict[str, float]:
+    return dataclasses.asdict(size)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -250,9 +250,12 @@
         """Put a catalogue in force with the operators' command."""
         path = self.directory / 'catalogue.ini'
         path.write_text(text, encoding='utf-8')
-        return await self.run_command(
+        code, output = await self.run_command(
             'catalogue', 'apply', str(path), '--store', self.store
         )
+        with (self.directory / 'catalogue.log').open('a') as log:
+            log.write(output)
+        return code, output
 
     async def set_faults(self, address: str, **faults: object) -> None:
         """Set the faults of a stand-in or a proxy."""
