Check all nine invariants from ledger and logs alone

Cause: the audit knew one check, trusted whatever it read and said 'ok' about nothing.

A holder now logs the last batch that it reads, since one that died between its write and its log line leaves no other evidence.

--- a/src/persimmonsail/audit.py
+++ b/src/persimmonsail/audit.py
@@ -1,93 +1,161 @@
-"""The regulator's check of every promise, from ledger and logs alone."""
+"""The regulator's command: every promise, from ledger and logs alone."""
 
 import argparse
-import dataclasses
-import pathlib
-import typing as t
-
+import sys
+
+from persimmonsail import audit_capacity  # noqa: F401
+from persimmonsail import audit_catalogue  # noqa: F401
+from persimmonsail import audit_requests  # noqa: F401
+from persimmonsail import audit_stops  # noqa: F401
+from persimmonsail import audit_tasks  # noqa: F401
+from persimmonsail import chain
+from persimmonsail import evidence
+from persimmonsail import exceptions
 from persimmonsail import exits
+from persimmonsail import history
 from persimmonsail import logs
-from persimmonsail import records
-
-
-@dataclasses.dataclass(frozen=True)
-class Violation:
-    """One promise that did not hold, and the evidence."""
-
-    invariant: str
-    subject: str
-    text: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Evidence:
-    """All events of all processes, by the order of their time."""
-
-    events: tuple[dict[str, str], ...]
-
-    def select(self, *names: str) -> t.Iterator[dict[str, str]]:
-        """Return the events of the given kinds."""
-        return (e for e in self.events if e.get('event') in names)
-
-
-Check = t.Callable[[Evidence], t.Iterator[Violation]]
-CHECKS: dict[str, Check] = {}
-
-
-def register(invariant: str) -> t.Callable[[Check], Check]:
-    """Add the check of one invariant."""
-
-    def add(check: Check) -> Check:
-        CHECKS[invariant] = check
-        return check
-
-    return add
-
-
-def read_logs(paths: t.Iterable[pathlib.Path]) -> Evidence:
-    """Read log files; lines that are no events are passed over."""
-    events = []
-    for path in paths:
-        for line in path.read_text(encoding='utf-8').splitlines():
-            try:
-                fields = logs.parse_line(line)
-            except logs.LogSyntaxError:
-                continue
-            if 'event' in fields and 'time' in fields:
-                events.append(fields)
-    events.sort(key=lambda fields: float(fields['time']))
-    return Evidence(tuple(events))
-
+from persimmonsail import revisions
+from persimmonsail import store as store_module
+from persimmonsail import tolerances
+from persimmonsail import verdicts
 
-def check_all(evidence: Evidence) -> list[Violation]:
-    """Run every registered check."""
-    return [
-        violation
-        for _, check in sorted(CHECKS.items())
-        for violation in check(evidence)
-    ]
+_EVIDENCE = 'evidence'
+_SHOWN = 20
 
 
 async def run(arguments: argparse.Namespace) -> int:
-    """Print all violations and a verdict."""
-    violations = check_all(read_logs(arguments.logs))
-    for violation in violations:
-        print(
-            logs.format_line(
-                {'violation': violation.invariant, **vars(violation)}
+    """Print a history, or all findings and a verdict for each promise."""
+    if arguments.request or arguments.task:
+        return _print_history(arguments)
+    try:
+        page, heads = await _read_store(arguments)
+    except exceptions.StoreUnavailable as error:
+        print(f'the store gave no answer: {error}', file=sys.stderr)
+        return exits.UNAVAILABLE
+    if arguments.save_ledger and page is not None:
+        arguments.save_ledger.write_text(chain.dump_page(page))
+    found = evidence.read_logs(arguments.logs)
+    case = verdicts.Case(
+        found,
+        chain.rebuild(found, page),
+        heads,
+        tolerances.Tolerances(
+            arguments.clock_seconds,
+            arguments.leaving_seconds,
+            arguments.catalogue_seconds,
+        ),
+    )
+    reports = [judge_evidence(case), *verdicts.run_checks(case)]
+    _print_reading(case, page)
+    for report in reports:
+        _print_report(report)
+    code = choose_exit(reports)
+    print(f'audit={_NAMES[code]}')
+    return code
+
+
+_NAMES = {
+    exits.OK: 'ok',
+    exits.BROKEN: 'violated',
+    exits.EVIDENCE: 'not-shown',
+}
+
+
+def judge_evidence(case: verdicts.Case) -> verdicts.Report:
+    """Return what is wrong with the evidence itself."""
+    report = verdicts.Report(_EVIDENCE, "the ledger's chains are whole")
+    report.cases = len(case.ledger.chains)
+    for faults, findings in (
+        (case.ledger.faults, report.violations),
+        (case.ledger.gaps, report.gaps),
+    ):
+        for fault in faults:
+            findings.append(
+                verdicts.Finding(
+                    f'partition {fault.partition}', fault.text, fault.places
+                )
             )
-        )
-    print(f'audit={"broken" if violations else "ok"}')
-    return exits.BROKEN if violations else exits.OK
-
-
-@register('I4')
-def _check_one_final_answer(evidence: Evidence) -> t.Iterator[Violation]:
-    final: dict[str, int] = {}
-    for event in evidence.select('ledger-commit'):
-        for record in records.load_batch(event['batch']).records:
-            if isinstance(record, records.Finished):
-                final[record.task] = final.get(record.task, 0) + 1
-    for task, count in final.items():
-        if count > 1:
-            yield Violation('I4', task, f'{count} final outcomes')
+    if not case.logs.lines:
+        report.miss('logs', 'no line was read')
+    return report
+
+
+def choose_exit(reports: list[verdicts.Report]) -> int:
+    """Return the exit code that all reports together ask for.
+
+    A violation counts more than evidence that is broken or missing;
+    broken evidence shows nothing about the promises themselves.
+    """
+    violated = {
+        report.invariant
+        for report in reports
+        if report.verdict is verdicts.Verdict.VIOLATED
+    }
+    if violated - {_EVIDENCE}:
+        return exits.BROKEN
+    held = all(r.verdict is verdicts.Verdict.HELD for r in reports)
+    return exits.OK if held else exits.EVIDENCE
+
+
+async def _read_store(
+    arguments: argparse.Namespace,
+) -> tuple[store_module.Page | None, list[revisions.Head] | None]:
+    if arguments.ledger:
+        return chain.read_page(arguments.ledger.read_text()), None
+    if not arguments.store:
+        return None, None
+    store = store_module.KINDS[arguments.store_kind](
+        arguments.store, arguments.timeout
+    )
+    try:
+        page = await store.scan(chain.PREFIX)
+        heads = await revisions.CatalogueStore(store).read_history()
+        return page, heads
+    finally:
+        await store.close()
+
+
+def _print_history(arguments: argparse.Namespace) -> int:
+    subject = arguments.request or arguments.task
+    lines = history.tell(subject, arguments.logs)
+    for line in lines:
+        print(line)
+    if not lines:
+        print(f'no line speaks of {subject}', file=sys.stderr)
+    return exits.OK if lines else exits.EVIDENCE
+
+
+def _print_reading(
+    case: verdicts.Case, page: store_module.Page | None
+) -> None:
+    fields = {
+        'read': 'evidence',
+        'lines': case.logs.lines,
+        'unparsed': case.logs.unparsed,
+        'processes': len(case.logs.processes),
+        'store': 'not-read' if page is None else 'read',
+    }
+    print(logs.format_line(fields))
+
+
+def _print_report(report: verdicts.Report) -> None:
+    kinds = (('violation', report.violations), ('gap', report.gaps))
+    for kind, findings in kinds:
+        for finding in findings[:_SHOWN]:
+            fields = {
+                kind: report.invariant,
+                'subject': finding.subject,
+                'text': finding.text,
+                'places': ','.join(finding.places),
+            }
+            print(logs.format_line(fields))
+        if len(findings) > _SHOWN:
+            more = len(findings) - _SHOWN
+            print(logs.format_line({kind: report.invariant, 'more': more}))
+    fields = {
+        'check': report.invariant,
+        'verdict': report.verdict,
+        'cases': report.cases,
+        'title': report.title,
+    }
+    print(logs.format_line(fields))
--- /dev/null
+++ b/src/persimmonsail/audit_requests.py
@@ -0,0 +1,296 @@
+"""The checks of callers' requests: I4, I5 and I6."""
+
+import collections
+
+from persimmonsail import backends
+from persimmonsail import evidence as evidence_module
+from persimmonsail import logs
+from persimmonsail import records
+from persimmonsail import runs as runs_module
+from persimmonsail import verdicts
+
+_NOT_RUN = 'not-run'
+_ANSWERED = 'answered'
+_NO = 'no'
+_WATCHER = 'watcher'
+
+
+@verdicts.register('I4', 'every caller gets the whole answer to its request')
+def check_answers(case: verdicts.Case, report: verdicts.Report) -> None:
+    """Hold each final answer against what the work itself gave."""
+    outcomes = case.logs.group('outcome', 'request')
+    for event in case.logs.select('answer'):
+        _check_answer(report, event, outcomes.get(event.get('request'), []))
+    for event in case.logs.select('task-answer'):
+        _check_task_answer(case, report, event)
+    _check_one_final(case, report)
+    for task in case.ledger.history:
+        finished = case.ledger.find(task, records.Finished)
+        if len(finished) > 1:
+            report.violate(task, f'{len(finished)} final outcomes', *finished)
+
+
+def _check_answer(
+    report: verdicts.Report,
+    event: evidence_module.Event,
+    outcomes: list[evidence_module.Event],
+) -> None:
+    request = event.get('request')
+    if not outcomes:
+        report.miss(
+            request, 'no sidecar shows where the answer came from', event
+        )
+        return
+    same = any(
+        outcome.get('verdict') == _ANSWERED
+        and outcome.get('answer') == event.get('answer')
+        and outcome.get('status') == event.get('status')
+        for outcome in outcomes
+    )
+    if not same:
+        report.violate(
+            request,
+            "the caller's answer is not what the backend server gave",
+            event,
+            *outcomes,
+        )
+
+
+def _check_task_answer(
+    case: verdicts.Case, report: verdicts.Report, event: evidence_module.Event
+) -> None:
+    task = event.get('task')
+    phase = event.get('phase')
+    entries = case.ledger.history.get(task, [])
+    if not entries:
+        if case.ledger.is_whole(task):
+            report.violate(
+                task, 'an accepted task is not in the ledger', event
+            )
+        else:
+            report.miss(task, 'the ledger does not show the task', event)
+    if phase not in records.FINAL_PHASES or not entries:
+        return
+    finished = [e.record for e in case.ledger.find(task, records.Finished)]
+    same = any(
+        record.phase == phase
+        and logs.digest(record.answer.encode()) == event.get('answer')
+        for record in finished
+    )
+    if not same and case.ledger.is_whole(task):
+        report.violate(
+            task, "the caller's answer is not the ledger's outcome", event
+        )
+    elif not same:
+        report.miss(task, 'the ledger does not show the outcome', event)
+
+
+def _check_one_final(case: verdicts.Case, report: verdicts.Report) -> None:
+    finals = collections.Counter(
+        event.get('request')
+        for event in case.logs.select(
+            'answer', 'refusal', 'task-answer', 'caller-gone'
+        )
+        if event.get('request')
+    )
+    stopped = _list_stops(case.logs)
+    for event in case.logs.select('request'):
+        report.cases += 1
+        request = event.get('request')
+        if finals[request] > 1:
+            report.violate(request, f'{finals[request]} final answers', event)
+        elif not finals[request] and any(
+            stop.time >= event.time for stop in stopped[event.process]
+        ):
+            report.violate(request, 'no final answer before the stop', event)
+        elif not finals[request]:
+            report.miss(
+                request,
+                f'no final answer; {event.process} logged no stop since',
+                event,
+            )
+
+
+def _list_stops(
+    evidence: evidence_module.Evidence,
+) -> dict[str, list[evidence_module.Event]]:
+    stops: dict[str, list[evidence_module.Event]] = collections.defaultdict(
+        list
+    )
+    for event in evidence.select('stopped'):
+        stops[event.process].append(event)
+    return stops
+
+
+@verdicts.register('I5', 'work refused as not run did not run')
+def check_not_run(case: verdicts.Case, report: verdicts.Report) -> None:
+    """Look for every request refused so in what was sent to run."""
+    dispatches = case.logs.group('dispatch', 'request')
+    routings = case.logs.group('routing', 'request')
+    for event in case.logs.select('refusal'):
+        if event.get('work') != _NOT_RUN:
+            continue
+        report.cases += 1
+        request = event.get('request')
+        if not request:
+            continue
+        for dispatch in dispatches.get(request, ()):
+            _check_not_sent(case, report, event, dispatch)
+        for routing in routings.get(request, ()):
+            if routing.get('chosen') not in case.logs.processes:
+                report.miss(
+                    request,
+                    f'no log of {routing.get("chosen")} is given',
+                    routing,
+                )
+        if event.get('task'):
+            _check_not_accepted(case, report, event)
+    _check_refused_starts(case, report)
+
+
+def _find_outcome(
+    case: verdicts.Case, attempt: str
+) -> evidence_module.Event | None:
+    found = case.logs.derive(_group_outcomes).get(attempt)
+    return found[0] if found else None
+
+
+def _group_outcomes(
+    evidence: evidence_module.Evidence,
+) -> dict[str, list[evidence_module.Event]]:
+    return evidence.group('outcome', 'attempt')
+
+
+def was_sent(case: verdicts.Case, dispatch: evidence_module.Event) -> bool:
+    """Whether a dispatched attempt may have reached the backend server.
+
+    It did not only if the connection was never made.
+    """
+    outcome = _find_outcome(case, dispatch.get('attempt'))
+    return (
+        outcome is None
+        or outcome.get('verdict') != _NOT_RUN
+        or outcome.get('reason') != backends.NO_CONNECTION
+    )
+
+
+def _check_not_sent(
+    case: verdicts.Case,
+    report: verdicts.Report,
+    refusal: evidence_module.Event,
+    dispatch: evidence_module.Event,
+) -> None:
+    if was_sent(case, dispatch):
+        report.violate(
+            refusal.get('request'),
+            f'refused as not run, yet sent to {dispatch.process}',
+            refusal,
+            dispatch,
+        )
+
+
+def _check_not_accepted(
+    case: verdicts.Case, report: verdicts.Report, event: evidence_module.Event
+) -> None:
+    task = event.get('task')
+    request = event.get('request')
+    if not case.ledger.find(task, records.Submitted):
+        if not case.ledger.is_whole(task):
+            report.miss(request, f'the ledger of {task} has gaps', event)
+        return
+    others = case.logs.derive(_group_task_requests).get(task, set())
+    if not others - {request}:
+        report.violate(
+            request, f'refused as not run, yet {task} was accepted', event
+        )
+
+
+def _group_task_requests(
+    evidence: evidence_module.Evidence,
+) -> dict[str, set[str]]:
+    """Return the requests that may have got each task accepted."""
+    found: dict[str, set[str]] = collections.defaultdict(set)
+    for event in evidence.select('task-answer', 'refusal'):
+        if event.get('work') != _NOT_RUN and event.get('request'):
+            found[event.get('task')].add(event.get('request'))
+    return found
+
+
+def _check_refused_starts(
+    case: verdicts.Case, report: verdicts.Report
+) -> None:
+    """Find an attempt said not to have run that its worker has ended."""
+    for attempts in case.logs.derive(runs_module.collect).values():
+        for run in (run for found in attempts.values() for run in found):
+            ran = run.phase not in ('', 'absent')
+            if run.verdict == _NOT_RUN and ran:
+                report.violate(
+                    run.dispatch.get('task'),
+                    f'attempt {run.dispatch.get("attempt")} was refused as '
+                    f'not run, yet the worker shows it {run.phase}',
+                    run.dispatch,
+                    run.ended,
+                )
+
+
+@verdicts.register('I6', 'a non-idempotent request runs at most once')
+def check_at_most_once(case: verdicts.Case, report: verdicts.Report) -> None:
+    """Count what was sent to run, for work that must not run twice."""
+    for request, found in case.logs.group('dispatch', 'request').items():
+        sent = [
+            event
+            for event in found
+            if event.get('idempotent') == _NO and was_sent(case, event)
+        ]
+        report.cases += bool(sent)
+        if len({event.get('attempt') for event in sent}) > 1:
+            report.violate(request, f'sent to run {len(sent)} times', *sent)
+    _check_tasks_at_most_once(case, report)
+
+
+def _check_tasks_at_most_once(
+    case: verdicts.Case, report: verdicts.Report
+) -> None:
+    placements = case.logs.group('placement', 'task')
+    for task, attempts in case.logs.derive(runs_module.collect).items():
+        ran = [
+            run
+            for _, found in sorted(attempts.items())
+            for run in found
+            if run.may_have_run
+        ]
+        if not ran:
+            continue
+        known = placements.get(task)
+        if known is None:
+            report.miss(task, 'no log shows its placement', ran[0].dispatch)
+        elif _must_run_once(known[0]):
+            report.cases += 1
+            _check_checkpoints(report, task, ran)
+
+
+def _must_run_once(placement: evidence_module.Event) -> bool:
+    # A watcher runs until it is cancelled, and is restarted by design;
+    # that it never runs twice at once is I2's.
+    watcher = placement.get('workload_class') == _WATCHER
+    return placement.get('idempotent') == _NO and not watcher
+
+
+def _check_checkpoints(
+    report: verdicts.Report, task: str, ran: list[runs_module.Run]
+) -> None:
+    """Let a later attempt only carry an earlier one's work on.
+
+    Two runs from one checkpoint, or from none, did the same work twice.
+    """
+    first: dict[str, runs_module.Run] = {}
+    for run in ran:
+        earlier = first.setdefault(run.checkpoint, run)
+        if earlier is not run:
+            report.violate(
+                task,
+                f'attempt {run.dispatch.get("attempt")} ran the work of '
+                f'attempt {earlier.dispatch.get("attempt")} again',
+                earlier.dispatch,
+                run.dispatch,
+            )
--- a/src/persimmonsail/backends.py
+++ b/src/persimmonsail/backends.py
@@ -5,6 +5,7 @@
 import httpx
 
 _JSON = 'application/json'
+NO_CONNECTION = 'no connection to the backend server'
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/persimmonsail/cli.py
+++ b/src/persimmonsail/cli.py
@@ -13,6 +13,7 @@
 from persimmonsail import exits
 from persimmonsail import logs
 from persimmonsail import settings as settings_module
+from persimmonsail import tolerances
 
 _ROLES = ('entry', 'sidecar')
 _CATALOGUE_ACTIONS = {
@@ -70,7 +71,38 @@
         'audit', help='check every promise from ledger and logs'
     )
     audit.add_argument('logs', type=pathlib.Path, nargs='+')
-    _add_store(audit)
+    source = audit.add_mutually_exclusive_group()
+    source.add_argument('--store', help='host:port to read the ledger from')
+    source.add_argument(
+        '--ledger', type=pathlib.Path, help='a saved copy of the ledger'
+    )
+    audit.add_argument(
+        '--save-ledger', type=pathlib.Path, help='keep a copy of the ledger'
+    )
+    subject = audit.add_mutually_exclusive_group()
+    subject.add_argument('--request', help="print one request's history")
+    subject.add_argument('--task', help="print one task's history")
+    for name, seconds, text in (
+        ('clock', tolerances.DEFAULTS.clock, 'two clocks may differ'),
+        (
+            'leaving',
+            tolerances.DEFAULTS.leaving,
+            'a leaving backend server may still be chosen',
+        ),
+        (
+            'catalogue',
+            tolerances.DEFAULTS.catalogue,
+            'a change may not yet be in force',
+        ),
+    ):
+        audit.add_argument(
+            f'--{name}-seconds',
+            type=float,
+            default=seconds,
+            help=f'how long {text} (default: %(default)s)',
+        )
+    audit.add_argument('--store-kind', default='http')
+    audit.add_argument('--timeout', type=float, default=2.0)
 
 
 def _add_store(parser: argparse.ArgumentParser) -> None:
--- a/src/persimmonsail/execution.py
+++ b/src/persimmonsail/execution.py
@@ -172,7 +172,7 @@
                 request.request, request.body, request.content_type, left
             )
         except (httpx.ConnectError, httpx.ConnectTimeout):
-            return _refuse('no connection to the backend server')
+            return _refuse(backends.NO_CONNECTION)
         except httpx.HTTPError as error:
             return control_pb2.ExecuteReply(
                 verdict=control_pb2.UNKNOWN, reason=type(error).__name__
--- a/src/persimmonsail/exits.py
+++ b/src/persimmonsail/exits.py
@@ -6,3 +6,6 @@
 INVALID_INPUT = 3
 UNAVAILABLE = 4
 LOST_RACE = 5
+# An audit that found no violation, but whose evidence is broken or
+# leaves a promise open.
+EVIDENCE = 6
--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -228,6 +228,7 @@
             epoch=self.table.epoch,
             chosen=chosen.name,
             incarnation=chosen.incarnation,
+            workload_class=workload.workload_class,
             idempotent=workload.idempotent,
             checkpoint=logs.digest(task.checkpoint.encode()),
             revision=self._view.revision,
--- a/src/persimmonsail/ledger.py
+++ b/src/persimmonsail/ledger.py
@@ -94,14 +94,17 @@
         slot = position % SLOTS
         await self._write_slot(slot, text, batch)
         self._advance(batch, text)
+        self._note_batch('ledger-commit', batch, text)
+        return batch
+
+    def _note_batch(self, event: str, batch: records.Batch, text: str) -> None:
         logs.write_event(
-            'ledger-commit',
+            event,
             partition=self.partition,
-            position=position,
+            position=batch.position,
             hash=self.hash,
             batch=text,
         )
-        return batch
 
     async def take_over(self, holder: str) -> int:
         """Open a new epoch, behind all that others have written.
@@ -175,6 +178,10 @@
         for batch, text in later:
             self._check_chain(batch)
             self._advance(batch, text)
+        if later:
+            # A holder that died between a write and its log line left
+            # its last batch without evidence; whoever reads it tells.
+            self._note_batch('ledger-read', *later[-1])
 
     def _check_chain(self, batch: records.Batch) -> None:
         if batch.position != self.position + 1:
--- a/src/persimmonsail/supervisor.py
+++ b/src/persimmonsail/supervisor.py
@@ -1,6 +1,7 @@
 """Tasks on one instance: their admission, leases and ends."""
 
 import dataclasses
+import time
 import typing as t
 
 import anyio
@@ -139,19 +140,23 @@
             return reply
         self._epochs[request.partition] = request.epoch
         wanted = [(ref.task, ref.attempt) for ref in request.tasks]
+        asked_at = time.monotonic()
+        verdict = 'unknown'
         try:
-            try:
-                view = await self._worker.renew(
-                    self._own.incarnation, wanted, request.lease_seconds
-                )
-            finally:
-                self._note_renewal(request)
-        except (
-            exceptions.WorkerUnavailable,
-            exceptions.StaleIncarnation,
-        ) as error:
+            view = await self._worker.renew(
+                self._own.incarnation, wanted, request.lease_seconds
+            )
+            verdict = 'renewed'
+        except exceptions.WorkerUnavailable as error:
+            reply.reason = str(error)
+            return reply
+        except exceptions.StaleIncarnation as error:
+            verdict = 'refused'
             reply.reason = str(error)
             return reply
+        finally:
+            took = time.monotonic() - asked_at
+            self._note_renewal(request, verdict, took)
         reply.accepted = True
         found = {(task.task, task.attempt): task for task in view.tasks}
         for key in wanted:
@@ -228,7 +233,9 @@
             **_describe_size(admission.read_size(request.size)),
         )
 
-    def _note_renewal(self, request: control_pb2.RenewRequest) -> None:
+    def _note_renewal(
+        self, request: control_pb2.RenewRequest, verdict: str, took: float
+    ) -> None:
         # Written after the call: the worker's own deadline is not later
         # than this line's time and the lease.
         logs.write_event(
@@ -237,6 +244,8 @@
             epoch=request.epoch,
             incarnation=self._own.incarnation,
             lease_seconds=request.lease_seconds,
+            verdict=verdict,
+            took=took,
             tasks=','.join(f'{r.task}/{r.attempt}' for r in request.tasks),
         )
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -105,6 +105,7 @@
         self.directory = directory
         self.processes: dict[str, Process] = {}
         self.store = ''
+        self._stand_ins: set[str] = set()
         self._program = list(program)
         self._owned = contextlib.AsyncExitStack()
 
@@ -132,6 +133,13 @@
         """The logs of all processes that ever ran."""
         return sorted(self.directory.glob('*.log'))
 
+    @property
+    def evidence_files(self) -> list[pathlib.Path]:
+        """The logs of the system's own processes, stand-ins left out."""
+        return [
+            path for path in self.log_files if path.stem not in self._stand_ins
+        ]
+
     async def start(self, name: str, command: t.Sequence[str]) -> Process:
         """Start a process whose log carries on an earlier one's file."""
         log = self.directory / f'{name}.log'
@@ -145,6 +153,7 @@
 
     async def start_stand_in(self, kind: str, name: str, *options: str) -> str:
         """Start a stand-in and return its HTTP address."""
+        self._stand_ins.add(name)
         process = await self.start(
             name,
             [
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -4,6 +4,7 @@
 
 from standins import deployment
 from tests import base
+from tests import oracle
 
 CATALOGUE = pathlib.Path(__file__).parent.parent / 'examples/catalogue.ini'
 
@@ -60,3 +61,4 @@
 
             self.assertEqual(0, await sidecar.stop())
             self.assertEqual(0, await entry.stop())
+            await oracle.check_evidence(self, running, [worker], [backend])
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -201,13 +201,13 @@
 
     async def audit(self) -> str:
         """Run the regulator's command on the evidence."""
-        files = [str(path) for path in self._running.log_files]
+        files = [str(path) for path in self._running.evidence_files]
         code, output = await self._running.run_command(
             'audit', '--store', self._running.store, *files
         )
-        if code:
-            print(output)
-        return 'broken' if code else 'ok'
+        *lines, verdict = output.strip().splitlines()
+        print('\n'.join(lines))
+        return verdict.partition('=')[2] if verdict[:6] == 'audit=' else output
 
 
 async def main() -> int:
