--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: env demo test lint format binary proto
+.PHONY: env demo test lint format binary proto guards measure-audit
 
 env: $(STAMP)
 
@@ -36,3 +36,9 @@
 proto: env
 	cd src && ../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
 	  --grpclib_python_out=. persimmonsail/control.proto
+
+guards: env
+	PYTHONPATH=. $(BIN)/python tools/guards.py
+
+measure-audit: env
+	PYTHONPATH=. $(BIN)/python tools/measure_audit.py
--- a/src/persimmonsail/audit_capacity.py
+++ b/src/persimmonsail/audit_capacity.py
@@ -16,26 +16,62 @@
 _ENDS = ('outcome', 'task-ended', 'task-admission')
 
 
+_DIGITS = 6
+
+
+@dataclasses.dataclass
+class _Incarnation:
+    """What one incarnation of a sidecar has begun and not ended."""
+
+    last_seen: float
+    total: admission.Size = dataclasses.field(default_factory=admission.Size)
+    held: dict[str, admission.Size] = dataclasses.field(default_factory=dict)
+
+    def begin(self, holder: str, size: admission.Size) -> None:
+        """Add a holder's size to the total."""
+        self.end(holder)
+        self.held[holder] = size
+        self.total = _add(self.total, size, 1)
+
+    def end(self, holder: str) -> None:
+        """Take a holder's size out of the total."""
+        if size := self.held.pop(holder, None):
+            self.total = _add(self.total, size, -1)
+
+
 @dataclasses.dataclass
 class _Instance:
-    """What runs on an instance, by holder, as of one line."""
+    """An instance and all incarnations of its sidecar."""
 
     capacity: admission.Size | None = None
-    incarnations: dict[str, float] = dataclasses.field(default_factory=dict)
-    held: dict[str, tuple[str, admission.Size]] = dataclasses.field(
+    incarnations: dict[str, _Incarnation] = dataclasses.field(
         default_factory=dict
     )
 
     def sum_live(self, time: float) -> admission.Size:
         """Add up what the incarnations alive at a time hold."""
-        return sum(
-            (
-                size
-                for incarnation, size in self.held.values()
-                if self.incarnations[incarnation] >= time
-            ),
-            admission.Size(),
-        )
+        totals = [
+            incarnation.total
+            for incarnation in self.incarnations.values()
+            if incarnation.last_seen >= time
+        ]
+        return sum(totals, admission.Size())
+
+    def end(self, holder: str) -> None:
+        """Note a holder's end, whichever incarnation began it."""
+        for incarnation in self.incarnations.values():
+            incarnation.end(holder)
+
+
+def _add(
+    one: admission.Size, other: admission.Size, sign: int
+) -> admission.Size:
+    # Rounded at each step, or the sum of a long log would drift.
+    return admission.Size(
+        round(one.cores + sign * other.cores, _DIGITS),
+        round(one.memory_gb + sign * other.memory_gb, _DIGITS),
+        one.accelerators + sign * other.accelerators,
+    )
 
 
 @verdicts.register('I1', 'no instance is committed beyond its capacity')
@@ -44,8 +80,8 @@
     instances: dict[str, _Instance] = collections.defaultdict(_Instance)
     events = case.logs.select('takeover', *_BEGINS, *_ENDS)
     for event in events:
-        lives = instances[event.process].incarnations
-        lives[event.get('incarnation')] = event.time
+        found = instances[event.process].incarnations
+        found[event.get('incarnation')] = _Incarnation(event.time)
     for event in events:
         _follow(instances[event.process], event, report)
 
@@ -57,22 +93,16 @@
 ) -> None:
     if event.name == 'takeover':
         instance.capacity = _read_size(event)
-        _drop_dead(instance, event.time)
     elif event.name in _BEGINS:
-        size = _read_size(event)
-        instance.held[_name_holder(event)] = (event.get('incarnation'), size)
+        holder = _name_holder(event)
+        # A new incarnation finds the tasks that an earlier one began.
+        instance.end(holder)
+        own = instance.incarnations[event.get('incarnation')]
+        own.begin(holder, _read_size(event))
         report.cases += 1
         _check_sum(instance, event, report)
     elif _has_ended(event):
-        instance.held.pop(_name_holder(event), None)
-
-
-def _drop_dead(instance: _Instance, time: float) -> None:
-    instance.held = {
-        holder: (incarnation, size)
-        for holder, (incarnation, size) in instance.held.items()
-        if instance.incarnations[incarnation] >= time
-    }
+        instance.end(_name_holder(event))
 
 
 def _check_sum(
