Show freshness before admitting, and hear of edits from peers

Cause: an entry that was cut off from the store went on admitting under a replaced catalogue for ever; only the watch and the poll of the store brought changes, and a restarted sidecar admitted under any revision.

An entry now admits only with evidence, at most 'freshness' seconds old, that nothing higher was accepted: its own read of the head, a peer's relayed read, or in an outage of the whole store the word of every listed entry. A sidecar admits only with a fresh entry's notice at most 'silence' seconds old: 3 s + 2 s bound an old revision to 5 s.

The head is split from the text, so that a poll costs no text. 'status' asks the live entries.

--- a/src/persimmonsail/announcer.py
+++ b/src/persimmonsail/announcer.py
@@ -1,5 +1,6 @@
 """A sidecar's links to entries, over which it announces its instance."""
 
+import time
 import typing as t
 
 import anyio
@@ -13,6 +14,9 @@
 from persimmonsail import settings as settings_module
 
 
+_STALE_INTERVAL = 0.2
+
+
 class Announcer:
     """Announces an instance to entries, one task for each entry."""
 
@@ -92,17 +96,26 @@
             async with stub.Link.open() as stream:
                 while True:
                     sequence += 1
+                    asked_at = time.monotonic()
                     await stream.send_message(self.describe(sequence))
                     notice = await stream.recv_message()
                     if notice is None:
                         return
-                    self._note(notice)
+                    self._note(notice, asked_at)
                     scope.deadline = (
                         anyio.current_time() + settings.links.silence
                     )
-                    with anyio.move_on_after(settings.sidecar.report_interval):
+                    with anyio.move_on_after(self._choose_interval()):
                         await self.changed.wait()
 
-    def _note(self, notice: control_pb2.EntryNotice) -> None:
+    def _choose_interval(self) -> float:
+        interval = self._settings.sidecar.report_interval
+        if self._own.find_staleness():
+            return min(interval, _STALE_INTERVAL)
+        return interval
+
+    def _note(self, notice: control_pb2.EntryNotice, asked_at: float) -> None:
         self._own.note_revision(notice.revision)
+        if notice.fresh:
+            self._own.note_fresh(asked_at)
         self._add(notice.entries)
--- a/src/persimmonsail/catalogue.py
+++ b/src/persimmonsail/catalogue.py
@@ -113,20 +113,38 @@
                 dict(parser[section])
             )
         except pydantic.ValidationError as error:
-            collector.add_validation(places, section, error)
-    _check_owners(found, parser.sections(), places, collector)
+            collector.add_validation(places, section, error, model)
+    _check_names(parser, places, collector)
+    _check_owners(parser, places, collector)
     collector.raise_if_any()
     return Catalogue(text, found['team'], found['workload'])
 
 
-def _check_owners(found, sections, places, collector) -> None:
-    teams = {s.partition(' ')[2].strip() for s in sections if s[:5] == 'team '}
-    for name, workload in found['workload'].items():
-        if workload.owner not in teams:
-            section = f'workload {name}'
+def _check_names(parser, places, collector) -> None:
+    seen: dict[tuple[str, ...], str] = {}
+    for section in parser.sections():
+        words = tuple(section.split())
+        if words in seen:
+            collector.add(
+                places.find(section),
+                f'defined before as [{seen[words]}]; allowed: once',
+            )
+        seen.setdefault(words, section)
+
+
+def _check_owners(parser, places, collector) -> None:
+    teams = {
+        section.partition(' ')[2].strip()
+        for section in parser.sections()
+        if section.startswith('team ')
+    }
+    for section in parser.sections():
+        owner = parser[section].get('owner', '')
+        if section.startswith('workload ') and owner and owner not in teams:
+            allowed = ', '.join(sorted(teams)) or 'none is defined'
             collector.add(
                 places.find(section, 'owner'),
-                f'no [team {workload.owner}] in this catalogue',
+                f'no [team {owner}] in this catalogue; allowed: {allowed}',
             )
 
 
--- a/src/persimmonsail/cli.py
+++ b/src/persimmonsail/cli.py
@@ -15,14 +15,17 @@
 from persimmonsail import settings as settings_module
 
 _ROLES = ('entry', 'sidecar')
-_CATALOGUE_ACTIONS = {
-    'show': 'print the catalogue in force',
-    'history': 'list every accepted revision',
-    'check': 'validate a catalogue file',
-    'diff': 'compare a file with the catalogue in force',
-    'apply': 'put a file in force, if nobody else was faster',
-}
-_WITH_FILE = ('check', 'diff', 'apply')
+_EPILOG = """\
+exit codes:
+  0  done
+  1  broken: a promise or the kept catalogue
+  2  the command line is wrong, or an edit names no base revision
+  3  a file has findings; all are printed with their places
+  4  the store or an entry gave no answer; nothing was changed
+  5  another operator's edit won; yours is kept in your file
+  6  unknown whether the edit was accepted
+  7  accepted, but not confirmed in force by every live process
+"""
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -30,6 +33,8 @@
     parser = argparse.ArgumentParser(
         prog='persimmonsail',
         description='Scheduler for colocated latency-critical and batch work.',
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument(
         '--version', action='version', version=f'%(prog)s {__version__}'
@@ -47,22 +52,10 @@
 
 
 def _add_catalogue(commands: t.Any) -> None:
-    catalogue = commands.add_parser(
-        'catalogue', help='read and edit the catalogue'
-    )
-    actions = catalogue.add_subparsers(dest='action', required=True)
-    for name, text in _CATALOGUE_ACTIONS.items():
-        action = actions.add_parser(name, help=text)
-        if name in _WITH_FILE:
-            action.add_argument('file', type=pathlib.Path)
-        _add_store(action)
-        if name == 'apply':
-            action.add_argument(
-                '--base',
-                type=int,
-                help='the revision that the edit was made from',
-            )
-            action.add_argument('--author', default='')
+    # Only here: the other roles' start stays free of these texts.
+    arguments = importlib.import_module('persimmonsail.catalogue_arguments')
+    arguments.add_catalogue(commands, _EPILOG)
+    arguments.add_status(commands, _EPILOG)
 
 
 def _add_audit(commands: t.Any) -> None:
@@ -74,9 +67,8 @@
 
 
 def _add_store(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument('--store', required=True, help='host:port')
-    parser.add_argument('--store-kind', default='http')
-    parser.add_argument('--timeout', type=float, default=2.0)
+    arguments = importlib.import_module('persimmonsail.catalogue_arguments')
+    arguments.add_store(parser)
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -100,7 +92,7 @@
         for finding in group.exceptions:
             print(f'  {finding}', file=sys.stderr)
         return exits.INVALID_INPUT
-    except OSError as error:
+    except (OSError, exceptions.UnknownKind) as error:
         print(error, file=sys.stderr)
         return exits.INVALID_INPUT
 
@@ -122,11 +114,15 @@
 
 
 def _run_catalogue(arguments: argparse.Namespace) -> int:
-    importlib.import_module('persimmonsail.httpstore')
     commands = importlib.import_module('persimmonsail.commands')
     return anyio.run(commands.run, arguments)
 
 
+def _run_status(arguments: argparse.Namespace) -> int:
+    status = importlib.import_module('persimmonsail.status')
+    return anyio.run(status.run, arguments)
+
+
 def _run_audit(arguments: argparse.Namespace) -> int:
     importlib.import_module('persimmonsail.httpstore')
     audit = importlib.import_module('persimmonsail.audit')
@@ -138,5 +134,6 @@
     'sidecar': _run_role,
     'check': _run_check,
     'catalogue': _run_catalogue,
+    'status': _run_status,
     'audit': _run_audit,
 }
--- a/src/persimmonsail/commands.py
+++ b/src/persimmonsail/commands.py
@@ -1,28 +1,41 @@
 """Operators' commands on the catalogue."""
 
 import argparse
+import datetime
 import getpass
 import pathlib
+import re
 import sys
 import typing as t
 
 from persimmonsail import catalogue
+from persimmonsail import catalogue_store
 from persimmonsail import exceptions
 from persimmonsail import exits
+from persimmonsail import findings
+from persimmonsail import links as links_module
+from persimmonsail import logs
 from persimmonsail import revisions
+from persimmonsail import status
 from persimmonsail import store as store_module
 
+HEAD_BASE = 'head'
+_HEADER = re.compile(r'^; revision (?P<revision>\d+)\b')
+
+_OfflineCommand = t.Callable[[argparse.Namespace], int]
 _Command = t.Callable[
-    [argparse.Namespace, revisions.CatalogueStore], t.Awaitable[int]
+    [argparse.Namespace, store_module.Store], t.Awaitable[int]
 ]
+OFFLINE_COMMANDS: dict[str, _OfflineCommand] = {}
 COMMANDS: dict[str, _Command] = {}
+_F = t.TypeVar('_F', bound=t.Callable[..., t.Any])
 
 
-def register(name: str) -> t.Callable[[_Command], _Command]:
+def register(name: str, registry: dict[str, t.Any]) -> t.Callable[[_F], _F]:
     """Add a command under ``persimmonsail catalogue NAME``."""
 
-    def add(command: _Command) -> _Command:
-        COMMANDS[name] = command
+    def add(command: _F) -> _F:
+        registry[name] = command
         return command
 
     return add
@@ -30,93 +43,187 @@
 
 async def run(arguments: argparse.Namespace) -> int:
     """Run one command and return the exit code."""
-    store = store_module.KINDS[arguments.store_kind](
-        arguments.store, arguments.timeout
+    if arguments.action in OFFLINE_COMMANDS:
+        return OFFLINE_COMMANDS[arguments.action](arguments)
+    store = store_module.open_kind(
+        arguments.store_kind, arguments.store, arguments.timeout
     )
     try:
-        command = COMMANDS[arguments.action]
-        return await command(arguments, revisions.CatalogueStore(store))
+        return await COMMANDS[arguments.action](arguments, store)
     except exceptions.StoreUnavailable as error:
-        print(f'the store gave no answer: {error}', file=sys.stderr)
+        _complain(f'the store gave no answer: {error}')
+        if arguments.action == 'apply':
+            _complain(
+                'not accepted: the swap was not sent; nothing has changed. '
+                'Run the same command again once the store answers'
+            )
         return exits.UNAVAILABLE
+    except exceptions.CatalogueUnreadable as error:
+        _complain(f'the store holds no readable catalogue: {error}')
+        return exits.BROKEN
     finally:
         await store.close()
 
 
-@register('show')
-async def _show(
-    arguments: argparse.Namespace, kept: revisions.CatalogueStore
-) -> int:
-    head, _ = await kept.read()
-    print(f'; revision {head.revision} by {head.author or "nobody"}')
-    print(head.text, end='')
+@register('check', OFFLINE_COMMANDS)
+def _check(arguments: argparse.Namespace) -> int:
+    _read_file(arguments.file)
+    print('ok')
     return exits.OK
 
 
-@register('history')
-async def _history(
-    arguments: argparse.Namespace, kept: revisions.CatalogueStore
+@register('show', COMMANDS)
+async def _show(
+    arguments: argparse.Namespace, store: store_module.Store
 ) -> int:
-    for head in await kept.read_history():
-        print(f'{head.revision} {head.id} {head.author}')
+    kept = catalogue_store.CatalogueStore(store)
+    if arguments.revision is None:
+        head = (await kept.read()).head
+    else:
+        head = await kept.read_revision(arguments.revision)
+        if head is None:
+            _complain(f'no revision {arguments.revision} was ever accepted')
+            return exits.INVALID_INPUT
+    print(f'; revision {head.revision} by {head.author or "nobody"}')
+    print(_strip_header(head.text), end='')
     return exits.OK
 
 
-@register('check')
-async def _check(
-    arguments: argparse.Namespace, kept: revisions.CatalogueStore
+@register('history', COMMANDS)
+async def _history(
+    arguments: argparse.Namespace, store: store_module.Store
 ) -> int:
-    _read_file(arguments.file)
-    print('ok')
+    for head in await catalogue_store.CatalogueStore(store).read_history():
+        print(_describe(head))
     return exits.OK
 
 
-@register('diff')
+@register('diff', COMMANDS)
 async def _diff(
-    arguments: argparse.Namespace, kept: revisions.CatalogueStore
+    arguments: argparse.Namespace, store: store_module.Store
 ) -> int:
     new = _read_file(arguments.file)
-    head, _ = await kept.read()
-    print(_diff_to(head, new, str(arguments.file)))
+    base = await catalogue_store.CatalogueStore(store).read()
+    print(_diff_to(base.head, new, str(arguments.file)))
     return exits.OK
 
 
-@register('apply')
+@register('apply', COMMANDS)
 async def _apply(
-    arguments: argparse.Namespace, kept: revisions.CatalogueStore
+    arguments: argparse.Namespace, store: store_module.Store
 ) -> int:
     new = _read_file(arguments.file)
-    head, key_revision = await kept.read()
-    base = arguments.base if arguments.base is not None else head.revision
-    if base != head.revision:
-        return _report_lost_race(head, new, arguments)
-    try:
-        accepted = await kept.swap(
-            head, key_revision, new, arguments.author or getpass.getuser()
+    kept = catalogue_store.CatalogueStore(store)
+    base = await kept.read()
+    edited_from = _find_base(arguments.base, new, base.head.revision)
+    if edited_from is None:
+        _complain(
+            'not accepted: the file does not say which revision it was '
+            f'edited from, and revision {base.head.revision} is in force. '
+            'Start from `persimmonsail catalogue show`, or give --base N, '
+            'or --base head to replace whatever is in force'
         )
+        return exits.USAGE
+    if edited_from != base.head.revision:
+        return _report_lost_race(base.head, new, arguments)
+    author = arguments.author or getpass.getuser()
+    try:
+        accepted = await kept.swap(base, _strip_header(new), author)
     except exceptions.Conflict:
-        won, _ = await kept.read()
-        return _report_lost_race(won, new, arguments)
+        return _report_lost_race((await kept.read()).head, new, arguments)
+    except exceptions.OutcomeUnknown as error:
+        _report_unknown(error, base.head.revision)
+        return exits.OUTCOME_UNKNOWN
     print(f'accepted revision={accepted.revision} id={accepted.id}')
+    if arguments.wait:
+        return await _wait_in_force(store, accepted, arguments.wait)
     return exits.OK
 
 
+async def _wait_in_force(
+    store: store_module.Store, accepted: revisions.Head, seconds: float
+) -> int:
+    with links_module.Links() as links:
+        entries = status.Entries(store, links)
+        missing = await entries.wait_confirmed(accepted.revision, seconds)
+    if not missing:
+        print(f'in-force revision={accepted.revision}')
+        return exits.OK
+    for one in missing:
+        line = {'unconfirmed': one.name, 'reason': one.reason}
+        _complain(logs.format_line(line))
+    _complain(
+        f'accepted, but not yet confirmed in force within {seconds:g} s. '
+        'Do not apply it again: it stays accepted. See `persimmonsail status`'
+    )
+    return exits.NOT_CONFIRMED
+
+
+def _find_base(given: str | None, text: str, in_force: int) -> int | None:
+    if given == HEAD_BASE:
+        return in_force
+    if given is not None:
+        return int(given)
+    if header := _HEADER.match(text):
+        return int(header['revision'])
+    return None if in_force else 0
+
+
+def _strip_header(text: str) -> str:
+    # A kept header would name the edit's base for ever.
+    if _HEADER.match(text):
+        return text.partition('\n')[2]
+    return text
+
+
 def _read_file(path: pathlib.Path) -> str:
-    text = path.read_text(encoding='utf-8')
+    text = findings.read_text(path)
     catalogue.parse(str(path), text)
     return text
 
 
+def _describe(head: revisions.Head) -> str:
+    moment = datetime.datetime.fromtimestamp(head.applied_at, datetime.UTC)
+    return logs.format_line(
+        {
+            'revision': head.revision,
+            'author': head.author,
+            'applied': moment.isoformat(timespec='seconds'),
+            'id': head.id,
+        }
+    )
+
+
 def _diff_to(head: revisions.Head, new: str, name: str) -> str:
-    return catalogue.diff(head.text, new, f'revision {head.revision}', name)
+    return catalogue.diff(
+        _strip_header(head.text),
+        _strip_header(new),
+        f'revision {head.revision}',
+        name,
+    )
 
 
 def _report_lost_race(
     won: revisions.Head, new: str, arguments: argparse.Namespace
 ) -> int:
-    print(
-        f'not accepted: revision {won.revision} by {won.author} won',
-        file=sys.stderr,
+    _complain(
+        f'not accepted: revision {won.revision} by {won.author} won. '
+        f'Your edit is kept in {arguments.file}; its difference from the '
+        'revision that won follows'
     )
-    print(_diff_to(won, new, str(arguments.file)), file=sys.stderr)
+    _complain(_describe(won))
+    _complain(_diff_to(won, new, str(arguments.file)))
     return exits.LOST_RACE
+
+
+def _report_unknown(error: exceptions.OutcomeUnknown, base: int) -> None:
+    _complain(
+        f'unknown whether revision {base + 1} was accepted: {error}. '
+        f'Once the store answers, look for id={error.id} in `persimmonsail '
+        f'catalogue history`; if it is absent, apply again with --base {base}'
+        ': the same edit can never be accepted twice from one base'
+    )
+
+
+def _complain(text: str) -> None:
+    print(text, file=sys.stderr)
--- a/src/persimmonsail/control_grpc.py
+++ b/src/persimmonsail/control_grpc.py
@@ -34,6 +34,10 @@
     async def Peer(self, stream: 'grpclib.server.Stream[persimmonsail.control_pb2.PeerQuery, persimmonsail.control_pb2.PeerReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Status(self, stream: 'grpclib.server.Stream[persimmonsail.control_pb2.StatusQuery, persimmonsail.control_pb2.StatusReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/persimmonsail.Entry/Link': grpclib.const.Handler(
@@ -66,6 +70,12 @@
                 persimmonsail.control_pb2.PeerQuery,
                 persimmonsail.control_pb2.PeerReply,
             ),
+            '/persimmonsail.Entry/Status': grpclib.const.Handler(
+                self.Status,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonsail.control_pb2.StatusQuery,
+                persimmonsail.control_pb2.StatusReply,
+            ),
         }
 
 
@@ -102,6 +112,12 @@
             persimmonsail.control_pb2.PeerQuery,
             persimmonsail.control_pb2.PeerReply,
         )
+        self.Status = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonsail.Entry/Status',
+            persimmonsail.control_pb2.StatusQuery,
+            persimmonsail.control_pb2.StatusReply,
+        )
 
 
 class SidecarBase(abc.ABC):
--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -12,6 +12,7 @@
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import fleet as fleet_module
+from persimmonsail import follower as follower_module
 from persimmonsail import forwarding
 from persimmonsail import gateway
 from persimmonsail import holder as holder_module
@@ -20,14 +21,17 @@
 from persimmonsail import links as links_module
 from persimmonsail import logs
 from persimmonsail import partitions as partitions_module
+from persimmonsail import peers as peers_module
 from persimmonsail import problems
 from persimmonsail import quick
 from persimmonsail import revisions
 from persimmonsail import settings as settings_module
+from persimmonsail import status
 from persimmonsail import store as store_module
 
 _RETRY_AFTER = 2.0
 _KEY_LENGTH = 24
+_FRESHNESS_PERIOD = 0.1
 
 
 class Entry(control_grpc.EntryBase):
@@ -35,7 +39,7 @@
 
     def __init__(self, settings: settings_module.Settings) -> None:
         self.settings = settings
-        self.view = revisions.View()
+        self.view = revisions.View(settings.entry.freshness)
         self.fleet = fleet_module.Fleet(settings.links.silence)
         self.links = links_module.Links()
         self.leaving = False
@@ -64,6 +68,25 @@
         self.partitions = partitions_module.Partitions(
             self.store, self.settings, control, self._make_holder
         )
+        self.peers = peers_module.Peers(
+            self.settings,
+            self.view,
+            self.links,
+            lambda: self.partitions.entries,
+        )
+        self.view.witness = self.peers.find_agreement
+
+    async def follow_catalogue(self) -> None:
+        """Keep the catalogue's view up to date, until cancelled."""
+        follower = follower_module.Follower(
+            self.store, self.view, self.settings.entry.catalogue_poll
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(follower.run)
+            group.start_soon(self.peers.run)
+            group.start_soon(
+                revisions.watch_freshness, self.view, _FRESHNESS_PERIOD
+            )
 
     def check_serving(self) -> None:
         """Refuse work that this entry may not admit now.
@@ -71,7 +94,8 @@
         Raises
         ------
         persimmonsail.problems.Problem
-            If the entry is stopping or has no catalogue.
+            If the entry is stopping, has no catalogue, or can't show
+            that its catalogue is the newest.
         """
         reason = self.find_unready()
         if reason:
@@ -85,7 +109,7 @@
             return 'the entry is stopping'
         if not self.view.revision:
             return 'no catalogue is known'
-        return ''
+        return self.view.find_staleness()
 
     def name_task(self, workload: str, key: str) -> str:
         """Return the task that an idempotency key stands for."""
@@ -126,6 +150,7 @@
                     revision=self.view.revision,
                     entries=entries,
                     sequence=report.sequence,
+                    fresh=self.view.is_fresh,
                 )
             )
 
@@ -144,6 +169,11 @@
         request = await stream.recv_message()
         await stream.send_message(await self.tasks.cancel_here(request))
 
+    async def Status(self, stream) -> None:
+        """Tell an operator how this entry stands."""
+        await stream.recv_message()
+        await stream.send_message(status.describe_entry(self))
+
     async def Peer(self, stream) -> None:
         """Tell another entry the catalogue in force here."""
         query = await stream.recv_message()
@@ -151,6 +181,7 @@
             entry=self.settings.process.name,
             revision=self.view.revision,
             store_age_seconds=self.view.age,
+            established=self.view.established,
         )
         if query.revision < self.view.revision:
             reply.catalogue = self.view.describe()
@@ -158,8 +189,8 @@
 
 
 def _open_store(settings: settings_module.Store) -> store_module.Store:
-    return store_module.KINDS[settings.kind](
-        settings.address, settings.timeout
+    return store_module.open_kind(
+        settings.kind, settings.address, settings.timeout
     )
 
 
@@ -183,10 +214,7 @@
                     logs.write_event(
                         'listening', control=control, http=http.address
                     )
-                    follower = revisions.Follower(
-                        entry.store, entry.view, settings.entry.catalogue_poll
-                    )
-                    group.start_soon(follower.run)
+                    group.start_soon(entry.follow_catalogue)
                     group.start_soon(entry.partitions.run)
                     await anext(aiter(signals))
                     logs.write_event('stopping')
--- a/src/persimmonsail/exceptions.py
+++ b/src/persimmonsail/exceptions.py
@@ -26,6 +26,15 @@
     """The store no longer knows the lease."""
 
 
+class UnknownKind(PersimmonsailError):
+    """No module registers a store of this kind."""
+
+    def __init__(self, kind: str, allowed: list[str]) -> None:
+        super().__init__(
+            f'unknown store kind {kind!r}; allowed: {", ".join(allowed)}'
+        )
+
+
 class NotHolder(PersimmonsailError):
     """Another process holds the partition now."""
 
@@ -38,6 +47,18 @@
     """A catalogue revision is lower than one already seen."""
 
 
+class CatalogueUnreadable(PersimmonsailError):
+    """What is kept as the catalogue's head or text can't be read."""
+
+
+class OutcomeUnknown(PersimmonsailError):
+    """A swap was sent, and no answer tells whether it took effect."""
+
+    def __init__(self, id: str, cause: str) -> None:
+        super().__init__(f'edit {id}: {cause}')
+        self.id = id
+
+
 class LinkLost(PersimmonsailError):
     """A peer gave no answer within its time, or the link broke."""
 
--- a/src/persimmonsail/execution.py
+++ b/src/persimmonsail/execution.py
@@ -71,6 +71,8 @@
     def _find_refusal(self, request: control_pb2.ExecuteRequest) -> str:
         if request.incarnation != self._own.incarnation:
             return 'other incarnation'
+        if reason := self._own.find_staleness():
+            return reason
         if request.revision < self._own.revision:
             return 'stale revision'
         self._own.note_revision(request.revision)
--- a/src/persimmonsail/findings.py
+++ b/src/persimmonsail/findings.py
@@ -2,7 +2,9 @@
 
 import configparser
 import dataclasses
+import pathlib
 import re
+import typing as t
 
 import pydantic
 
@@ -34,6 +36,14 @@
         return f'{where}{inside}{option}'
 
 
+@dataclasses.dataclass(frozen=True)
+class Duplicate:
+    """A section or option that stands a second time."""
+
+    place: Place
+    first: int
+
+
 class Places:
     """Finds the line of a section or an option in INI text."""
 
@@ -42,15 +52,21 @@
 
     def __init__(self, file: str, text: str) -> None:
         self.file = file
+        self.duplicates: list[Duplicate] = []
         self._lines: dict[tuple[str, str], int] = {}
         section = ''
-        for number, line in enumerate(text.splitlines(), start=1):
+        for number, line in enumerate(text.split('\n'), start=1):
             if found := self._SECTION.match(line):
-                section = found['name'].strip()
-                self._lines.setdefault((section, ''), number)
+                section = found['name']
+                self._note(section, '', number)
             elif found := self._OPTION.match(line):
-                key = (section, found['name'].strip().lower())
-                self._lines.setdefault(key, number)
+                self._note(section, found['name'].strip().lower(), number)
+
+    def _note(self, section: str, option: str, number: int) -> None:
+        first = self._lines.setdefault((section, option), number)
+        if first != number:
+            place = Place(self.file, number, section, option)
+            self.duplicates.append(Duplicate(place, first))
 
     def find(self, section: str = '', option: str = '') -> Place:
         """Return the place of an option, else of its section."""
@@ -72,15 +88,19 @@
         self._findings.append(Finding(place, text))
 
     def add_validation(
-        self, places: Places, section: str, error: pydantic.ValidationError
+        self,
+        places: Places,
+        section: str,
+        error: pydantic.ValidationError,
+        model: type[pydantic.BaseModel],
     ) -> None:
         """Note every error of a model that read one section."""
         for detail in error.errors():
             option = str(detail['loc'][0]) if detail['loc'] else ''
-            text = detail['msg']
-            if 'input' in detail and detail['type'] != 'missing':
-                text = f'{text}, not {detail["input"]!r}'
-            self.add(places.find(section, option.replace('_', '-')), text)
+            option = option.replace('_', '-')
+            self.add(
+                places.find(section, option), _describe_error(detail, model)
+            )
 
     def raise_if_any(self) -> None:
         """Raise ``InvalidInput`` with all findings, if there are any."""
@@ -88,10 +108,51 @@
             raise exceptions.InvalidInput(self._title, self._findings)
 
 
+def _describe_error(
+    detail: t.Mapping[str, t.Any], model: type[pydantic.BaseModel]
+) -> str:
+    if detail['type'] == 'extra_forbidden':
+        allowed = sorted(
+            field.alias or name.replace('_', '-')
+            for name, field in model.model_fields.items()
+        )
+        return f'unknown option; allowed: {", ".join(allowed)}'
+    if detail['type'] == 'missing':
+        return 'option is missing; it is required'
+    return f'{detail["msg"]}, not {detail["input"]!r}'
+
+
+def read_text(path: pathlib.Path) -> str:
+    """Return a file's text.
+
+    Raises
+    ------
+    persimmonsail.exceptions.InvalidInput
+        If it is not UTF-8.
+    OSError
+        If it can't be read.
+    """
+    data = path.read_bytes()
+    try:
+        return data.decode('utf-8').replace('\r\n', '\n')
+    except UnicodeDecodeError as error:
+        line = data.count(b'\n', 0, error.start) + 1
+        collector = Collector(f'text in {path}')
+        collector.add(
+            Place(str(path), line),
+            f'byte 0x{data[error.start]:02x} is not UTF-8; allowed: UTF-8',
+        )
+        collector.raise_if_any()
+        raise
+
+
 def read_ini(
     file: str, text: str, collector: Collector
 ) -> configparser.ConfigParser:
-    """Parse INI text; a syntax error becomes a finding.
+    """Parse INI text; what is no INI becomes findings.
+
+    A line with a syntax error is passed over, so that the rest of the
+    file is checked in the same run.
 
     Parameters
     ----------
@@ -105,16 +166,36 @@
     Returns
     -------
     configparser.ConfigParser
-        What could be parsed; empty after a syntax error.
+        What could be parsed.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text, file)
-    except configparser.Error as error:
-        line = getattr(error, 'lineno', 0) or 0
-        if errors := getattr(error, 'errors', None):
-            line = errors[0][0]
-        message = str(error).splitlines()[0]
-        collector.add(Place(file, line), message)
-        return configparser.ConfigParser(interpolation=None)
-    return parser
+    for duplicate in Places(file, text).duplicates:
+        what = 'option' if duplicate.place.option else 'section'
+        collector.add(
+            duplicate.place,
+            f'{what} stands in line {duplicate.first} too; allowed: once',
+        )
+    lines = text.split('\n')
+    while True:
+        parser = _make_parser()
+        try:
+            parser.read_string('\n'.join(lines), file)
+        except configparser.MissingSectionHeaderError as error:
+            numbers = [error.lineno]
+        except configparser.ParsingError as error:
+            numbers = [number for number, _ in error.errors]
+        else:
+            return parser
+        for number in numbers:
+            collector.add(
+                Place(file, number),
+                f'syntax error at {lines[number - 1].strip()!r}; allowed: '
+                '[section], then option = value, or a comment after ; or #',
+            )
+            lines[number - 1] = ''
+
+
+def _make_parser() -> configparser.ConfigParser:
+    # A name that no line can hold: [DEFAULT] is not special.
+    return configparser.ConfigParser(
+        interpolation=None, strict=False, default_section='\n'
+    )
--- a/src/persimmonsail/fleet.py
+++ b/src/persimmonsail/fleet.py
@@ -30,6 +30,7 @@
     connections: int
     reported_at: float
     outstanding: int = 0
+    revision: int = 0
 
 
 class Fleet:
@@ -59,6 +60,7 @@
             connections=report.load.connections,
             reported_at=time.monotonic(),
             outstanding=before.outstanding if before else 0,
+            revision=report.revision,
         )
         self._instances[report.instance] = instance
         return instance
--- a/src/persimmonsail/forwarding.py
+++ b/src/persimmonsail/forwarding.py
@@ -53,6 +53,12 @@
         holder = self._find_own(request.partition)
         if holder is None:
             return _not_held()
+        if reason := self._find_refusal(request, holder):
+            return control_pb2.TaskReply(
+                reason=reason,
+                verdict=control_pb2.NOT_RUN,
+                retry_after_seconds=_RETRY_AFTER,
+            )
         if request.workload not in self._entry.view.catalogue.workloads:
             return control_pb2.TaskReply(
                 reason='the holder knows no such workload',
@@ -85,6 +91,19 @@
             return _not_held()
         return _describe_found(await holder.cancel(request.task))
 
+    def _find_refusal(
+        self,
+        request: control_pb2.SubmitRequest,
+        holder: holder_module.Holder,
+    ) -> str:
+        # 'Not run' would be false for a task accepted earlier.
+        if request.task in holder.table.tasks:
+            return ''
+        view = self._entry.view
+        if request.revision > view.revision:
+            return 'the holder does not know the revision yet'
+        return view.find_staleness()
+
     def _find_own(self, partition: int) -> holder_module.Holder | None:
         holder = self._entry.partitions.held.get(partition)
         return holder if holder is not None and holder.ready else None
--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -188,7 +188,7 @@
 
     def _place(self, task: tasks.Task, group: anyio.abc.TaskGroup) -> None:
         workload = self._view.catalogue.workloads.get(task.workload)
-        if workload is None:
+        if workload is None or not self._view.is_fresh:
             return
         size = admission.Size(
             workload.cores, workload.memory_gb, workload.accelerators
--- a/src/persimmonsail/instance.py
+++ b/src/persimmonsail/instance.py
@@ -1,6 +1,8 @@
 """What a sidecar knows of its own instance."""
 
 import dataclasses
+import math
+import time
 import uuid
 
 from persimmonsail import admission
@@ -17,10 +19,14 @@
 
     ``incarnation`` tells an old and a new sidecar of one instance
     apart; ``revision`` is the highest catalogue revision seen.
+    ``notice_limit`` is for how many seconds an entry's word that its
+    catalogue is fresh counts, from ``confirmed_at`` on.
     """
 
     incarnation: str = dataclasses.field(default_factory=_make_incarnation)
     revision: int = 0
+    notice_limit: float = math.inf
+    confirmed_at: float = -math.inf
     leaving: bool = False
     busy_slots: int = 0
     queued: int = 0
@@ -39,3 +45,19 @@
     def note_revision(self, revision: int) -> None:
         """Remember the highest catalogue revision seen."""
         self.revision = max(self.revision, revision)
+
+    def note_fresh(self, asked_at: float) -> None:
+        """Note that an entry, asked then, had a fresh catalogue."""
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+
+    def find_staleness(self) -> str:
+        """Return why no revision can be trusted; empty if one can.
+
+        A restarted sidecar has forgotten the highest revision, and an
+        entry that was frozen past an accepted change wakes with a
+        replaced one. Without a fresh entry's word of late, neither is
+        noticed here by comparing numbers.
+        """
+        if time.monotonic() - self.confirmed_at <= self.notice_limit:
+            return ''
+        return 'no entry confirms the catalogue revision'
--- a/src/persimmonsail/partitions.py
+++ b/src/persimmonsail/partitions.py
@@ -52,6 +52,15 @@
     return hashlib.sha256(f'{partition}/{name}'.encode()).digest()
 
 
+def read_entries(page: store_module.Page) -> list[LiveEntry]:
+    """Return the entries among the keys below ``LIVE_PREFIX``."""
+    return [
+        _LIVE_ENTRY.validate_json(item.value)
+        for item in page.items
+        if item.key.startswith(_ENTRY_PREFIX)
+    ]
+
+
 class Partitions:
     """An entry's lease, its partitions, and where the others are."""
 
--- a/src/persimmonsail/quick.py
+++ b/src/persimmonsail/quick.py
@@ -71,6 +71,8 @@
             if instance is None or request.left <= 0:
                 break
             tried.add(instance.name)
+            if reason := self._view.find_staleness():
+                break
             reply = await self._attempt(request, instance)
             if reply.verdict == control_pb2.ANSWERED:
                 return reply
--- a/src/persimmonsail/revisions.py
+++ b/src/persimmonsail/revisions.py
@@ -1,13 +1,16 @@
-"""The catalogue revision in force in an entry, and the swap to a new one.
+"""The catalogue revision in force in a process, and when to trust it.
 
-The store holds one head. A change is accepted once a compare-and-swap
-has replaced it; a process applies a revision only if it is higher than
-the highest that it has seen.
+The store holds one small head that names the revision in force; its
+text is a key of its own, written before the head, so that a poll costs
+some hundred bytes whatever the catalogue's size. A change is accepted
+once a compare-and-swap has replaced the head. A process applies a
+revision only if it is higher than the highest that it has seen.
 """
 
 import dataclasses
+import math
 import time
-import uuid
+import typing as t
 
 import anyio
 import pydantic
@@ -15,24 +18,38 @@
 from persimmonsail import catalogue
 from persimmonsail import exceptions
 from persimmonsail import logs
-from persimmonsail import store as store_module
 
 HEAD_KEY = 'catalogue/head'
 HISTORY_PREFIX = 'catalogue/history/'
-_WATCH_SECONDS = 10.0
-_RETRY_DELAY = 0.3
+TEXT_PREFIX = 'catalogue/text/'
 
 
 @dataclasses.dataclass(frozen=True)
 class Head:
-    """An accepted catalogue; ``id`` tells whose swap it came from."""
+    """An accepted catalogue; ``id`` tells whose swap it came from.
+
+    Attributes
+    ----------
+    revision : int
+        Counts accepted changes; 0 for none.
+    id : str
+        Drawn anew for each try of an operator.
+    author : str
+        Who applied it.
+    text : str
+        The catalogue's INI text; empty in the store's head key.
+    applied_at : float
+        Wall clock seconds of the operator's machine, for people only.
+    """
 
     revision: int
     id: str
     author: str
     text: str
+    applied_at: float = 0.0
 
 
+NOTHING = Head(0, '', '', '')
 _HEAD = pydantic.TypeAdapter(Head)
 
 
@@ -42,161 +59,185 @@
 
 
 def load_head(text: str) -> Head:
-    """Read a head from JSON text."""
-    return _HEAD.validate_json(text)
+    """Read a head from JSON text.
 
+    Raises
+    ------
+    persimmonsail.exceptions.CatalogueUnreadable
+        If the text is no head.
+    """
+    try:
+        return _HEAD.validate_json(text)
+    except pydantic.ValidationError as error:
+        raise exceptions.CatalogueUnreadable(
+            f'no catalogue head: {error.error_count()} errors'
+        ) from error
+
+
+def _never() -> float:
+    return -math.inf
 
-class View:
-    """The catalogue in force in this process."""
 
-    def __init__(self) -> None:
+class View:
+    """The catalogue in force in this process.
+
+    Parameters
+    ----------
+    freshness : float, optional
+        Seconds for which the evidence that nothing higher was accepted
+        holds; without it the view always counts as fresh.
+
+    Attributes
+    ----------
+    refused : int
+        A higher revision that this process can't read; 0 for none.
+    established : bool
+        Whether this process has itself read the store's head.
+    witness : callable
+        Returns the monotonic time at which all peers together showed
+        that none had a higher revision.
+    """
+
+    def __init__(self, freshness: float = math.inf) -> None:
         self.revision = 0
         self.catalogue = catalogue.EMPTY
-        self.confirmed_at = float('-inf')
-        self._text = ''
+        self.confirmed_at = -math.inf
+        self.refused = 0
+        self.established = False
+        self.witness: t.Callable[[], float] = _never
         self.changed = anyio.Event()
+        self._freshness = freshness
+        self._head = NOTHING
+        self._applied_at = -math.inf
 
     @property
     def age(self) -> float:
         """Seconds since the revision was last confirmed to be newest."""
         return time.monotonic() - self.confirmed_at
 
-    def offer(self, text: str) -> bool:
+    @property
+    def is_fresh(self) -> bool:
+        """Whether work may be admitted under this revision now.
+
+        A process that is cut off from store and peers does not hear of
+        an accepted change and would go on under the replaced one. Its
+        evidence then grows old, and it stops.
+        """
+        if self.refused:
+            return False
+        newest = max(self.confirmed_at, self.witness())
+        return time.monotonic() - newest <= self._freshness
+
+    def find_staleness(self) -> str:
+        """Return why nothing may be admitted; empty if it may."""
+        if self.refused:
+            return f'catalogue revision {self.refused} cannot be read here'
+        if not self.is_fresh:
+            return 'neither store nor peers confirm the catalogue'
+        return ''
+
+    def offer(self, head: Head, source: str) -> bool:
         """Apply a head, unless a later one is in force.
 
         The comparison answers a slow poll's or a peer's late answer: it
         would otherwise bring an edit back that was already replaced.
+
+        Parameters
+        ----------
+        head : Head
+            The head with its text.
+        source : str
+            ``watch``, ``poll`` or ``peer``, for the log.
+
+        Returns
+        -------
+        bool
+            Whether it is in force now.
         """
-        head = load_head(text)
-        if head.revision <= self.revision:
+        if head.revision <= max(self.revision, self.refused):
             return False
-        self.catalogue = catalogue.parse('catalogue', head.text)
+        try:
+            parsed = catalogue.parse('catalogue', head.text)
+        except exceptions.InvalidInput as error:
+            # An older version of this program meets a newer catalogue.
+            # What it can't read it can't enforce, so it stops admitting.
+            self.refused = head.revision
+            logs.write_warning(
+                'catalogue-refused',
+                revision=head.revision,
+                in_force=self.revision,
+                findings=len(error.exceptions),
+                first=error.exceptions[0],
+            )
+            return False
+        self.catalogue = parsed
         self.revision = head.revision
-        self._text = text
-        logs.write_event('catalogue', revision=head.revision, id=head.id)
+        self.refused = 0
+        self._head = head
+        self._applied_at = time.monotonic()
+        logs.write_event(
+            'catalogue',
+            revision=head.revision,
+            id=head.id,
+            author=head.author,
+            source=source,
+        )
         self.changed.set()
         self.changed = anyio.Event()
         return True
 
-    def confirm(self) -> None:
-        """Note that the store had nothing newer just now."""
-        self.confirmed_at = time.monotonic()
+    def confirm(self, head: Head, asked_at: float) -> bool:
+        """Take a head, read after a time, as evidence of freshness.
+
+        Parameters
+        ----------
+        head : Head
+            What was found; its text is not needed.
+        asked_at : float
+            Monotonic seconds before the question was sent: a change
+            accepted since may be missing from the answer.
+
+        Returns
+        -------
+        bool
+            Whether it shows that nothing higher was accepted.
+        """
+        if head.revision > self.revision:
+            return False
+        forked = head.revision == self.revision and head.id != self._head.id
+        went_back = (
+            head.revision < self.revision and asked_at > self._applied_at
+        )
+        if forked or went_back:
+            # A store that was restored from an old copy forgot accepted
+            # changes; its word is no evidence, and nothing goes back.
+            logs.write_warning(
+                'catalogue-went-back',
+                store_revision=head.revision,
+                store_id=head.id,
+                in_force=self.revision,
+            )
+            return False
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+        self.established = True
+        return True
 
     def describe(self) -> str:
         """Return the head in force as JSON text; empty for none."""
-        return self._text
-
-
-class Follower:
-    """Keeps a view up to date by watch and by slow poll."""
-
-    def __init__(
-        self, store: store_module.Store, view: View, poll: float
-    ) -> None:
-        self._store = store
-        self._view = view
-        self._poll = poll
-
-    async def run(self) -> None:
-        """Follow the store until cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._run_polls)
-            group.start_soon(self._run_watch)
-
-    async def read_head(self) -> None:
-        """Ask the store for the head once."""
-        asked_at = time.monotonic()
-        found = await self._store.get(HEAD_KEY)
-        if found is not None:
-            self._view.offer(found.value)
-        self._view.confirmed_at = max(self._view.confirmed_at, asked_at)
-
-    async def _run_polls(self) -> None:
-        # A watch can go silent for good without an error; the poll
-        # bounds how long a change can stay unseen.
-        while True:
-            try:
-                await self.read_head()
-                await anyio.sleep(self._poll)
-            except exceptions.StoreUnavailable as error:
-                logs.write_event('store-unavailable', error=error)
-                await anyio.sleep(_RETRY_DELAY)
-
-    async def _run_watch(self) -> None:
-        after = 0
-        while True:
-            try:
-                page = await self._store.watch(HEAD_KEY, after, _WATCH_SECONDS)
-            except exceptions.StoreUnavailable:
-                await anyio.sleep(_RETRY_DELAY)
-                continue
-            for item in page.items:
-                self._view.offer(item.value)
-            after = page.revision
-
-
-class CatalogueStore:
-    """The operators' side: read, and swap for the next revision."""
-
-    def __init__(self, store: store_module.Store) -> None:
-        self._store = store
-
-    async def read(self) -> tuple[Head, int]:
-        """Return the head and the store's revision of its key."""
-        found = await self._store.get(HEAD_KEY)
-        if found is None:
-            return Head(0, '', '', ''), 0
-        return load_head(found.value), found.revision
-
-    async def read_history(self) -> list[Head]:
-        """Return all replaced heads and the head, oldest first."""
-        page = await self._store.scan(HISTORY_PREFIX)
-        heads = [load_head(item.value) for item in page.items]
-        head, _ = await self.read()
-        return [*heads, head] if head.revision else heads
-
-    async def swap(
-        self, base: Head, base_key_revision: int, text: str, author: str
-    ) -> Head:
-        """Replace the head that was read, and return the new one.
-
-        The replaced head is first copied to the history, so that the
-        history has every revision whenever a swap has taken effect.
-
-        Raises
-        ------
-        persimmonsail.exceptions.Conflict
-            If another operator's edit was accepted first.
-        """
-        if base.revision:
-            await self._retry_put(
-                f'{HISTORY_PREFIX}{base.revision:08d}', dump_head(base), None
+        return dump_head(self._head) if self.revision else ''
+
+
+async def watch_freshness(view: View, period: float) -> None:
+    """Log when a view stops or starts being fresh, until cancelled."""
+    fresh = False
+    while True:
+        if view.is_fresh != fresh:
+            fresh = view.is_fresh
+            name = 'freshness-regained' if fresh else 'freshness-lost'
+            logs.write_event(
+                name,
+                revision=view.revision,
+                age=view.age,
+                reason=view.find_staleness(),
             )
-        head = Head(base.revision + 1, uuid.uuid4().hex, author, text)
-        try:
-            await self._retry_put(HEAD_KEY, dump_head(head), base_key_revision)
-        except exceptions.Conflict:
-            # The first try's answer may have been lost after it took
-            # effect; the id tells whose edit stands.
-            if not await self._stands(head):
-                raise
-        return head
-
-    async def _stands(self, head: Head) -> bool:
-        current, _ = await self.read()
-        if current.id == head.id:
-            return True
-        page = await self._store.scan(f'{HISTORY_PREFIX}{head.revision:08d}')
-        return any(load_head(i.value).id == head.id for i in page.items)
-
-    async def _retry_put(
-        self, key: str, value: str, expected: int | None, tries: int = 10
-    ) -> None:
-        for remaining in reversed(range(tries)):
-            try:
-                await self._store.put(key, value, expected)
-                return
-            except exceptions.StoreUnavailable:
-                if not remaining:
-                    raise
-                await anyio.sleep(_RETRY_DELAY)
+        await anyio.sleep(period)
--- a/src/persimmonsail/settings.py
+++ b/src/persimmonsail/settings.py
@@ -6,6 +6,7 @@
 import pydantic
 
 from persimmonsail import findings
+from persimmonsail import store as store_module
 
 _ADDRESS_PATTERN = r'^[0-9A-Za-z.\-\[\]:]+:\d{1,5}$'
 Address = t.Annotated[str, pydantic.Field(pattern=_ADDRESS_PATTERN)]
@@ -62,7 +63,7 @@
     task_lease: Seconds = 6.0
     commit_interval: Seconds = 0.1
     freshness: Seconds = 3.0
-    catalogue_poll: Seconds = 2.0
+    catalogue_poll: Seconds = 1.0
     drain: Seconds = 10.0
 
 
@@ -133,7 +134,7 @@
     OSError
         If the file can't be read.
     """
-    return parse(str(path), path.read_text(encoding='utf-8'), role)
+    return parse(str(path), findings.read_text(path), role)
 
 
 def parse(file: str, text: str, role: str) -> Settings:
@@ -153,12 +154,26 @@
         try:
             sections[name] = model.model_validate(dict(parser[name]))
         except pydantic.ValidationError as error:
-            collector.add_validation(places, name, error)
+            collector.add_validation(places, name, error, model)
     for name in _NEEDED[role]:
         if name not in parser.sections():
             collector.add(
                 findings.Place(file, section=name),
                 f'section is missing; the {role} role needs it',
             )
+    _check_store_kind(sections.get('store'), places, collector)
     collector.raise_if_any()
     return Settings.model_validate(sections)
+
+
+def _check_store_kind(section, places, collector) -> None:
+    # Only a process that has this section pays for loading the kinds.
+    if section is None:
+        return
+    kinds = store_module.load_kinds()
+    if section.kind not in kinds:
+        allowed = ', '.join(sorted(kinds))
+        collector.add(
+            places.find('store', 'kind'),
+            f'unknown kind {section.kind!r}; allowed: {allowed}',
+        )
--- a/src/persimmonsail/sidecar.py
+++ b/src/persimmonsail/sidecar.py
@@ -28,7 +28,9 @@
 
     def __init__(self, settings: settings_module.Settings) -> None:
         self.settings = settings
-        self.own = instance_module.OwnInstance()
+        self.own = instance_module.OwnInstance(
+            notice_limit=settings.links.silence
+        )
 
     async def __aenter__(self) -> 'Sidecar':
         self._owned = contextlib.AsyncExitStack()
--- /dev/null
+++ b/src/persimmonsail/status.py
@@ -0,0 +1,202 @@
+"""How the entries stand, as they tell an operator's command."""
+
+import argparse
+import dataclasses
+import sys
+import time
+import typing as t
+
+import anyio
+
+from persimmonsail import control_grpc
+from persimmonsail import control_pb2
+from persimmonsail import exceptions
+from persimmonsail import exits
+from persimmonsail import links as links_module
+from persimmonsail import logs
+from persimmonsail import partitions
+from persimmonsail import store as store_module
+
+_POLL = 0.2
+_MAX_TIMEOUT = 2.0
+
+
+def describe_entry(entry: t.Any) -> control_pb2.StatusReply:
+    """Return the answer of an entry's ``Status`` call."""
+    live = {instance.name for instance in entry.fleet.list_live()}
+    return control_pb2.StatusReply(
+        entry=entry.settings.process.name,
+        revision=entry.view.revision,
+        unready=entry.find_unready(),
+        store_age_seconds=entry.view.age,
+        partitions=sorted(entry.partitions.held),
+        instances=[
+            control_pb2.InstanceStatus(
+                instance=instance.name,
+                revision=instance.revision,
+                live=instance.name in live,
+                leaving=instance.leaving,
+            )
+            for instance in entry.fleet.list_all()
+        ],
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Unconfirmed:
+    """An entry or instance that does not show a revision, and why."""
+
+    name: str
+    reason: str
+
+
+class Entries:
+    """The live entries, asked one by one over fresh links."""
+
+    def __init__(
+        self, store: store_module.Store | None, links: links_module.Links
+    ) -> None:
+        self._store = store
+        self._links = links
+
+    async def list_addresses(self) -> dict[str, str]:
+        """Return the control addresses of the store's live entries."""
+        page = await self._store.scan(partitions.LIVE_PREFIX)
+        return {
+            entry.name: entry.control
+            for entry in partitions.read_entries(page)
+        }
+
+    async def ask(self, address: str) -> control_pb2.StatusReply:
+        """Return one entry's status.
+
+        Raises
+        ------
+        persimmonsail.exceptions.LinkLost
+            If it gave no answer.
+        """
+        return await self._links.call(
+            address,
+            control_grpc.EntryStub,
+            'Status',
+            control_pb2.StatusQuery(),
+            _MAX_TIMEOUT,
+        )
+
+    async def find_unconfirmed(self, revision: int) -> list[Unconfirmed]:
+        """Return which live processes don't show a revision yet.
+
+        An instance counts by what its sidecar last reported to an entry
+        that sees it live: from then on the sidecar refuses work under a
+        lower revision.
+        """
+        found: list[Unconfirmed] = []
+        addresses = await self.list_addresses()
+        async with anyio.create_task_group() as group:
+            for name, address in addresses.items():
+                group.start_soon(self._check, name, address, revision, found)
+        return sorted(set(found), key=lambda one: one.name)
+
+    async def _check(
+        self,
+        name: str,
+        address: str,
+        revision: int,
+        found: list[Unconfirmed],
+    ) -> None:
+        try:
+            reply = await self.ask(address)
+        except exceptions.LinkLost as error:
+            found.append(Unconfirmed(name, str(error)))
+            return
+        if reply.revision < revision:
+            found.append(Unconfirmed(name, f'at revision {reply.revision}'))
+        for instance in reply.instances:
+            if instance.live and instance.revision < revision:
+                reason = f'at revision {instance.revision}'
+                found.append(Unconfirmed(instance.instance, reason))
+
+    async def wait_confirmed(
+        self, revision: int, seconds: float
+    ) -> list[Unconfirmed]:
+        """Wait until every live process shows a revision.
+
+        The list of entries is read again each time: one that died
+        leaves it when its lease ends.
+
+        Returns
+        -------
+        list of Unconfirmed
+            Who did not in time; empty once the revision is in force.
+        """
+        deadline = time.monotonic() + seconds
+        while True:
+            try:
+                missing = await self.find_unconfirmed(revision)
+            except exceptions.StoreError as error:
+                missing = [Unconfirmed('store', str(error))]
+            if not missing or time.monotonic() >= deadline:
+                return missing
+            await anyio.sleep(_POLL)
+
+
+async def run(arguments: argparse.Namespace) -> int:
+    """Print a line for each entry and each instance that it sees."""
+    store = None
+    if not arguments.store and not arguments.entries:
+        print('give --store or control addresses', file=sys.stderr)
+        return exits.USAGE
+    if arguments.store:
+        store = store_module.open_kind(
+            arguments.store_kind, arguments.store, arguments.timeout
+        )
+    try:
+        with links_module.Links() as links:
+            return await _print_all(Entries(store, links), arguments.entries)
+    except exceptions.StoreUnavailable as error:
+        print(f'the store gave no answer: {error}', file=sys.stderr)
+        return exits.UNAVAILABLE
+    finally:
+        if store is not None:
+            await store.close()
+
+
+async def _print_all(entries: Entries, given: list[str]) -> int:
+    addresses = {address: address for address in given}
+    if not given:
+        addresses = await entries.list_addresses()
+    code = exits.OK
+    for name, address in sorted(addresses.items()):
+        try:
+            reply = await entries.ask(address)
+        except exceptions.LinkLost as error:
+            _print_line(entry=name, address=address, unreachable=error)
+            code = exits.UNAVAILABLE
+            continue
+        _print_reply(address, reply)
+    return code
+
+
+def _print_reply(address: str, reply: control_pb2.StatusReply) -> None:
+    _print_line(
+        entry=reply.entry,
+        address=address,
+        revision=reply.revision,
+        ready=not reply.unready,
+        reason=reply.unready,
+        confirmed_seconds_ago=reply.store_age_seconds,
+        partitions=','.join(map(str, reply.partitions)),
+        instances=sum(one.live for one in reply.instances),
+    )
+    for one in reply.instances:
+        _print_line(
+            instance=one.instance,
+            seen_by=reply.entry,
+            revision=one.revision,
+            live=one.live,
+            leaving=one.leaving,
+        )
+
+
+def _print_line(**fields: object) -> None:
+    print(logs.format_line(fields))
--- a/src/persimmonsail/store.py
+++ b/src/persimmonsail/store.py
@@ -5,8 +5,11 @@
 
 import abc
 import dataclasses
+import importlib
 import typing as t
 
+from persimmonsail import exceptions
+
 
 @dataclasses.dataclass(frozen=True)
 class Item:
@@ -111,6 +114,30 @@
 KINDS: dict[str, t.Callable[..., Store]] = {}
 
 
+_MODULES = ('persimmonsail.httpstore',)
+
+
+def load_kinds() -> dict[str, t.Callable[..., Store]]:
+    """Import every module that registers a kind; return all kinds."""
+    for module in _MODULES:
+        importlib.import_module(module)
+    return KINDS
+
+
+def open_kind(kind: str, address: str, timeout: float) -> Store:
+    """Return a store of a registered kind.
+
+    Raises
+    ------
+    persimmonsail.exceptions.UnknownKind
+        If no module registers it.
+    """
+    kinds = load_kinds()
+    if kind not in kinds:
+        raise exceptions.UnknownKind(kind, sorted(kinds))
+    return kinds[kind](address, timeout)
+
+
 def register(kind: str) -> t.Callable[[type], type]:
     """Add a store class under the name that settings use."""
 
--- a/src/persimmonsail/supervisor.py
+++ b/src/persimmonsail/supervisor.py
@@ -96,6 +96,8 @@
         if request.epoch < self._epochs.get(request.partition, 0):
             return 'a later epoch is known'
         self._epochs[request.partition] = request.epoch
+        if reason := self._own.find_staleness():
+            return reason
         if request.revision < self._own.revision:
             return 'stale revision'
         self._own.note_revision(request.revision)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -250,8 +250,9 @@
         """Put a catalogue in force with the operators' command."""
         path = self.directory / 'catalogue.ini'
         path.write_text(text, encoding='utf-8')
+        base = [] if text.startswith('; revision') else ['--base', 'head']
         return await self.run_command(
-            'catalogue', 'apply', str(path), '--store', self.store
+            'catalogue', 'apply', str(path), '--store', self.store, *base
         )
 
     async def set_faults(self, address: str, **faults: object) -> None:
