--- a/src/persimmonsail/httpstore.py
+++ b/src/persimmonsail/httpstore.py
@@ -3,11 +3,34 @@
 import typing as t
 
 import httpx
+import pydantic
 
 from persimmonsail import exceptions
 from persimmonsail import store
 
 _WATCH_MARGIN = 1.0
+_Answer = httpx.Response
+_M = t.TypeVar('_M', bound=pydantic.BaseModel)
+
+
+class _Found(pydantic.BaseModel):
+    item: store.Item | None
+
+
+class _Listed(pydantic.BaseModel):
+    revision: int
+    items: tuple[store.Item, ...]
+
+    def to_page(self) -> store.Page:
+        return store.Page(self.revision, self.items)
+
+
+class _Written(pydantic.BaseModel):
+    revision: int
+
+
+class _Granted(pydantic.BaseModel):
+    lease: str
 
 
 @store.register('http')
@@ -22,12 +45,13 @@
 
     async def get(self, key: str) -> store.Item | None:
         """See ``Store.get``."""
-        found = await self._call('get', {'key': key})
-        return _read_item(found['item']) if found['item'] else None
+        answer = await self._call('get', {'key': key})
+        return _read(_Found, answer, 'get').item
 
     async def scan(self, prefix: str) -> store.Page:
         """See ``Store.scan``."""
-        return _read_page(await self._call('scan', {'prefix': prefix}))
+        answer = await self._call('scan', {'prefix': prefix})
+        return _read(_Listed, answer, 'scan').to_page()
 
     async def put(
         self,
@@ -43,7 +67,7 @@
             'expected': expected,
             'lease': lease,
         }
-        return (await self._call('put', body))['revision']
+        return _read(_Written, await self._call('put', body), 'put').revision
 
     async def delete(self, key: str, expected: int | None = None) -> None:
         """See ``Store.delete``."""
@@ -51,7 +75,8 @@
 
     async def grant_lease(self, seconds: float) -> str:
         """See ``Store.grant_lease``."""
-        return (await self._call('lease/grant', {'seconds': seconds}))['lease']
+        answer = await self._call('lease/grant', {'seconds': seconds})
+        return _read(_Granted, answer, 'lease/grant').lease
 
     async def renew_lease(self, lease: str) -> None:
         """See ``Store.renew_lease``."""
@@ -65,7 +90,8 @@
         """See ``Store.watch``."""
         body = {'prefix': prefix, 'after': after, 'wait': wait}
         timeout = wait + self._timeout + _WATCH_MARGIN
-        return _read_page(await self._call('watch', body, timeout))
+        answer = await self._call('watch', body, timeout)
+        return _read(_Listed, answer, 'watch').to_page()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -73,7 +99,7 @@
 
     async def _call(
         self, name: str, body: dict[str, t.Any], timeout: float | None = None
-    ) -> dict[str, t.Any]:
+    ) -> _Answer:
         try:
             answer = await self._client.post(
                 f'/v1/{name}', json=body, timeout=timeout or self._timeout
@@ -82,19 +108,22 @@
             raise exceptions.StoreUnavailable(
                 f'{name}: {type(error).__name__}'
             ) from error
-        if answer.status_code == httpx.codes.CONFLICT:
-            raise exceptions.Conflict(body['key'], answer.json()['revision'])
         if answer.status_code == httpx.codes.GONE:
             raise exceptions.LeaseExpired(str(body.get('lease')))
+        if answer.status_code == httpx.codes.CONFLICT:
+            actual = _read(_Written, answer, name).revision
+            raise exceptions.Conflict(body['key'], actual)
         if answer.status_code != httpx.codes.OK:
             raise exceptions.StoreUnavailable(f'{name}: {answer.status_code}')
-        return answer.json()
-
-
-def _read_item(item: dict[str, t.Any]) -> store.Item:
-    return store.Item(item['key'], item['value'], item['revision'])
-
-
-def _read_page(page: dict[str, t.Any]) -> store.Page:
-    items = tuple(_read_item(item) for item in page['items'])
-    return store.Page(page['revision'], items)
+        return answer
+
+
+def _read(model: type[_M], answer: httpx.Response, name: str) -> _M:
+    # Something between the two ends may answer in the store's place,
+    # with a page of its own; a write may have taken effect all the same.
+    try:
+        return model.model_validate_json(answer.content)
+    except pydantic.ValidationError as error:
+        raise exceptions.StoreUnavailable(
+            f'{name}: not an answer of the store'
+        ) from error
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -52,7 +52,7 @@
     """Use it in tests directly, or behind ``standins.store``."""
 
     def __init__(self) -> None:
-        self.faults = Faults()
+        self._faults = Faults()
         self.calls = Calls()
         self.revision = 0
         self._items: dict[str, store.Item] = {}
@@ -60,6 +60,16 @@
         self._leases: dict[str, _Lease] = {}
         self._changed = anyio.Event()
 
+    @property
+    def faults(self) -> Faults:
+        """What goes wrong now; an outage also ends waiting watches."""
+        return self._faults
+
+    @faults.setter
+    def faults(self, faults: Faults) -> None:
+        self._faults = faults
+        self._wake()
+
     async def get(self, key: str) -> store.Item | None:
         """See ``Store.get``."""
         self.calls.read += 1
@@ -123,6 +133,7 @@
         self.calls.write += 1
         await self._fail_or_wait()
         self._end_lease(lease)
+        self._lose_answer()
 
     async def watch(self, prefix: str, after: int, wait: float) -> store.Page:
         """See ``Store.watch``."""
@@ -141,6 +152,7 @@
                 if items or deleted:
                     break
                 await self._changed.wait()
+                self._check_up()
         return store.Page(self.revision, items)
 
     async def close(self) -> None:
@@ -159,6 +171,9 @@
             await anyio.sleep(self.faults.delay)
         else:
             await anyio.lowlevel.checkpoint()
+        self._check_up()
+
+    def _check_up(self) -> None:
         if self.faults.down:
             raise exceptions.StoreUnavailable('the store is down')
 
@@ -182,9 +197,12 @@
 
     def _change(self) -> int:
         self.revision += 1
+        self._wake()
+        return self.revision
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
-        return self.revision
 
     def _remove(self, key: str) -> None:
         if self._items.pop(key, None) is not None:
--- /dev/null
+++ b/tests/test_httpstore.py
@@ -0,0 +1,110 @@
+import contextlib
+
+import anyio
+from starlette import applications
+from starlette import responses
+from starlette import routing
+
+from persimmonsail import exceptions
+from persimmonsail import httpserver
+from persimmonsail import httpstore
+from persimmonsail import store as store_module
+from standins import store as store_stand_in
+from tests import base
+from tests import conformance
+
+
+class HttpStoreTest(conformance.StoreConformance):
+    @contextlib.asynccontextmanager
+    async def open_store(self):
+        served = store_stand_in.StoreServer()
+        async with httpserver.HttpServer(
+            served.app, '127.0.0.1:0', drain=0.1
+        ) as server:
+            async with anyio.create_task_group() as group:
+                group.start_soon(served.expire_leases)
+                store = httpstore.HttpStore(server.address, 20.0)
+                yield store, served.memory
+                await store.close()
+                group.cancel_scope.cancel()
+
+
+class StrangeAnswersTest(base.TestCase):
+    """Something else answers in the store's place."""
+
+    async def check(self, body: str, status: int = 200):
+        async def answer(request):
+            return responses.PlainTextResponse(body, status)
+
+        app = applications.Starlette(
+            routes=[routing.Route('/v1/{n:path}', answer, methods=['POST'])]
+        )
+        async with httpserver.HttpServer(
+            app, '127.0.0.1:0', drain=0.1
+        ) as server:
+            store = httpstore.HttpStore(server.address, 20.0)
+            for call, arguments in (
+                (store.get, ('a',)),
+                (store.scan, ('a',)),
+                (store.put, ('a', 'x')),
+                (store.grant_lease, (1.0,)),
+                (store.watch, ('a', 0, 0.0)),
+            ):
+                try:
+                    await call(*arguments)
+                    self.fail(f'{call.__name__} took {body!r}')
+                except exceptions.StoreUnavailable:
+                    pass
+            await store.close()
+
+    async def test_no_json(self):
+        await self.check('<html>welcome</html>')
+
+    async def test_json_of_another_form(self):
+        await self.check('{"items": [{"key": 1}], "item": 7}')
+
+    async def test_server_error(self):
+        await self.check('{}', 500)
+
+    async def test_conflict_without_a_revision(self):
+        await self.check('oops', 409)
+
+    async def test_nobody_listens(self):
+        sock = httpserver.bind('127.0.0.1:0')
+        address = httpserver.name_of(sock)
+        sock.close()
+        store = httpstore.HttpStore(address, 20.0)
+        try:
+            await store.get('a')
+            self.fail('an answer from nobody')
+        except exceptions.StoreUnavailable:
+            pass
+        finally:
+            await store.close()
+
+    async def test_answer_after_the_time_limit(self):
+        async def answer(request):
+            await anyio.sleep_forever()
+
+        app = applications.Starlette(
+            routes=[routing.Route('/v1/get', answer, methods=['POST'])]
+        )
+        async with httpserver.HttpServer(
+            app, '127.0.0.1:0', drain=0.1
+        ) as server:
+            store = httpstore.HttpStore(server.address, 0.05)
+            try:
+                await store.get('a')
+                self.fail('an answer that was never given')
+            except exceptions.StoreUnavailable as error:
+                self.assertIn('ReadTimeout', str(error))
+            finally:
+                await store.close()
+
+
+class KindsTest(base.TestCase):
+    def test_unknown_kind_names_the_allowed_ones(self):
+        error = self.assertRaises(
+            exceptions.UnknownKind, store_module.open_kind, 'etch', 'a:1', 1
+        )
+        self.assertIn("'etch'; allowed: http", str(error))
