--- a/tests/conformance.py
+++ b/tests/conformance.py
@@ -183,6 +183,8 @@
                     WAIT_SECONDS,
                 )
                 await wait_watched(kept)
+                # A later call's answer shows that the watch is waiting.
+                await store.get('a')
                 kept.faults = memory.Faults(down=True)
 
     async def test_lost_answer_leaves_the_write(self):
