Measure the roles' slopes with make slopes

Cause: the design has budgets for each daemon and for the store, and nothing told how costs grow. Each series starts real processes, grows one driver over four points or more, and fits a line; slope_sizes adds the slopes up at the size designed for.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: env demo test lint format binary proto
+.PHONY: env demo test lint format binary proto slopes
 
 env: $(STAMP)
 
@@ -19,6 +19,9 @@
 test: env
 	$(BIN)/pytest -n 4 --dist loadfile
 
+slopes: env
+	PYTHONPATH=. $(BIN)/python tools/slopes.py $(SLOPES)
+
 lint: env
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,103 @@
+import anyio
+import anyio.abc
+import testtools
+
+from persimmonsail import catalogue
+from tests import base
+from tools import slope_fit
+from tools import slope_meter
+from tools import slope_series
+from tools import slope_sizes
+
+
+def make_fit(slope: float, intercept: float) -> slope_fit.Fit:
+    points = [(x, intercept + slope * x) for x in (1, 2, 4, 8)]
+    return slope_fit.fit_line(points)
+
+
+class FitTest(base.TestCase):
+    def test_a_straight_line_is_found_without_residual(self):
+        fit = make_fit(0.5, 3.0)
+        self.assertAlmostEqual(0.5, fit.slope)
+        self.assertAlmostEqual(3.0, fit.intercept)
+        self.assertAlmostEqual(0.0, fit.residual)
+        self.assertAlmostEqual(53.0, fit.predict(100))
+        self.assertEqual(12.5, fit.stretch(100))
+
+    def test_the_residual_is_in_the_unit_of_the_cost(self):
+        fit = slope_fit.fit_line([(1, 2), (2, 0), (3, 0), (4, 2)])
+        self.assertAlmostEqual(0.0, fit.slope)
+        self.assertAlmostEqual(1.0, fit.intercept)
+        self.assertAlmostEqual(1.0, fit.residual)
+
+    def test_fewer_than_four_drivers_are_no_slope(self):
+        with testtools.ExpectedException(slope_fit.TooFewPoints):
+            slope_fit.fit_line([(1, 1), (2, 2), (3, 3), (3, 3.1)])
+
+    def test_a_miss_is_the_factor_over_the_budget(self):
+        self.assertEqual(0.0, slope_fit.find_miss(0.019, 0.019))
+        self.assertAlmostEqual(3.0, slope_fit.find_miss(0.057, 0.019))
+
+
+class SizesTest(base.TestCase):
+    def test_a_role_adds_its_drivers_and_one_intercept(self):
+        fits = {
+            ('sidecar', 'entries linked'): {'cpu': make_fit(0.001, 0.01)},
+            ('sidecar', 'tasks on its instance'): {
+                'cpu': make_fit(0.0001, 5.0)
+            },
+        }
+        fleet = slope_sizes.Fleet(workers=100, tasks=2000, entries_linked=4)
+        terms = slope_sizes.ROLES['sidecar']
+        value = slope_sizes.predict_role(terms, fits, fleet, 'cpu')
+        self.assertAlmostEqual(0.01 + 0.004 + 0.002, value)
+
+    def test_an_unmeasured_driver_gives_no_figure(self):
+        terms = slope_sizes.ROLES['sidecar']
+        fleet = slope_sizes.Fleet()
+        self.assertIsNone(slope_sizes.predict_role(terms, {}, fleet, 'cpu'))
+
+    def test_misses_are_named_with_their_factor(self):
+        fits = {
+            ('holder', 'starts a second'): {'link_bytes': make_fit(1024, 0)}
+        }
+        fleet = slope_sizes.Fleet(entries=1, starts=8)
+        lines = list(slope_sizes.format_sizes(fits, fleet))
+        self.assertEqual(
+            [
+                'holder at the peak, on top | link_bytes | 8192 | 4096 '
+                '| missed 2.0x'
+            ],
+            lines,
+        )
+
+    def test_tasks_spread_over_fewer_instances_than_there_are(self):
+        fleet = slope_sizes.Fleet()
+        self.assertLess(fleet.spread, fleet.workers)
+        self.assertGreater(fleet.spread, fleet.workers / 2)
+
+
+class LoadTest(base.TestCase):
+    def test_the_measured_catalogue_is_valid(self):
+        text = slope_series.make_catalogue(200)
+        found = catalogue.parse('slopes', text)
+        self.assertEqual(200, len(found.workloads))
+        self.assertEqual(slope_series.TEAMS, len(found.teams))
+
+    async def test_the_proxy_counts_bytes_of_both_directions(self):
+        async def answer(stream):
+            async with stream:
+                await stream.send(await stream.receive() + b'!')
+
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, answer)
+            target = f'127.0.0.1:{port}'
+            async with slope_meter.CountingProxy(target) as proxy:
+                host, _, number = proxy.address.rpartition(':')
+                async with await anyio.connect_tcp(host, int(number)) as far:
+                    await far.send(b'1234')
+                    self.assertEqual(b'1234!', await far.receive())
+            self.assertEqual(9, proxy.bytes)
+            group.cancel_scope.cancel()
--- /dev/null
+++ b/tools/slope_fakes.py
@@ -0,0 +1,239 @@
+"""Load: many sidecars, or many entries, played by this one process.
+
+The sidecars announce themselves with the shipped announcer, so that a
+change of its protocol changes the load as well.
+"""
+
+import contextlib
+import dataclasses
+import time
+import typing as t
+
+import anyio
+import grpclib.server
+
+from persimmonsail import admission
+from persimmonsail import announcer as announcer_module
+from persimmonsail import control_grpc
+from persimmonsail import control_pb2
+from persimmonsail import httpserver
+from persimmonsail import instance as instance_module
+from persimmonsail import links
+from persimmonsail import settings as settings_module
+from tools import slope_meter
+
+_SETTINGS = """
+[process]
+name = {name}
+region = {region}
+zone = {zone}
+rack = {rack}
+control-advertised = {address}
+[sidecar]
+entries = {entries}
+worker = 127.0.0.1:1
+backend = 127.0.0.1:1
+service = planning
+"""
+CORES = 64.0
+MEMORY_GB = 250.0
+
+
+@dataclasses.dataclass
+class _Running:
+    attempt: int
+    ends_at: float
+    size: admission.Size
+
+
+class FakeSidecar(control_grpc.SidecarBase):
+    """One instance: admits every task and ends it after its time."""
+
+    def __init__(self, name: str, zone: str, proxy) -> None:
+        self.name = name
+        self.zone = zone
+        self.proxy = proxy
+        self.task_seconds = float('inf')
+        self.own = instance_module.OwnInstance()
+        self.own.commitments = admission.Commitments(
+            admission.Size(CORES, MEMORY_GB, 2)
+        )
+        self.tasks: dict[str, _Running] = {}
+        self.announcer: announcer_module.Announcer
+
+    async def listen(self) -> grpclib.server.Server:
+        """Serve the control protocol behind the counting proxy."""
+        server = grpclib.server.Server([self])
+        sock = httpserver.bind('127.0.0.1:0')
+        self.proxy.target = httpserver.name_of(sock)
+        await server.start(sock=sock)
+        return server
+
+    def open_announcer(self, entries: t.Iterable[str], opened) -> None:
+        """Prepare to announce this instance to entries."""
+        text = _SETTINGS.format(
+            name=self.name,
+            region=self.zone.rpartition('-')[0],
+            zone=self.zone,
+            rack=f'{self.zone}-rack',
+            address=self.proxy.address,
+            entries=', '.join(entries),
+        )
+        settings = settings_module.parse('fake', text, 'sidecar')
+        self.announcer = announcer_module.Announcer(
+            self.own, settings, self.proxy.address, opened
+        )
+
+    async def Execute(self, stream) -> None:
+        """Quick requests are no part of the control cost."""
+
+    async def Settle(self, stream) -> None:
+        """Quick requests are no part of the control cost."""
+
+    async def StartTask(self, stream) -> None:
+        """Admit a task."""
+        request = await stream.recv_message()
+        self.own.note_revision(request.revision)
+        size = admission.read_size(request.size)
+        self.own.commitments.try_commit(f'task/{request.task}', size)
+        self.tasks[request.task] = _Running(
+            request.attempt, time.monotonic() + self.task_seconds, size
+        )
+        await stream.send_message(
+            control_pb2.StartTaskReply(
+                verdict=control_pb2.RUNNING,
+                load=self.own.describe_load(),
+                revision=self.own.revision,
+            )
+        )
+
+    async def Renew(self, stream) -> None:
+        """Tell how the tasks stand."""
+        request = await stream.recv_message()
+        reply = control_pb2.RenewReply(
+            accepted=True, incarnation=self.own.incarnation
+        )
+        for ref in request.tasks:
+            reply.states.append(self._describe_state(ref))
+        reply.load.CopyFrom(self.own.describe_load())
+        await stream.send_message(reply)
+
+    def _describe_state(self, ref) -> control_pb2.TaskState:
+        state = control_pb2.TaskState(task=ref.task, attempt=ref.attempt)
+        found = self.tasks.get(ref.task)
+        if found is None or found.attempt != ref.attempt:
+            state.phase = control_pb2.ABSENT
+        elif time.monotonic() < found.ends_at:
+            state.phase = control_pb2.ACTIVE
+        else:
+            state.phase = control_pb2.SUCCEEDED
+            state.answer = '{"done": true}'
+            self.own.commitments.release(f'task/{ref.task}')
+        return state
+
+    async def StopTask(self, stream) -> None:
+        """Stop a task."""
+        request = await stream.recv_message()
+        self.tasks.pop(request.task, None)
+        self.own.commitments.release(f'task/{request.task}')
+        reply = control_pb2.StopTaskReply(accepted=True)
+        reply.state.task = request.task
+        reply.state.attempt = request.attempt
+        reply.state.phase = control_pb2.STOPPED
+        await stream.send_message(reply)
+
+
+class FakeSidecars:
+    """A growing number of instances; use inside ``async with``."""
+
+    def __init__(self, churn_seconds: float = 0.0) -> None:
+        self.sidecars: list[FakeSidecar] = []
+        self._churn_seconds = churn_seconds
+        self._owned = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> 'FakeSidecars':
+        self._opened = self._owned.enter_context(links.Links())
+        self._group = await self._owned.enter_async_context(
+            anyio.create_task_group()
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: t.Any) -> bool | None:
+        self._group.cancel_scope.cancel()
+        return await self._owned.__aexit__(*exc_info)
+
+    @property
+    def proxies(self) -> list[slope_meter.CountingProxy]:
+        """The counting proxies before the instances."""
+        return [sidecar.proxy for sidecar in self.sidecars]
+
+    async def grow(
+        self, count: int, entries: t.Iterable[str], zone: str = 'piedmont-a'
+    ) -> None:
+        """Announce instances until there are ``count``."""
+        while len(self.sidecars) < count:
+            proxy = await self._owned.enter_async_context(
+                slope_meter.CountingProxy()
+            )
+            name = f'fake-{len(self.sidecars):04d}'
+            sidecar = FakeSidecar(name, zone, proxy)
+            server = await sidecar.listen()
+            self._owned.callback(server.close)
+            opened = self._owned.enter_context(links.Links())
+            sidecar.open_announcer(entries, opened)
+            self.sidecars.append(sidecar)
+            self._group.start_soon(sidecar.announcer.run)
+            if self._churn_seconds:
+                self._group.start_soon(self._churn, sidecar)
+            await anyio.sleep(0.002)
+
+    async def _churn(self, sidecar: FakeSidecar) -> None:
+        # A busy instance's load differs at nearly every look at it.
+        while True:
+            sidecar.own.busy_slots = (sidecar.own.busy_slots + 1) % 8
+            await anyio.sleep(self._churn_seconds)
+
+
+class FakeEntry(control_grpc.EntryBase):
+    """An entry that only answers announcements."""
+
+    def __init__(self) -> None:
+        self.sidecars: dict[str, control_pb2.SidecarReport] = {}
+
+    async def Link(self, stream) -> None:
+        """Answer each report."""
+        async for report in stream:
+            if report.address:
+                self.sidecars[report.instance] = report
+            await stream.send_message(
+                control_pb2.EntryNotice(revision=1, sequence=report.sequence)
+            )
+
+    async def Submit(self, stream) -> None:
+        """Not played."""
+
+    async def Query(self, stream) -> None:
+        """Not played."""
+
+    async def Cancel(self, stream) -> None:
+        """Not played."""
+
+    async def Peer(self, stream) -> None:
+        """Not played."""
+
+
+@contextlib.asynccontextmanager
+async def open_fake_entry() -> t.AsyncIterator[
+    tuple[FakeEntry, slope_meter.CountingProxy]
+]:
+    """Run a fake entry behind a counting proxy."""
+    entry = FakeEntry()
+    server = grpclib.server.Server([entry])
+    sock = httpserver.bind('127.0.0.1:0')
+    target = httpserver.name_of(sock)
+    await server.start(sock=sock)
+    async with slope_meter.CountingProxy(target) as proxy:
+        try:
+            yield entry, proxy
+        finally:
+            server.close()
--- /dev/null
+++ b/tools/slope_series.py
@@ -0,0 +1,466 @@
+"""The series of measurements: one driver grows, all else stays."""
+
+import contextlib
+import dataclasses
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import time
+import typing as t
+
+import anyio
+import psutil
+
+from persimmonsail import logs
+from persimmonsail import partitions
+from standins import deployment
+from tools import slope_fakes
+from tools import slope_meter
+
+TEAMS = 150
+_SETTLE_SECONDS = 2.0
+_CHURN_SECONDS = 1.0
+_SUBMITTERS = 32
+_TASK_SECONDS = 1.0
+_LOOK_SECONDS = 0.005
+_POST_TRIES = 100
+
+
+@dataclasses.dataclass
+class Series:
+    """Costs of one role as one driver grows."""
+
+    role: str
+    driver: str
+    points: list[tuple[float, slope_meter.Sample]] = dataclasses.field(
+        default_factory=list
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """How long each point is measured, and where files go."""
+
+    directory: pathlib.Path
+    window: float = 5.0
+
+
+Run = t.Callable[[Plan], t.Awaitable[list[Series]]]
+SERIES: dict[str, Run] = {}
+
+
+def register(name: str) -> t.Callable[[Run], Run]:
+    """Add a series under the name that ``--only`` takes."""
+
+    def add(run: Run) -> Run:
+        SERIES[name] = run
+        return run
+
+    return add
+
+
+def make_catalogue(workloads: int, teams: int = TEAMS) -> str:
+    """Return catalogue text with this many workloads."""
+    lines = []
+    for team in range(teams):
+        lines += [
+            f'[team team-{team}]',
+            'objective = throughput',
+            'cores = 50000',
+            'memory-gb = 200000',
+            'accelerators = 1400',
+            '',
+        ]
+    for number in range(workloads):
+        lines += [
+            f'[workload build-{number}]',
+            f'owner = team-{number % teams}',
+            'class = batch',
+            'idempotent = yes',
+            'timeout = 30',
+            'cores = 0.05',
+            'memory-gb = 0.05',
+            'max-concurrent = 100000',
+            '',
+        ]
+    return '\n'.join(lines)
+
+
+class Bench:
+    """A store, entries behind counting proxies, and fake sidecars."""
+
+    def __init__(self, directory: pathlib.Path) -> None:
+        self.running = deployment.Deployment(directory)
+        self.sidecars = slope_fakes.FakeSidecars(_CHURN_SECONDS)
+        self.entries: dict[str, deployment.Process] = {}
+        self.links: dict[str, slope_meter.CountingProxy] = {}
+        self.store_links: dict[str, slope_meter.CountingProxy] = {}
+        self._owned = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> 'Bench':
+        await self._owned.enter_async_context(self.running)
+        await self._owned.enter_async_context(self.sidecars)
+        await self.running.start_store()
+        return self
+
+    async def __aexit__(self, *exc_info: t.Any) -> bool | None:
+        return await self._owned.__aexit__(*exc_info)
+
+    async def start_entry(
+        self, name: str, zone: str = 'piedmont-a', **options: object
+    ) -> None:
+        """Start an entry whose links all go through proxies."""
+        enter = self._owned.enter_async_context
+        link = await enter(slope_meter.CountingProxy())
+        store = await enter(slope_meter.CountingProxy(self.running.store))
+        entry = await self.running.start_entry(
+            name,
+            zone,
+            store=store.address,
+            process={'control-advertised': link.address},
+            entry=options,
+        )
+        link.target = entry.find('listening')[0]['control']
+        self.entries[name] = entry
+        self.links[name] = link
+        self.store_links[name] = store
+
+    async def apply(self, text: str) -> None:
+        """Put a catalogue in force in every entry."""
+        code, output = await self.running.apply_catalogue(text)
+        if code:
+            raise RuntimeError(output)
+        revision = output.partition('revision=')[2].split()[0]
+        for entry in self.entries.values():
+            await entry.wait_event('catalogue', revision=revision)
+
+    def open_meter(self, name: str) -> slope_meter.Meter:
+        """Return the meter of one entry and of the store."""
+        return slope_meter.Meter(
+            self.entries[name].pid,
+            [self.links[name], *self.sidecars.proxies],
+            self.store_links[name],
+            self.running.store,
+        )
+
+    async def announce(self, count: int, name: str = 'entry-0') -> None:
+        """Grow the fake instances, and wait until all are known."""
+        await self.sidecars.grow(count, [self.links[name].address])
+        await self.entries[name].wait_event('announced', count)
+
+    async def submit(self, count: int, name: str = 'entry-0') -> None:
+        """Have an entry accept tasks, and wait for their claims."""
+        placed = len(self.entries[name].find('placement'))
+        limiter = anyio.CapacityLimiter(_SUBMITTERS)
+        async with anyio.create_task_group() as group:
+            for _ in range(count):
+                group.start_soon(self._submit_one, name, limiter)
+        await self.entries[name].wait_event(
+            'placement', placed + count, seconds=120.0
+        )
+
+    async def _submit_one(self, name: str, limiter) -> None:
+        async with limiter:
+            await self.post(name)
+
+    async def post(self, name: str, workload: str = 'build-0') -> None:
+        """Send one caller's request for a task."""
+        address = self.entries[name].find('listening')[0]['http']
+        for _ in range(_POST_TRIES):
+            answer = await self.running.client.post(
+                f'http://{address}/v1/workloads/{workload}/requests'
+            )
+            if answer.status_code == 202:
+                return
+            await anyio.sleep(0.2)
+        raise RuntimeError(answer.text)
+
+
+async def _measure(bench: Bench, plan: Plan, name: str = 'entry-0'):
+    await anyio.sleep(_SETTLE_SECONDS)
+    return await bench.open_meter(name).measure(plan.window)
+
+
+@register('announced')
+async def measure_announced(plan: Plan) -> list[Series]:
+    """Grow the sidecars announced to one entry."""
+    series = Series('entry', 'sidecars announced')
+    async with Bench(plan.directory) as bench:
+        await bench.start_entry('entry-0', partitions=1)
+        await bench.apply(make_catalogue(TEAMS))
+        for count in (15, 30, 60, 120, 240):
+            await bench.announce(count)
+            series.points.append((count, await _measure(bench, plan)))
+    return [series]
+
+
+@register('held')
+async def measure_held(plan: Plan) -> list[Series]:
+    """Grow the tasks held by one holder, on 60 instances."""
+    series = Series('holder', 'tasks held')
+    async with Bench(plan.directory) as bench:
+        await bench.start_entry('entry-0', partitions=1)
+        await bench.apply(make_catalogue(TEAMS))
+        await bench.announce(60)
+        held = 0
+        for count in (150, 300, 600, 1200):
+            await bench.submit(count - held)
+            held = count
+            series.points.append((count, await _measure(bench, plan)))
+    return [series]
+
+
+@register('spread')
+async def measure_spread(plan: Plan) -> list[Series]:
+    """Grow the instances over which one holder's tasks spread."""
+    series = Series('holder', 'instances with its tasks')
+    for count in (20, 40, 80, 160):
+        async with Bench(plan.directory / str(count)) as bench:
+            await bench.start_entry('entry-0', partitions=1)
+            await bench.apply(make_catalogue(TEAMS))
+            await bench.announce(count)
+            await bench.submit(320)
+            series.points.append((count, await _measure(bench, plan)))
+    return [series]
+
+
+@register('starts')
+async def measure_starts(plan: Plan) -> list[Series]:
+    """Grow the task starts a second; callers use another entry."""
+    holder = Series('holder', 'starts a second')
+    front = Series('entry', 'tasks forwarded a second')
+    async with Bench(plan.directory) as bench:
+        names = ['entry-0', 'entry-1']
+        for name in names:
+            await bench.start_entry(name, partitions=1)
+        await bench.apply(make_catalogue(TEAMS))
+        held = partitions.prefer_entry(0, names)
+        caller = next(name for name in names if name != held)
+        await bench.announce(40, held)
+        for sidecar in bench.sidecars.sidecars:
+            sidecar.task_seconds = _TASK_SECONDS
+        for rate in (5, 10, 20, 40):
+            samples = await _load(bench, plan, rate, held, caller)
+            holder.points.append((rate, samples[held]))
+            front.points.append((rate, samples[caller]))
+    return [holder, front]
+
+
+@register('commits')
+async def measure_commits(plan: Plan) -> list[Series]:
+    """Grow the starts a second over four partitions of one holder."""
+    series = Series('holder of 4 partitions', 'starts a second')
+    async with Bench(plan.directory) as bench:
+        await bench.start_entry('entry-0', partitions=4)
+        await bench.apply(make_catalogue(TEAMS))
+        await bench.announce(40)
+        for sidecar in bench.sidecars.sidecars:
+            sidecar.task_seconds = _TASK_SECONDS
+        for rate in (5, 10, 20, 40):
+            samples = await _load(bench, plan, rate, 'entry-0', 'entry-0')
+            series.points.append((rate, samples['entry-0']))
+    return [series]
+
+
+async def _load(
+    bench: Bench, plan: Plan, rate: int, held: str, caller: str
+) -> dict[str, slope_meter.Sample]:
+    samples: dict[str, slope_meter.Sample] = {}
+
+    async def measure(name: str) -> None:
+        samples[name] = await _measure(bench, plan, name)
+
+    async def send(group) -> None:
+        began = time.monotonic()
+        sent = 0
+        while True:
+            sent += 1
+            workload = f'build-{sent % TEAMS}'
+            group.start_soon(bench.post, caller, workload)
+            due = began + sent / rate
+            await anyio.sleep(max(due - time.monotonic(), 0.0))
+
+    async with anyio.create_task_group() as posts:
+        async with anyio.create_task_group() as group:
+            group.start_soon(send, posts)
+            async with anyio.create_task_group() as meters:
+                for name in {held, caller}:
+                    meters.start_soon(measure, name)
+            group.cancel_scope.cancel()
+    return samples
+
+
+@register('partitions')
+async def measure_partitions(plan: Plan) -> list[Series]:
+    """Grow the partitions that one idle entry holds."""
+    series = Series('entry', 'partitions held')
+    for count in (4, 8, 16, 32):
+        async with Bench(plan.directory / str(count)) as bench:
+            await bench.start_entry('entry-0', partitions=count)
+            await bench.entries['entry-0'].wait_event(
+                'partition-opened', count
+            )
+            series.points.append((count, await _measure(bench, plan)))
+    return [series]
+
+
+@register('entries')
+async def measure_entries(plan: Plan) -> list[Series]:
+    """Grow the idle entries around one store and 16 partitions."""
+    series = Series('entry', 'entries')
+    async with Bench(plan.directory) as bench:
+        for count in (1, 2, 4, 8, 14):
+            while len(bench.entries) < count:
+                await bench.start_entry(
+                    f'entry-{len(bench.entries)}', partitions=16
+                )
+            await anyio.sleep(_SETTLE_SECONDS)
+            series.points.append((count, await _measure(bench, plan)))
+    return [series]
+
+
+@register('catalogue')
+async def measure_catalogue(plan: Plan) -> list[Series]:
+    """Grow the catalogue; a window holds one applied change."""
+    role = Series('entry', 'catalogue entries')
+    apply = Series('catalogue apply', 'catalogue entries')
+    show = Series('catalogue show', 'catalogue entries')
+    async with Bench(plan.directory) as bench:
+        await bench.start_entry('entry-0', partitions=1)
+        for count in (150, 500, 1000, 2000, 4000):
+            path = plan.directory / 'new.ini'
+            path.write_text(make_catalogue(count), encoding='utf-8')
+            store = ('--store', bench.running.store)
+            async with anyio.create_task_group() as group:
+                group.start_soon(_note_sample, bench, plan, role, count)
+                await anyio.sleep(_SETTLE_SECONDS + 1)
+                sample = await _run_command('catalogue', 'apply', path, *store)
+            apply.points.append((count, sample))
+            sample = await _run_command('catalogue', 'show', *store)
+            show.points.append((count, sample))
+    return [role, apply, show]
+
+
+async def _note_sample(
+    bench: Bench, plan: Plan, series: Series, count: int
+) -> None:
+    series.points.append((count, await _measure(bench, plan)))
+
+
+async def _run_command(*arguments: object) -> slope_meter.Sample:
+    """Return the whole processor seconds and memory of a command."""
+    program = [sys.executable, '-m', 'persimmonsail']
+    handle = psutil.Popen(
+        [*program, *map(str, arguments)], stdout=subprocess.DEVNULL
+    )
+    peak = 0
+    cpu = 0.0
+    with contextlib.suppress(psutil.Error):
+        while handle.status() != psutil.STATUS_ZOMBIE:
+            peak = max(peak, handle.memory_info().rss)
+            await anyio.sleep(_LOOK_SECONDS)
+        times = handle.cpu_times()
+        cpu = times.user + times.system
+    handle.wait()
+    return slope_meter.Sample(cpu=cpu, rss_mb=peak / slope_meter.MEGABYTE)
+
+
+@register('audit')
+async def measure_audit(plan: Plan) -> list[Series]:
+    """Grow the events that the regulator's command reads."""
+    series = Series('audit', 'events')
+    plan.directory.mkdir(parents=True, exist_ok=True)
+    for count in (5000, 10000, 20000, 40000):
+        path = plan.directory / f'{count}.log'
+        path.write_text(make_events(count), encoding='utf-8')
+        sample = await _run_command('audit', '--store', '127.0.0.1:1', path)
+        series.points.append((count, sample))
+    return [series]
+
+
+def make_events(count: int) -> str:
+    """Return log lines such as an entry writes."""
+    generator = random.Random(count)
+    lines = []
+    for number in range(count):
+        fields = {
+            'time': f'{number / 100:.6f}',
+            'level': 'info',
+            'process': f'entry-{number % 14}',
+            'event': 'routing',
+            'request': f'{generator.getrandbits(128):032x}',
+            'attempt': f'{generator.getrandbits(128):032x}',
+            'workload': 'check-7',
+            'chosen': f'instance-{number % 840}',
+            'revision': number // 1000,
+        }
+        lines.append(logs.format_line(fields))
+    return '\n'.join(lines) + '\n'
+
+
+@register('linked')
+async def measure_linked(plan: Plan) -> list[Series]:
+    """Grow the entries to which one idle sidecar is linked."""
+    series = Series('sidecar', 'entries linked')
+    async with deployment.Deployment(plan.directory) as running:
+        worker = await running.start_stand_in('worker', 'worker')
+        for count in (1, 2, 4, 8, 14):
+            sample = await _measure_links(running, plan, worker, count)
+            series.points.append((count, sample))
+    return [series]
+
+
+async def _measure_links(
+    running: deployment.Deployment, plan: Plan, worker: str, count: int
+) -> slope_meter.Sample:
+    async with contextlib.AsyncExitStack() as owned:
+        opened = [
+            await owned.enter_async_context(slope_fakes.open_fake_entry())
+            for _ in range(count)
+        ]
+        proxies = [proxy for _, proxy in opened]
+        sidecar = await running.start_sidecar(
+            f'sidecar-{count}',
+            [proxy.address for proxy in proxies],
+            worker,
+            '127.0.0.1:1',
+            'planning',
+        )
+        await anyio.sleep(_SETTLE_SECONDS)
+        meter = slope_meter.Meter(sidecar.pid, proxies)
+        sample = await meter.measure(plan.window)
+        await sidecar.stop(signal.SIGKILL)
+    return sample
+
+
+@register('running')
+async def measure_running(plan: Plan) -> list[Series]:
+    """Grow the tasks that run on one real sidecar's instance."""
+    series = Series('sidecar', 'tasks on its instance')
+    async with Bench(plan.directory) as bench:
+        await bench.start_entry('entry-0', partitions=1)
+        await bench.apply(make_catalogue(TEAMS))
+        running = bench.running
+        worker = await running.start_stand_in('worker', 'worker')
+        async with slope_meter.CountingProxy() as proxy:
+            sidecar = await running.start_sidecar(
+                'sidecar-0',
+                [bench.links['entry-0'].address],
+                worker,
+                '127.0.0.1:1',
+                'planning',
+                process={'control-advertised': proxy.address},
+            )
+            proxy.target = sidecar.find('listening')[0]['control']
+            links = [proxy, bench.links['entry-0']]
+            held = 0
+            for count in (10, 20, 40, 80):
+                await bench.submit(count - held)
+                held = count
+                await anyio.sleep(_SETTLE_SECONDS)
+                meter = slope_meter.Meter(sidecar.pid, links)
+                sample = await meter.measure(plan.window)
+                series.points.append((count, sample))
+    return [series]
--- /dev/null
+++ b/tools/slope_sizes.py
@@ -0,0 +1,125 @@
+"""The size designed for, and each role's costs there.
+
+A cost is the sum of one series' intercept and, for each driver of the
+role, the driver's slope times its value at the size designed for.
+"""
+
+import dataclasses
+import typing as t
+
+from tools import slope_fit
+
+CPU_BUDGET = 0.019
+MEMORY_BUDGET_MB = 64.0
+BYTES_BUDGET = 4096.0
+STORE_WRITES_BUDGET = 300.0
+STORE_READS_BUDGET = 2000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Fleet:
+    """What the slopes are stretched to.
+
+    ``links`` is the number of sidecars linked to one entry;
+    ``spread`` the number of instances with tasks of one holder.
+    """
+
+    workers: int = 840
+    zones: int = 7
+    entries: int = 14
+    partitions: int = 32
+    tasks: int = 17300
+    starts: float = 210.0
+    workloads: int = 2450
+    links: int = 840
+    entries_linked: int = 14
+
+    @property
+    def tasks_held(self) -> float:
+        """Tasks of one holder."""
+        return self.tasks / self.entries
+
+    @property
+    def spread(self) -> float:
+        """Instances on which one holder's tasks run, placed evenly."""
+        missing = (1 - 1 / self.workers) ** self.tasks_held
+        return self.workers * (1 - missing)
+
+    @property
+    def tasks_running(self) -> float:
+        """Tasks on one instance."""
+        return self.tasks / self.workers
+
+
+Fits = dict[tuple[str, str], dict[str, slope_fit.Fit]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Term:
+    """One driver's part in a role's cost."""
+
+    role: str
+    driver: str
+    value: t.Callable[[Fleet], float]
+    with_intercept: bool = False
+
+
+ROLES: dict[str, tuple[Term, ...]] = {
+    'entry, links and catalogue': (
+        Term('entry', 'partitions held', lambda f: 0.0, True),
+        Term('entry', 'sidecars announced', lambda f: f.links),
+        Term('entry', 'entries', lambda f: f.entries - 1),
+        Term('entry', 'catalogue entries', lambda f: f.workloads),
+    ),
+    'holder, on top of its entry': (
+        Term('entry', 'partitions held', lambda f: f.partitions / f.entries),
+        Term('holder', 'tasks held', lambda f: f.tasks_held),
+        Term('holder', 'instances with its tasks', lambda f: f.spread),
+    ),
+    'holder at the peak, on top': (
+        Term('holder', 'starts a second', lambda f: f.starts / f.entries),
+    ),
+    'entry at the peak, forwarding': (
+        Term(
+            'entry',
+            'tasks forwarded a second',
+            lambda f: f.starts / f.entries,
+        ),
+    ),
+    'sidecar': (
+        Term('sidecar', 'entries linked', lambda f: f.entries_linked, True),
+        Term('sidecar', 'tasks on its instance', lambda f: f.tasks_running),
+    ),
+}
+
+
+def predict_role(terms: t.Iterable[Term], fits: Fits, fleet: Fleet, cost: str):
+    """Return a role's cost at the size, or nothing if not measured."""
+    total = 0.0
+    for term in terms:
+        fit = fits.get((term.role, term.driver), {}).get(cost)
+        if fit is None:
+            return None
+        total += fit.slope * term.value(fleet)
+        total += fit.intercept if term.with_intercept else 0.0
+    return total
+
+
+BUDGETS = {
+    'cpu': CPU_BUDGET,
+    'rss_mb': MEMORY_BUDGET_MB,
+    'link_bytes': BYTES_BUDGET,
+    'store_bytes': BYTES_BUDGET,
+}
+
+
+def format_sizes(fits: Fits, fleet: Fleet) -> t.Iterator[str]:
+    """Yield a line for each role and cost, with the budget's miss."""
+    for role, terms in ROLES.items():
+        for cost, budget in BUDGETS.items():
+            value = predict_role(terms, fits, fleet, cost)
+            if value is None:
+                continue
+            factor = slope_fit.find_miss(value, budget)
+            verdict = f'missed {factor:.1f}x' if factor else 'kept'
+            yield f'{role} | {cost} | {value:.4g} | {budget:g} | {verdict}'
