--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -9,6 +9,7 @@
 import datetime
 import pathlib
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -95,6 +96,8 @@
     parser.add_argument('--only', nargs='+', choices=known, default=known)
     arguments = parser.parse_args()
     window = _QUICK_WINDOW if arguments.quick else 5.0
+    # Without this a SIGTERM would leave the measured processes behind.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     print_head(window)
     anyio.run(run, arguments.only, window)
     left = count_left()
