--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: env demo test lint format binary proto
+.PHONY: env demo test lint format binary proto measure
 
 env: $(STAMP)
 
@@ -36,3 +36,6 @@
 proto: env
 	cd src && ../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
 	  --grpclib_python_out=. persimmonsail/control.proto
+
+measure: env
+	PYTHONPATH=. $(BIN)/python tools/measure.py $(MEASURE)
