--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -1,5 +1,4 @@
 from tests import base
-from tools import measure
 from tools.bench import baselines
 from tools.bench import clock
 from tools.bench import colocation
@@ -8,6 +7,7 @@
 from tools.bench import registry
 from tools.bench import results
 from tools.bench import table
+from tools import measure
 
 QUICK = {'check': (0.1, 1.0)}
 BATCH = {'build': 0.5, 'archive': 0.5}
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -44,20 +44,17 @@
     return outcomes
 
 
-def _read_commit() -> str:
+def _run_git(*arguments: str) -> str:
     git = ['git', '-C', str(pathlib.Path(__file__).parent)]
-    commit = subprocess.run(
-        [*git, 'rev-parse', '--short=12', 'HEAD'],
-        check=False,
-        capture_output=True,
-        text=True,
-    ).stdout.strip()
-    changed = subprocess.run(
-        [*git, 'status', '--porcelain', '--untracked-files=no'],
-        check=False,
-        capture_output=True,
-        text=True,
-    ).stdout.strip()
+    result = subprocess.run(
+        [*git, *arguments], check=False, capture_output=True, text=True
+    )
+    return result.stdout.strip()
+
+
+def _read_commit() -> str:
+    commit = _run_git('rev-parse', '--short=12', 'HEAD')
+    changed = _run_git('status', '--porcelain', '--untracked-files=no')
     return (commit or 'unknown') + (' with changes' if changed else '')
 
 
