--- a/src/persimmonsail/fleet.py
+++ b/src/persimmonsail/fleet.py
@@ -11,7 +11,9 @@
 class Instance:
     """One announced instance; times are monotonic seconds.
 
-    ``outstanding`` counts this entry's own requests there.
+    ``outstanding`` counts this entry's own requests there. ``shares``
+    has the part of the cores that each batch class uses, ``demand`` the
+    part of the slots that each latency-critical class keeps busy.
     """
 
     name: str
@@ -30,6 +32,8 @@
     connections: int
     reported_at: float
     outstanding: int = 0
+    shares: dict[str, float] = dataclasses.field(default_factory=dict)
+    demand: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 class Fleet:
--- a/src/persimmonsail/placement.py
+++ b/src/persimmonsail/placement.py
@@ -1,20 +1,197 @@
 """Choice of the instance that a task is claimed for."""
 
+import collections
+import dataclasses
+import typing as t
+
 from persimmonsail import admission
 from persimmonsail import fleet
+from persimmonsail import interference
+from persimmonsail import objectives
 
+_CROWDING_WEIGHT = 0.05
+_SPREAD_WEIGHT = 0.02
+_QUEUE_WEIGHT = 0.05
+_AGE_WEIGHT = 0.01
+_MAX_AGE = 10.0
 
-def choose_instance(
-    candidates: list[fleet.Instance], size: admission.Size
-) -> fleet.Instance | None:
-    """Return the candidate with the most room left, if any fits."""
-    fitting = [
+
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """What a task asks of the instance it is placed on."""
+
+    workload: str
+    size: admission.Size
+    waited: float = 0.0
+    avoid: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True)
+class Cost:
+    """The terms of one instance's cost; the lowest sum is chosen."""
+
+    instance: fleet.Instance
+    interference: float
+    crowding: float
+    spread: float
+    queue: float
+    age: float
+
+    @property
+    def total(self) -> float:
+        """The sum of all terms."""
+        return (
+            self.interference
+            + self.crowding
+            + self.spread
+            + self.queue
+            + self.age
+        )
+
+    def describe(self) -> str:
+        """Return the terms for a decision's log line."""
+        names = ('interference', 'crowding', 'spread', 'queue', 'age')
+        return ','.join(f'{n}:{getattr(self, n):.3f}' for n in names)
+
+
+@dataclasses.dataclass(frozen=True)
+class Choice:
+    """A chosen instance, or why the task waits instead."""
+
+    cost: Cost | None
+    reason: str
+    fitting: int
+
+    @property
+    def instance(self) -> fleet.Instance | None:
+        """The instance, if the task is to start now."""
+        return self.cost.instance if self.cost and not self.reason else None
+
+
+def list_fitting(
+    candidates: t.Iterable[fleet.Instance], size: admission.Size
+) -> list[fleet.Instance]:
+    """Return the candidates that have room beside the headroom."""
+    return [
         instance
         for instance in candidates
         if (instance.committed + size).fits(
             admission.leave_headroom(instance.capacity)
         )
     ]
+
+
+def choose_instance(
+    candidates: list[fleet.Instance], size: admission.Size
+) -> fleet.Instance | None:
+    """Return the candidate with the most room left, if any fits."""
+    fitting = list_fitting(candidates, size)
     if not fitting:
         return None
     return min(fitting, key=lambda i: i.committed.cores / i.capacity.cores)
+
+
+class Placer:
+    """Scores instances for tasks by what their neighbours would pay.
+
+    Parameters
+    ----------
+    estimator : persimmonsail.interference.Estimator
+        Predicts slowdowns.
+    weights : persimmonsail.objectives.Objectives
+        The owners' objectives.
+    clock : callable
+        Returns monotonic seconds, as the instances' reports have them.
+    """
+
+    def __init__(
+        self,
+        estimator: interference.Estimator,
+        weights: objectives.Objectives,
+        clock: t.Callable[[], float],
+    ) -> None:
+        self._estimator = estimator
+        self._objectives = weights
+        self._clock = clock
+
+    def choose(
+        self, candidates: t.Sequence[fleet.Instance], need: Need
+    ) -> Choice:
+        """Return the cheapest instance, or a reason to wait."""
+        fitting = [
+            instance
+            for instance in list_fitting(candidates, need.size)
+            if instance.name not in need.avoid
+        ]
+        if not fitting:
+            return Choice(None, 'no room', 0)
+        racks = _sum_shares(candidates, need.workload, 'rack')
+        zones = _sum_shares(candidates, need.workload, 'zone')
+        costs = [
+            self._find_cost(instance, need, racks, zones)
+            for instance in fitting
+        ]
+        best = min(costs, key=lambda cost: cost.total)
+        weights = self._objectives.find_weights(need.workload)
+        held = (
+            best.interference > weights.hold_above
+            and need.waited < weights.hold_seconds
+        )
+        return Choice(best, 'interference' if held else '', len(fitting))
+
+    def find_interference(
+        self, instance: fleet.Instance, workload: str, share: float
+    ) -> float:
+        """Return what the instance's requests would pay for a task.
+
+        The unit is slots: the extra slots that the present requests
+        would keep busy, as a part of all slots, weighed by the owners
+        of the requests.
+        """
+        before = instance.shares
+        after = {**before, workload: before.get(workload, 0.0) + share}
+        busy = sum(instance.demand.values())
+        return sum(
+            demand
+            * self._objectives.find_weights(victim).tail
+            * (
+                self._estimator.predict(victim, after, busy)
+                - self._estimator.predict(victim, before, busy)
+            )
+            for victim, demand in instance.demand.items()
+        )
+
+    def _find_cost(
+        self,
+        instance: fleet.Instance,
+        need: Need,
+        racks: t.Mapping[str, float],
+        zones: t.Mapping[str, float],
+    ) -> Cost:
+        share = need.size.cores / instance.capacity.cores
+        age = min(_MAX_AGE, self._clock() - instance.reported_at)
+        waiting = instance.queued / max(instance.slots, 1)
+        return Cost(
+            instance=instance,
+            interference=self.find_interference(
+                instance, need.workload, share
+            ),
+            crowding=_CROWDING_WEIGHT * instance.shares.get(need.workload, 0),
+            spread=_SPREAD_WEIGHT
+            * (racks[instance.rack] + zones[instance.zone]),
+            queue=_QUEUE_WEIGHT * min(1.0, waiting),
+            age=_AGE_WEIGHT * age,
+        )
+
+
+def _sum_shares(
+    candidates: t.Iterable[fleet.Instance], workload: str, place: str
+) -> dict[str, float]:
+    """Return which part of a workload's use is in each rack or zone."""
+    sums: dict[str, float] = collections.defaultdict(float)
+    for instance in candidates:
+        sums[getattr(instance, place)] += instance.shares.get(workload, 0.0)
+    total = sum(sums.values())
+    return {
+        key: value / total if total else 0.0 for key, value in sums.items()
+    }
--- a/src/persimmonsail/routing.py
+++ b/src/persimmonsail/routing.py
@@ -1,11 +1,18 @@
 """Choice of the instance that gets a quick request."""
 
+import dataclasses
 import random
 import typing as t
 
 from persimmonsail import fleet
+from persimmonsail import interference
+
+SAMPLE = 5
+DEFAULT_SECONDS = 0.1
 
 _SAMPLE = 2
+_LOAD_HALF_LIFE = 1.0
+
 POLICIES: dict[str, t.Callable[..., fleet.Instance]] = {}
 
 
@@ -41,3 +48,111 @@
     busy = instance.busy_slots + instance.queued + instance.outstanding
     distance = 0.0 if instance.zone == zone else 0.5
     return busy / max(instance.slots, 1) + distance
+
+
+@dataclasses.dataclass(frozen=True)
+class Cost:
+    """The terms of one instance's cost, in seconds; the lowest wins."""
+
+    instance: fleet.Instance
+    service: float
+    waiting: float
+    distance: float
+
+    @property
+    def total(self) -> float:
+        """The predicted seconds until the answer."""
+        return self.service + self.waiting + self.distance
+
+    def describe(self) -> str:
+        """Return the terms for a decision's log line."""
+        names = ('service', 'waiting', 'distance')
+        return ','.join(f'{n}:{getattr(self, n):.4f}' for n in names)
+
+
+class Router:
+    """Chooses among sampled instances by the predicted answer time.
+
+    Parameters
+    ----------
+    estimator : persimmonsail.interference.Estimator
+        Predicts base times and slowdowns.
+    clock : callable
+        Returns monotonic seconds, as the instances' reports have them.
+    generator : random.Random
+        Draws the sample.
+    distance_seconds : float
+        The delay to another zone and back.
+    sample : int, optional
+        How many candidates are scored.
+    """
+
+    def __init__(
+        self,
+        estimator: interference.Estimator,
+        clock: t.Callable[[], float],
+        generator: random.Random,
+        distance_seconds: float,
+        sample: int = SAMPLE,
+    ) -> None:
+        self._estimator = estimator
+        self._clock = clock
+        self._generator = generator
+        self._distance = distance_seconds
+        self._sample = sample
+
+    def choose(
+        self, candidates: t.Sequence[fleet.Instance], workload: str, zone: str
+    ) -> Cost:
+        """Return the cheapest of a sample, with its terms."""
+        size = min(self._sample, len(candidates))
+        sample = self._generator.sample(candidates, size)
+        return min(
+            (self.find_cost(i, workload, zone) for i in sample),
+            key=lambda cost: cost.total,
+        )
+
+    def find_cost(
+        self, instance: fleet.Instance, workload: str, zone: str
+    ) -> Cost:
+        """Return one instance's predicted answer time by its terms."""
+        slots = max(instance.slots, 1)
+        outstanding = self.estimate_outstanding(instance)
+        busy = min(1.0, (outstanding + 1) / slots)
+        base = self._estimator.find_base(workload, DEFAULT_SECONDS)
+        service = base * self._estimator.predict(
+            workload, instance.shares, busy
+        )
+        ahead = max(0.0, outstanding + 1 - slots)
+        return Cost(
+            instance=instance,
+            service=service,
+            waiting=ahead / slots * self._find_mean_service(instance, service),
+            distance=0.0 if instance.zone == zone else self._distance,
+        )
+
+    def estimate_outstanding(self, instance: fleet.Instance) -> float:
+        """Return the requests there, as far as they can be known.
+
+        The entry knows its own; those of other entries come from a
+        report, whose weight falls with its age.
+        """
+        reported = instance.busy_slots + instance.queued
+        others = max(0.0, reported - instance.outstanding)
+        age = max(0.0, self._clock() - instance.reported_at)
+        return instance.outstanding + others * 0.5 ** (age / _LOAD_HALF_LIFE)
+
+    def _find_mean_service(
+        self, instance: fleet.Instance, default: float
+    ) -> float:
+        total = sum(instance.demand.values())
+        if total <= 0:
+            return default
+        busy = min(1.0, total)
+        return sum(
+            demand
+            / total
+            * self._estimator.find_base(victim, DEFAULT_SECONDS)
+            * self._estimator.predict(victim, instance.shares, busy)
+            for victim, demand in instance.demand.items()
+        )
--- /dev/null
+++ b/src/persimmonsail/usage.py
@@ -0,0 +1,196 @@
+"""Late usage reports, joined with who ran when they were measured.
+
+A worker's report comes seconds after the window it is about. By then
+other tasks may run on the instance; blaming those would teach the
+estimate the wrong pair. So the sidecar keeps a short history of which
+task ran when, and joins a report with the window's part of it.
+"""
+
+import collections
+import dataclasses
+import typing as t
+
+from persimmonsail import interference
+
+HORIZON = 120.0
+_SHORTEST_WINDOW = 1e-3
+
+
+@dataclasses.dataclass(frozen=True)
+class ClassLatency:
+    """Requests of one class that ended in a window."""
+
+    workload: str
+    count: int
+    seconds: float
+
+    @property
+    def mean(self) -> float:
+        """The mean service time in seconds."""
+        return self.seconds / self.count if self.count else 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What a worker measured between ``begin`` and ``end``.
+
+    Times are on the sidecar's monotonic clock; ``cores`` has the
+    average cores in use by task, and may lack some tasks.
+    """
+
+    begin: float
+    end: float
+    latencies: tuple[ClassLatency, ...]
+    cores: t.Mapping[str, float]
+
+
+@dataclasses.dataclass
+class _Segment:
+    """A stretch of time in which a task ran at one speed."""
+
+    task: str
+    workload: str
+    cores: float
+    speed: float
+    begin: float
+    end: float | None = None
+
+    def overlap(self, begin: float, end: float) -> float:
+        last = end if self.end is None else min(end, self.end)
+        return max(0.0, last - max(begin, self.begin))
+
+
+class Timeline:
+    """Which tasks ran on one instance, and at which speed.
+
+    Parameters
+    ----------
+    cores : float
+        The instance's processors.
+    horizon : float, optional
+        Seconds of history that are kept.
+    """
+
+    def __init__(self, cores: float, horizon: float = HORIZON) -> None:
+        self.horizon = horizon
+        self._cores = cores
+        self._running: dict[str, _Segment] = {}
+        self._past: collections.deque[_Segment] = collections.deque()
+
+    def note_start(
+        self, task: str, workload: str, cores: float, at: float
+    ) -> None:
+        """Note that a task has started with these declared cores."""
+        self.note_stop(task, at)
+        self._running[task] = _Segment(task, workload, cores, 1.0, at)
+
+    def note_speed(self, task: str, speed: float, at: float) -> None:
+        """Note that a task was throttled, or released."""
+        before = self._running.get(task)
+        if before is None or before.speed == speed:
+            return
+        self.note_stop(task, at)
+        self._running[task] = dataclasses.replace(
+            before, speed=speed, begin=at, end=None
+        )
+
+    def note_stop(self, task: str, at: float) -> None:
+        """Note that a task has left the instance."""
+        segment = self._running.pop(task, None)
+        if segment is None:
+            return
+        segment.end = at
+        self._past.append(segment)
+        while self._past and self._past[0].end < at - self.horizon:
+            self._past.popleft()
+
+    def note_use(self, task: str, cores: float) -> None:
+        """Remember what a running task was measured to use."""
+        segment = self._running.get(task)
+        if segment is not None and segment.speed > 0:
+            segment.cores = cores / segment.speed
+
+    def list_tasks(self) -> list[tuple[str, str, float, float]]:
+        """Return task, workload, share at full speed, and speed."""
+        return [
+            (s.task, s.workload, s.cores / self._cores, s.speed)
+            for s in self._running.values()
+        ]
+
+    def find_shares(self) -> dict[str, float]:
+        """Return the part of the cores used now, by class."""
+        shares: dict[str, float] = {}
+        for _, workload, share, speed in self.list_tasks():
+            shares[workload] = shares.get(workload, 0.0) + share * speed
+        return shares
+
+    def find_past_shares(
+        self, begin: float, end: float, cores: t.Mapping[str, float]
+    ) -> dict[str, float]:
+        """Return the part of the cores used in a window, by class.
+
+        Parameters
+        ----------
+        begin, end : float
+            The window in seconds.
+        cores : mapping of str to float
+            Measured cores by task; what a task declared stands in where
+            its measurement is missing.
+        """
+        length = max(end - begin, _SHORTEST_WINDOW)
+        shares: dict[str, float] = {}
+        for segment in (*self._past, *self._running.values()):
+            part = segment.overlap(begin, end) / length
+            if part <= 0:
+                continue
+            used = cores.get(segment.task, segment.cores * segment.speed)
+            share = part * used / self._cores
+            shares[segment.workload] = (
+                shares.get(segment.workload, 0.0) + share
+            )
+        return shares
+
+
+class Joiner:
+    """Turns one instance's late reports into samples.
+
+    ``lag`` is the age of the last report on arrival, in seconds;
+    ``dropped`` counts reports that came after the history they need.
+    """
+
+    def __init__(self, timeline: Timeline, slots: int) -> None:
+        self.lag = 0.0
+        self.dropped = 0
+        self.demand: dict[str, float] = {}
+        self._timeline = timeline
+        self._slots = slots
+
+    def join(self, report: Report, now: float) -> list[interference.Sample]:
+        """Return one sample for each class that the report measured."""
+        if report.begin < now - self._timeline.horizon:
+            self.dropped += 1
+            return []
+        self.lag = now - report.end
+        shares = self._timeline.find_past_shares(
+            report.begin, report.end, report.cores
+        )
+        for task, cores in report.cores.items():
+            self._timeline.note_use(task, cores)
+        length = max(report.end - report.begin, _SHORTEST_WINDOW)
+        self.demand = {
+            latency.workload: latency.seconds / (length * self._slots)
+            for latency in report.latencies
+        }
+        busy = sum(self.demand.values())
+        return [
+            interference.Sample(
+                latency.workload,
+                latency.mean,
+                latency.count,
+                shares,
+                busy,
+                report.end,
+            )
+            for latency in report.latencies
+            if latency.count
+        ]
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,81 @@
+from persimmonsail import admission
+from persimmonsail import catalogue
+from persimmonsail import objectives
+from persimmonsail import placement
+from tests import base
+from tests import views
+
+
+class PlacerTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.estimator = views.make_estimator()
+        views.teach(self.estimator, {'build': 4.0, 'archive': 0.1}, 0.15)
+        self.placer = placement.Placer(
+            self.estimator,
+            objectives.Objectives(catalogue.EMPTY),
+            lambda: 0.0,
+        )
+
+    def choose(self, candidates, workload='build', **need):
+        size = admission.Size(8.0, 20.0)
+        return self.placer.choose(
+            candidates, placement.Need(workload, size, **need)
+        )
+
+    def test_noisy_task_goes_where_few_requests_suffer(self):
+        busy = views.make_instance('busy', demand={'check': 0.4})
+        quiet = views.make_instance('quiet', demand={'check': 0.1})
+        choice = self.choose([busy, quiet])
+        self.assertEqual('quiet', choice.instance.name)
+
+    def test_noise_in_many_places_costs_more_than_in_one(self):
+        """Requests have left the noisy instance; it can take more."""
+        noisy = views.make_instance(
+            'noisy', shares={'build': 0.5}, demand={'check': 0.05}
+        )
+        clean = views.make_instance('clean', demand={'check': 0.5})
+        self.assertEqual('noisy', self.choose([noisy, clean]).instance.name)
+
+    def test_nothing_is_chosen_beyond_the_headroom(self):
+        full = views.make_instance(
+            'full', committed=admission.Size(50.0, 20.0)
+        )
+        choice = self.choose([full])
+        self.assertIsNone(choice.instance)
+        self.assertEqual('no room', choice.reason)
+
+    def test_task_is_held_back_only_for_a_while(self):
+        busy = views.make_instance('busy', demand={'check': 0.8})
+        held = self.choose([busy])
+        self.assertEqual('interference', held.reason)
+        self.assertIsNone(held.instance)
+        waited = self.choose([busy], waited=1000.0)
+        self.assertEqual('busy', waited.instance.name)
+
+    def test_old_report_counts_against_an_instance(self):
+        old = views.make_instance('old', reported_at=-5.0)
+        fresh = views.make_instance('fresh')
+        self.assertEqual('fresh', self.choose([old, fresh]).instance.name)
+
+    def test_same_work_spreads_over_racks(self):
+        here = views.make_instance(
+            'here', rack='r1', zone='a', shares={'archive': 0.3}
+        )
+        beside = views.make_instance('beside', rack='r1', zone='a')
+        away = views.make_instance('away', rack='r2', zone='b')
+        choice = self.choose([here, beside, away], 'archive')
+        self.assertEqual('away', choice.instance.name)
+
+    def test_evicted_task_does_not_return_at_once(self):
+        quiet = views.make_instance('quiet')
+        busy = views.make_instance('busy', demand={'check': 0.1})
+        choice = self.choose([quiet, busy], avoid=frozenset({'quiet'}))
+        self.assertEqual('busy', choice.instance.name)
+
+    def test_choice_prints_its_terms(self):
+        cost = self.choose([views.make_instance('one')]).cost
+        self.assertRegex(
+            cost.describe(),
+            r'^interference:[\d.]+,crowding:.*,spread:.*,queue:.*,age:.*$',
+        )
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,55 @@
+import random
+
+from persimmonsail import routing
+from tests import base
+from tests import views
+
+
+class RouterTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 0.0
+        self.estimator = views.make_estimator()
+        views.teach(self.estimator, {'build': 4.0, 'archive': 0.1}, 0.15)
+        self.router = routing.Router(
+            self.estimator, lambda: self.now, random.Random(1), 0.001
+        )
+
+    def choose(self, *candidates, zone='a'):
+        return self.router.choose(candidates, 'check', zone)
+
+    def test_noisy_neighbour_costs_as_much_as_a_queue(self):
+        noisy = views.make_instance('noisy', shares={'build': 0.5})
+        queued = views.make_instance('queued', busy_slots=8, queued=2)
+        self.assertEqual('queued', self.choose(noisy, queued).instance.name)
+        queued.queued = 30
+        self.assertEqual('noisy', self.choose(noisy, queued).instance.name)
+
+    def test_harmless_neighbour_does_not_deter(self):
+        beside = views.make_instance('beside', shares={'archive': 0.5})
+        queued = views.make_instance('queued', busy_slots=8, queued=2)
+        self.assertEqual('beside', self.choose(beside, queued).instance.name)
+
+    def test_own_zone_wins_between_equals(self):
+        far = views.make_instance('far', zone='b')
+        near = views.make_instance('near')
+        self.assertEqual('near', self.choose(far, near).instance.name)
+
+    def test_old_load_is_believed_less(self):
+        instance = views.make_instance('one', busy_slots=8, queued=8)
+        fresh = self.router.estimate_outstanding(instance)
+        self.now = 5.0
+        old = self.router.estimate_outstanding(instance)
+        self.assertEqual(16.0, fresh)
+        self.assertLess(old, 1.0)
+
+    def test_own_outstanding_is_never_discounted(self):
+        instance = views.make_instance('one', outstanding=9)
+        self.now = 60.0
+        self.assertEqual(9, self.router.estimate_outstanding(instance))
+
+    def test_choice_prints_its_terms(self):
+        cost = self.choose(views.make_instance('one'))
+        self.assertRegex(
+            cost.describe(), r'^service:[\d.]+,waiting:[\d.]+,distance:[\d.]+$'
+        )
--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,88 @@
+from persimmonsail import usage
+from tests import base
+
+CORES = 64.0
+
+
+def make_report(begin, end, cores=None, count=10, seconds=2.0):
+    latency = usage.ClassLatency('check', count, seconds)
+    return usage.Report(begin, end, (latency,), cores or {})
+
+
+class TimelineTest(base.TestCase):
+    def test_task_counts_for_its_part_of_a_window(self):
+        timeline = usage.Timeline(CORES)
+        timeline.note_start('1', 'build', 16.0, at=5.0)
+        timeline.note_stop('1', at=8.0)
+        self.assertEqual(
+            {'build': 0.25 * 0.5}, timeline.find_past_shares(2.0, 8.0, {})
+        )
+        self.assertEqual({}, timeline.find_shares())
+
+    def test_throttled_task_uses_less_from_then_on(self):
+        timeline = usage.Timeline(CORES)
+        timeline.note_start('1', 'build', 16.0, at=0.0)
+        timeline.note_speed('1', 0.5, at=10.0)
+        self.assertEqual({'build': 0.125}, timeline.find_shares())
+        self.assertEqual(
+            {'build': 0.25}, timeline.find_past_shares(0.0, 10.0, {})
+        )
+
+    def test_measured_use_replaces_the_declared(self):
+        timeline = usage.Timeline(CORES)
+        timeline.note_start('1', 'build', 16.0, at=0.0)
+        timeline.note_speed('1', 0.5, at=1.0)
+        timeline.note_use('1', 4.0)
+        self.assertEqual([('1', 'build', 0.125, 0.5)], timeline.list_tasks())
+
+    def test_history_is_bounded(self):
+        timeline = usage.Timeline(CORES, horizon=10.0)
+        for number in range(100):
+            timeline.note_start(str(number), 'build', 1.0, at=number)
+            timeline.note_stop(str(number), at=number + 0.5)
+        self.assertEqual({}, timeline.find_past_shares(0.0, 80.0, {}))
+
+
+class JoinerTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.timeline = usage.Timeline(CORES)
+        self.joiner = usage.Joiner(self.timeline, slots=8)
+
+    def test_late_report_blames_who_ran_when_it_was_measured(self):
+        """A slow window must not be blamed on who came after it.
+
+        A user would see harmless tasks kept off, and the noisy ones
+        placed beside their requests again. The noisy task ran while the
+        window was measured, ended, and the harmless one had started by
+        the time the report came.
+        """
+        self.timeline.note_start('1', 'noisy', 16.0, at=0.0)
+        self.timeline.note_stop('1', at=10.0)
+        self.timeline.note_start('2', 'harmless', 16.0, at=10.0)
+        samples = self.joiner.join(make_report(5.0, 10.0), now=40.0)
+        self.assertEqual({'noisy': 0.25}, samples[0].shares)
+        self.assertEqual(10.0, samples[0].measured_at)
+        self.assertEqual(30.0, self.joiner.lag)
+
+    def test_missing_measurement_falls_back_to_the_declared(self):
+        self.timeline.note_start('1', 'build', 16.0, at=0.0)
+        self.timeline.note_start('2', 'build', 16.0, at=0.0)
+        report = make_report(0.0, 5.0, {'1': 8.0})
+        samples = self.joiner.join(report, now=6.0)
+        self.assertEqual({'build': 0.125 + 0.25}, samples[0].shares)
+
+    def test_report_older_than_the_history_is_dropped(self):
+        samples = self.joiner.join(make_report(0.0, 5.0), now=500.0)
+        self.assertEqual([], samples)
+        self.assertEqual(1, self.joiner.dropped)
+
+    def test_sample_has_mean_and_load(self):
+        sample = self.joiner.join(make_report(0.0, 5.0), now=6.0)[0]
+        self.assertAlmostEqual(0.2, sample.seconds)
+        self.assertAlmostEqual(2.0 / (5.0 * 8), sample.busy)
+        self.assertEqual({'check': 2.0 / (5.0 * 8)}, self.joiner.demand)
+
+    def test_class_without_requests_gives_no_sample(self):
+        report = make_report(0.0, 5.0, count=0, seconds=0.0)
+        self.assertEqual([], self.joiner.join(report, now=6.0))
--- a/tools/bench/scenarios_placement.py
+++ b/tools/bench/scenarios_placement.py
@@ -1,11 +1,11 @@
 """Scenarios of interference: placement, routing and the ladder."""
 
-from tools.bench import baselines
 from tools.bench import colocation
 from tools.bench import interfering
 from tools.bench import machines
 from tools.bench import registry
 from tools.bench import results
+from tools.bench import subject
 
 _SECONDS = 180.0
 _BLIND = ('random', 'least-outstanding', 'best-fit', 'best-fit-still')
@@ -35,12 +35,12 @@
         interfering.Truth(dict(STRENGTHS)),
         load,
         reporting or colocation.Reporting(),
-        baselines.POLICIES[policy],
+        subject.find_policy(policy),
         seed,
     )
 
 
-@registry.scenario('bad pair', 'best-fit-still', _BLIND[:3])
+@registry.scenario('bad pair', 'tail objective', ('oracle', *_BLIND))
 def run_bad_pair(policy: str, seed: int) -> results.Run:
     """Steady colocation with a bad pair; quick and batch load 0.7."""
     load = colocation.Load(0.7, 0.7, QUICK, BATCH)
