--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: env demo test lint format binary proto guards measure-audit slopes
+.PHONY: env demo test lint format binary proto guards measure-audit slopes \
+  measure
 
 env: $(STAMP)
 
@@ -45,3 +46,6 @@
 
 measure-audit: env
 	PYTHONPATH=. $(BIN)/python tools/measure_audit.py
+
+measure: env
+	PYTHONPATH=. $(BIN)/python tools/measure.py $(MEASURE)
