--- a/src/persimmonsail/audit_requests.py
+++ b/src/persimmonsail/audit_requests.py
@@ -89,7 +89,7 @@
     finals = collections.Counter(
         event.get('request')
         for event in case.logs.select(
-            'answer', 'refusal', 'task-answer', 'caller-gone'
+            'answer', 'refusal', 'request-error', 'task-answer', 'caller-gone'
         )
         if event.get('request')
     )
--- a/src/persimmonsail/audit_stops.py
+++ b/src/persimmonsail/audit_stops.py
@@ -7,7 +7,7 @@
 from persimmonsail import verdicts
 
 _CUT_OFF = 'cut off'
-_FINALS = ('answer', 'refusal', 'task-answer', 'caller-gone')
+_FINALS = ('answer', 'refusal', 'request-error', 'task-answer', 'caller-gone')
 
 
 @verdicts.register('I7', 'a leaving backend server gets no new work')
--- a/src/persimmonsail/evidence.py
+++ b/src/persimmonsail/evidence.py
@@ -31,6 +31,7 @@
         'refusal',
         'renewal',
         'request',
+        'request-error',
         'routing',
         'stopped',
         'stopping',
--- a/src/persimmonsail/exits.py
+++ b/src/persimmonsail/exits.py
@@ -9,4 +9,4 @@
 CRASHED = 6
 # An audit that found no violation, but whose evidence is broken or
 # leaves a promise open.
-EVIDENCE = 10
+EVIDENCE = 7
--- a/src/persimmonsail/logs.py
+++ b/src/persimmonsail/logs.py
@@ -130,6 +130,11 @@
     absl_logging.warning('%s', format_line({'event': event, **fields}))
 
 
+def write_error(event: str, **fields: object) -> None:
+    """Log one event that ended something before its time."""
+    absl_logging.error('%s', format_line({'event': event, **fields}))
+
+
 def digest(data: bytes) -> str:
     """Return a short hash of an answer, for evidence; empty for none."""
     if not data:
@@ -137,11 +142,6 @@
     return hashlib.sha256(data).hexdigest()[:_DIGEST_LENGTH]
 
 
-def write_error(event: str, **fields: object) -> None:
-    """Log one event that ended something before its time."""
-    absl_logging.error('%s', format_line({'event': event, **fields}))
-
-
 def wall_time() -> float:
     """Return seconds since the epoch, for evidence only."""
     return time.time()
