--- a/src/persimmonsail/audit_requests.py
+++ b/src/persimmonsail/audit_requests.py
@@ -88,9 +88,7 @@
 def _check_one_final(case: verdicts.Case, report: verdicts.Report) -> None:
     finals = collections.Counter(
         event.get('request')
-        for event in case.logs.select(
-            'answer', 'refusal', 'request-error', 'task-answer', 'caller-gone'
-        )
+        for event in case.logs.select(*evidence_module.FINALS)
         if event.get('request')
     )
     stopped = _list_stops(case.logs)
--- a/src/persimmonsail/audit_stops.py
+++ b/src/persimmonsail/audit_stops.py
@@ -7,7 +7,6 @@
 from persimmonsail import verdicts
 
 _CUT_OFF = 'cut off'
-_FINALS = ('answer', 'refusal', 'request-error', 'task-answer', 'caller-gone')
 
 
 @verdicts.register('I7', 'a leaving backend server gets no new work')
@@ -44,7 +43,9 @@
 @verdicts.register('I8', 'a planned stop cuts off no request in flight')
 def check_stops(case: verdicts.Case, report: verdicts.Report) -> None:
     """Find requests that began before a stop and had no end by it."""
-    requests = _collect_open(case.logs, 'request', _FINALS, 'request')
+    requests = _collect_open(
+        case.logs, 'request', evidence_module.FINALS, 'request'
+    )
     attempts = _collect_open(case.logs, 'dispatch', ('outcome',), 'attempt')
     stopped = _group_by_process(case.logs.select('stopped'))
     starts = _group_by_process(case.logs.select('listening'))
--- a/src/persimmonsail/evidence.py
+++ b/src/persimmonsail/evidence.py
@@ -43,6 +43,14 @@
         'task-found',
     }
 )
+# A caller's request ends with exactly one of these.
+FINALS = (
+    'answer',
+    'refusal',
+    'request-error',
+    'task-answer',
+    'caller-gone',
+)
 _EVENT = re.compile(r'(?:^| )event=([a-z][a-z0-9-]*)')
 _D = t.TypeVar('_D')
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -57,3 +57,49 @@
         await again.load()
         self.assertEqual(['a'], list(again.table.tasks))
         self.assertEqual(first.hash, again.hash)
+
+    async def test_batch_that_breaks_the_hash_chain_is_not_replayed(self):
+        """A holder goes on from a batch that somebody has changed."""
+        store = memory.MemoryStore()
+        first = ledger.Ledger(store, 0)
+        await first.take_over('one')
+        await first.append((submit('a'),))
+        await first.append((submit('b'),))
+        page = await store.scan('ledger/000/slot/')
+        changed = page.items[1].value.replace('"task":"a"', '"task":"x"')
+        await store.put(page.items[1].key, changed)
+        with testtools.ExpectedException(exceptions.LedgerCorrupt):
+            await ledger.Ledger(store, 0).load()
+
+    async def test_missing_position_is_not_passed_over(self):
+        """An accepted task is gone after a takeover."""
+        store = memory.MemoryStore()
+        first = ledger.Ledger(store, 0)
+        await first.take_over('one')
+        await first.append((submit('a'),))
+        page = await store.scan('ledger/000/slot/')
+        await store.delete(page.items[0].key)
+        with testtools.ExpectedException(
+            exceptions.LedgerCorrupt, '.*no position 1.*'
+        ):
+            await ledger.Ledger(store, 0).load()
+
+    async def test_paused_holder_cannot_replace_a_later_snapshot(self):
+        """Accepted tasks vanish from a snapshot.
+
+        The first holder is frozen while it writes a snapshot; a second
+        takes over and writes its own; the first one's write arrives.
+        """
+        store = memory.MemoryStore()
+        first = ledger.Ledger(store, 0)
+        await first.take_over('one')
+        second = ledger.Ledger(store, 0)
+        await second.load()
+        await second.take_over('two')
+        await second.append((submit('a'),))
+        await second.write_snapshot()
+        with testtools.ExpectedException(exceptions.NotHolder):
+            await first.write_snapshot()
+        third = ledger.Ledger(store, 0)
+        await third.load()
+        self.assertEqual(['a'], list(third.table.tasks))
