--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -164,6 +164,22 @@
             self.make_reply(1, established=True), view, check
         )
 
+    async def test_peer_with_a_higher_revision_does_not_vouch(self):
+        """An entry admits work under a replaced catalogue.
+
+        The store is down for it; its only peer has a newer revision,
+        whose text did not come through.
+        """
+        view = self.make_view()
+
+        async def check(found, listed):
+            self.assertEqual(1, view.revision)
+            self.assertEqual(-math.inf, found.find_agreement())
+
+        await self.run_with_peer(
+            self.make_reply(2, established=True), view, check
+        )
+
 
 class OwnInstanceTest(base.TestCase):
     def test_restarted_sidecar_waits_for_a_fresh_entry(self):
