Let a refusal pass through context managers

Cause: Problem was a frozen data class. A generator's context manager sets __traceback__ on what passes it, which raised FrozenInstanceError inside the error handling: the entry logged a refusal 'not run', then an internal error 'unknown' for the same request, and that was the answer the caller got. Ruled out: a refusal sent twice by the gateway; each request had one refusal and one request-error line. Seen failing first in tests/test_problems.py, then passing.

--- a/src/persimmonsail/problems.py
+++ b/src/persimmonsail/problems.py
@@ -11,7 +11,8 @@
 UNKNOWN = 'unknown'
 
 
-@dataclasses.dataclass(frozen=True)
+# Not frozen: context managers set the traceback of what passes them.
+@dataclasses.dataclass(eq=False)
 class Problem(Exception):
     """A final answer that is not the work's own.
 
