--- a/src/persimmonsail/admission.py
+++ b/src/persimmonsail/admission.py
@@ -93,3 +93,11 @@
     def release(self, holder: str) -> None:
         """Give a holder's commitment back."""
         self._sizes.pop(holder, None)
+
+    def list_holders(self, prefix: str) -> list[str]:
+        """Return the holders whose names begin with a prefix."""
+        return [name for name in self._sizes if name.startswith(prefix)]
+
+    def restore(self, holder: str, size: Size) -> None:
+        """Note what already runs, whatever room there is."""
+        self._sizes[holder] = size
--- /dev/null
+++ b/src/persimmonsail/cancels.py
@@ -0,0 +1,100 @@
+"""Ending the tasks whose callers asked for it."""
+
+import anyio
+import anyio.abc
+
+from persimmonsail import consents
+from persimmonsail import control_grpc
+from persimmonsail import control_pb2
+from persimmonsail import endings as endings_module
+from persimmonsail import exceptions
+from persimmonsail import fleet as fleet_module
+from persimmonsail import ledger as ledger_module
+from persimmonsail import links as links_module
+from persimmonsail import records
+from persimmonsail import tasks
+
+_TIMEOUT = 1.5
+_PERIOD = 0.1
+_CONCURRENT = 64
+
+
+class Canceller:
+    """Stops cancelled tasks, and commits the ends of a wave together."""
+
+    def __init__(
+        self,
+        ledger: ledger_module.Ledger,
+        fleet: fleet_module.Fleet,
+        links: links_module.Links,
+        authority: consents.Authority,
+        owned: endings_module.Owned,
+        endings: endings_module.Endings,
+        lease_seconds: float,
+    ) -> None:
+        self._ledger = ledger
+        self._fleet = fleet
+        self._links = links
+        self._authority = authority
+        self._owned = owned
+        self._endings = endings
+        self._lease_seconds = lease_seconds
+        self._limiter = anyio.Semaphore(_CONCURRENT)
+
+    async def run(self) -> None:
+        """End cancelled tasks until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                if self._authority.lease_is_valid:
+                    self._end_asked(group)
+                await anyio.sleep(_PERIOD)
+
+    def _end_asked(self, group: anyio.abc.TaskGroup) -> None:
+        for task in list(self._ledger.table.tasks.values()):
+            if not task.cancel_asked or task.is_final:
+                continue
+            if task.id not in self._owned:
+                group.start_soon(self._end, task)
+
+    async def _end(self, task: tasks.Task) -> None:
+        if task.id in self._owned or task.is_final:
+            return
+        with self._owned.own(task.id):
+            if task.phase is records.TaskPhase.PENDING:
+                await self._finish(task)
+            else:
+                async with self._limiter:
+                    await self._stop(task)
+
+    async def _stop(self, task: tasks.Task) -> None:
+        instance = self._fleet.find(task.instance)
+        if instance is None:
+            return
+        request = control_pb2.StopTaskRequest(
+            task=task.id,
+            attempt=task.attempt,
+            partition=self._ledger.partition,
+            epoch=self._ledger.table.epoch,
+            lease_seconds=self._lease_seconds,
+        )
+        try:
+            reply = await self._links.call(
+                instance.address,
+                control_grpc.SidecarStub,
+                'StopTask',
+                request,
+                _TIMEOUT,
+            )
+        except exceptions.LinkLost:
+            return
+        if not reply.accepted:
+            return
+        if reply.state.phase == control_pb2.SUCCEEDED:
+            await self._endings.note_state(task, reply.state, reply.boot)
+        else:
+            await self._finish(task)
+
+    async def _finish(self, task: tasks.Task) -> None:
+        await self._endings.finish(
+            task, records.TaskPhase.CANCELLED, 'cancelled'
+        )
--- a/src/persimmonsail/control_grpc.py
+++ b/src/persimmonsail/control_grpc.py
@@ -34,6 +34,14 @@
     async def Peer(self, stream: 'grpclib.server.Stream[persimmonsail.control_pb2.PeerQuery, persimmonsail.control_pb2.PeerReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Consent(self, stream: 'grpclib.server.Stream[persimmonsail.control_pb2.ConsentRequest, persimmonsail.control_pb2.ConsentReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Fence(self, stream: 'grpclib.server.Stream[persimmonsail.control_pb2.FenceRequest, persimmonsail.control_pb2.FenceReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/persimmonsail.Entry/Link': grpclib.const.Handler(
@@ -66,6 +74,18 @@
                 persimmonsail.control_pb2.PeerQuery,
                 persimmonsail.control_pb2.PeerReply,
             ),
+            '/persimmonsail.Entry/Consent': grpclib.const.Handler(
+                self.Consent,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonsail.control_pb2.ConsentRequest,
+                persimmonsail.control_pb2.ConsentReply,
+            ),
+            '/persimmonsail.Entry/Fence': grpclib.const.Handler(
+                self.Fence,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonsail.control_pb2.FenceRequest,
+                persimmonsail.control_pb2.FenceReply,
+            ),
         }
 
 
@@ -102,6 +122,18 @@
             persimmonsail.control_pb2.PeerQuery,
             persimmonsail.control_pb2.PeerReply,
         )
+        self.Consent = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonsail.Entry/Consent',
+            persimmonsail.control_pb2.ConsentRequest,
+            persimmonsail.control_pb2.ConsentReply,
+        )
+        self.Fence = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonsail.Entry/Fence',
+            persimmonsail.control_pb2.FenceRequest,
+            persimmonsail.control_pb2.FenceReply,
+        )
 
 
 class SidecarBase(abc.ABC):
--- /dev/null
+++ b/src/persimmonsail/dispatch.py
@@ -0,0 +1,177 @@
+"""Placing pending tasks on instances, and starting them there."""
+
+import anyio
+import anyio.abc
+
+from persimmonsail import admission
+from persimmonsail import catalogue
+from persimmonsail import commits as commits_module
+from persimmonsail import consents
+from persimmonsail import contacts as contacts_module
+from persimmonsail import control_grpc
+from persimmonsail import control_pb2
+from persimmonsail import endings as endings_module
+from persimmonsail import exceptions
+from persimmonsail import fleet as fleet_module
+from persimmonsail import ledger as ledger_module
+from persimmonsail import links as links_module
+from persimmonsail import logs
+from persimmonsail import placement
+from persimmonsail import records
+from persimmonsail import renewals
+from persimmonsail import revisions
+from persimmonsail import tasks
+
+_START_TIMEOUT = 2.0
+_PERIOD = 0.1
+
+
+class Dispatcher:
+    """Claims pending tasks for instances and starts them."""
+
+    def __init__(
+        self,
+        ledger: ledger_module.Ledger,
+        committer: commits_module.Committer,
+        fleet: fleet_module.Fleet,
+        links: links_module.Links,
+        view: revisions.View,
+        contacts: contacts_module.Contacts,
+        authority: consents.Authority,
+        owned: endings_module.Owned,
+        endings: endings_module.Endings,
+        renewer: renewals.Renewer,
+        lease_seconds: float,
+    ) -> None:
+        self._ledger = ledger
+        self._committer = committer
+        self._fleet = fleet
+        self._links = links
+        self._view = view
+        self._contacts = contacts
+        self._authority = authority
+        self._owned = owned
+        self._endings = endings
+        self._renewer = renewer
+        self._lease_seconds = lease_seconds
+
+    async def run(self) -> None:
+        """Place tasks until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                if self._authority.lease_is_valid:
+                    self._place_pending(group)
+                await anyio.sleep(_PERIOD)
+
+    def choose(
+        self, task: tasks.Task, workload: catalogue.Workload
+    ) -> fleet_module.Instance | None:
+        """Return the instance for a task's next attempt, if any."""
+        return placement.choose_instance(
+            self._fleet.list_live(), _read_size(workload)
+        )
+
+    def _place_pending(self, group: anyio.abc.TaskGroup) -> None:
+        for task in list(self._ledger.table.tasks.values()):
+            if task.phase is not records.TaskPhase.PENDING:
+                continue
+            if task.cancel_asked or task.id in self._owned:
+                continue
+            workload = self._view.catalogue.workloads.get(task.workload)
+            if workload is None:
+                continue
+            chosen = self.choose(task, workload)
+            if chosen is not None:
+                chosen.committed = chosen.committed + _read_size(workload)
+                group.start_soon(self._start, task, workload, chosen)
+
+    async def _start(
+        self,
+        task: tasks.Task,
+        workload: catalogue.Workload,
+        chosen: fleet_module.Instance,
+    ) -> None:
+        if task.id in self._owned:
+            return
+        with self._owned.own(task.id):
+            contact = await self._renewer.find_contact(chosen)
+            if contact is None or not await self._claim(task, chosen, contact):
+                return
+            await self._send_start(task, workload, chosen, contact.boot)
+
+    async def _claim(
+        self,
+        task: tasks.Task,
+        chosen: fleet_module.Instance,
+        contact: contacts_module.Contact,
+    ) -> bool:
+        attempt = task.attempt + 1
+        try:
+            await self._committer.commit(
+                records.Claimed(task.id, attempt, chosen.name, contact.boot)
+            )
+        except exceptions.NotCommitted:
+            return False
+        logs.write_event(
+            'placement',
+            task=task.id,
+            workload=task.workload,
+            attempt=attempt,
+            epoch=self._ledger.table.epoch,
+            chosen=chosen.name,
+            revision=self._view.revision,
+        )
+        return True
+
+    async def _send_start(
+        self,
+        task: tasks.Task,
+        workload: catalogue.Workload,
+        chosen: fleet_module.Instance,
+        boot: str,
+    ) -> None:
+        # The commit may have taken seconds; the ticket is then old.
+        contact = await self._renewer.find_contact(chosen)
+        if contact is None or not self._authority.is_valid:
+            # Nothing was sent, but only this holder knows that: the
+            # next renewal bars the attempt before it is released.
+            return
+        attempt = task.attempt
+        request = control_pb2.StartTaskRequest(
+            task=task.id,
+            attempt=attempt,
+            partition=self._ledger.partition,
+            epoch=self._ledger.table.epoch,
+            incarnation=contact.incarnation,
+            revision=self._view.revision,
+            workload=task.workload,
+            team=task.team,
+            workload_class=workload.workload_class,
+            size=_read_size(workload).to_message(),
+            lease_seconds=self._lease_seconds,
+            payload=task.payload.encode(),
+            checkpoint=task.checkpoint,
+            ticket=contact.ticket,
+            boot=boot,
+        )
+        try:
+            reply = await self._links.call(
+                chosen.address,
+                control_grpc.SidecarStub,
+                'StartTask',
+                request,
+                _START_TIMEOUT,
+            )
+        except exceptions.LinkLost:
+            return
+        self._fleet.note_load(chosen.name, reply.load)
+        if reply.verdict != control_pb2.UNKNOWN:
+            self._contacts.note(chosen.name, reply.incarnation, reply)
+        if reply.verdict == control_pb2.NOT_RUN:
+            await self._endings.release(task, reply.reason)
+
+
+def _read_size(workload: catalogue.Workload) -> admission.Size:
+    return admission.Size(
+        workload.cores, workload.memory_gb, workload.accelerators
+    )
--- /dev/null
+++ b/src/persimmonsail/endings.py
@@ -0,0 +1,165 @@
+"""What a holder records when an attempt at a task has ended."""
+
+import contextlib
+import time
+import typing as t
+
+from persimmonsail import catalogue
+from persimmonsail import commits as commits_module
+from persimmonsail import control_pb2
+from persimmonsail import exceptions
+from persimmonsail import logs
+from persimmonsail import records
+from persimmonsail import revisions
+from persimmonsail import tasks
+
+RESTARTED = 'the worker was restarted'
+
+
+class Owned:
+    """Tasks that some coroutine of the holder is changing."""
+
+    def __init__(self, committer: commits_module.Committer) -> None:
+        self._committer = committer
+        self._names: set[str] = set()
+
+    def __contains__(self, task: str) -> bool:
+        return task in self._names
+
+    @contextlib.contextmanager
+    def own(self, task: str) -> t.Iterator[None]:
+        """Be the only one to change a task while the context is open."""
+        self._names.add(task)
+        try:
+            yield
+        finally:
+            self._names.discard(task)
+            self._committer.announce()
+
+
+class Endings:
+    """Commits the end of attempts, and how tasks go on after it.
+
+    A task that may have run and must not run twice ends as unknown,
+    unless the attempt left a checkpoint to resume from.
+    """
+
+    def __init__(
+        self, committer: commits_module.Committer, view: revisions.View
+    ) -> None:
+        self._committer = committer
+        self._view = view
+
+    async def note_state(
+        self, task: tasks.Task, state: control_pb2.TaskState, boot: str
+    ) -> None:
+        """Record how a worker says that the latest attempt ended.
+
+        Parameters
+        ----------
+        task : Task
+            A claimed task, owned by the caller.
+        state : TaskState
+            The attempt as the worker has it.
+        boot : str
+            The worker's process that said so.
+        """
+        if state.phase == control_pb2.SUCCEEDED:
+            await self.finish(
+                task, records.TaskPhase.SUCCEEDED, 'done', state.answer
+            )
+        elif state.phase == control_pb2.FAILED:
+            await self._note_failure(task, state.answer)
+        elif state.phase == control_pb2.EVICTED:
+            await self._note_eviction(task, state.checkpoint)
+        elif state.phase == control_pb2.ABSENT:
+            await self._note_absence(task, boot)
+        elif state.phase == control_pb2.STOPPED:
+            await self.give_up(task, 'stopped')
+
+    async def give_up(self, task: tasks.Task, reason: str) -> None:
+        """Go on without the latest attempt, which may have run."""
+        if task.cancel_asked:
+            await self.finish(task, records.TaskPhase.CANCELLED, 'cancelled')
+        elif self.is_restartable(task):
+            await self.release(task, reason)
+        else:
+            await self.finish(task, records.TaskPhase.UNKNOWN, reason)
+
+    def is_restartable(self, task: tasks.Task) -> bool:
+        """Whether a task may start again from its last checkpoint."""
+        workload = self._view.catalogue.workloads.get(task.workload)
+        return workload is not None and (
+            workload.idempotent
+            or workload.workload_class is catalogue.WorkloadClass.WATCHER
+        )
+
+    async def release(
+        self, task: tasks.Task, reason: str, checkpoint: str = ''
+    ) -> None:
+        """Make a task pending again."""
+        attempt = task.attempt
+        await self._commit(
+            records.Released(task.id, attempt, reason, checkpoint)
+        )
+        logs.write_event(
+            'task-released',
+            task=task.id,
+            attempt=attempt,
+            reason=reason,
+            checkpoint=bool(checkpoint),
+        )
+
+    async def finish(
+        self,
+        task: tasks.Task,
+        phase: records.TaskPhase,
+        reason: str,
+        answer: str = '',
+    ) -> None:
+        """Give a task its one final outcome."""
+        await self._commit(
+            records.Finished(
+                task.id, task.attempt, phase, answer, reason, time.time()
+            )
+        )
+        logs.write_event(
+            'task-finished',
+            task=task.id,
+            attempt=task.attempt,
+            phase=phase,
+            reason=reason,
+        )
+
+    async def _note_failure(self, task: tasks.Task, answer: str) -> None:
+        workload = self._view.catalogue.workloads.get(task.workload)
+        again = (
+            workload is not None
+            and workload.idempotent
+            and task.failures + 1 < workload.max_attempts
+        )
+        if again:
+            await self.release(task, tasks.FAILED)
+        else:
+            await self.finish(task, records.TaskPhase.FAILED, 'failed', answer)
+
+    async def _note_eviction(self, task: tasks.Task, checkpoint: str) -> None:
+        if checkpoint and not task.cancel_asked:
+            await self.release(task, 'evicted', checkpoint)
+        else:
+            await self.give_up(task, 'evicted without a checkpoint')
+
+    async def _note_absence(self, task: tasks.Task, boot: str) -> None:
+        # A worker knows every attempt that it has started and whose end
+        # was not acknowledged. Another process in its place knows none:
+        # its silence does not show that the attempt never ran.
+        if task.boot and task.boot == boot:
+            await self.release(task, 'not run')
+        else:
+            await self.give_up(task, RESTARTED)
+
+    async def _commit(self, record: records.Record) -> None:
+        try:
+            await self._committer.commit(record)
+        except exceptions.NotCommitted as error:
+            logs.write_warning('record-late', reason=error)
--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -9,6 +9,7 @@
 import anyio
 import grpclib.server
 
+from persimmonsail import consents
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import fleet as fleet_module
@@ -97,13 +98,21 @@
         digest = hashlib.sha256(text.encode()).hexdigest()[:_KEY_LENGTH]
         return f'{partition:03d}-{digest}'
 
-    def _make_holder(self, partition: int) -> holder_module.Holder:
+    def _make_holder(
+        self,
+        partition: int,
+        lease: consents.StoreLease,
+        partitions: partitions_module.Partitions,
+    ) -> holder_module.Holder:
         return holder_module.Holder(
             ledger.Ledger(self.store, partition),
             self.fleet,
             self.links,
             self.view,
             self.settings,
+            lease,
+            partitions.promises.id,
+            partitions.list_members,
         )
 
     async def Link(self, stream) -> None:
@@ -156,6 +165,17 @@
             reply.catalogue = self.view.describe()
         await stream.send_message(reply)
 
+    async def Consent(self, stream) -> None:
+        """Promise a holder without store contact not to follow it."""
+        request = await stream.recv_message()
+        reply = self.partitions.promises.consent(request)
+        await stream.send_message(reply)
+
+    async def Fence(self, stream) -> None:
+        """Refuse consent to a partition's earlier holders."""
+        request = await stream.recv_message()
+        await stream.send_message(self.partitions.fence(request))
+
 
 def _open_store(settings: settings_module.Store) -> store_module.Store:
     return store_module.KINDS[settings.kind](
--- a/src/persimmonsail/exceptions.py
+++ b/src/persimmonsail/exceptions.py
@@ -56,3 +56,23 @@
 
 class StaleIncarnation(PersimmonsailError):
     """A newer sidecar of the same instance has taken over."""
+
+
+class AttemptRefused(PersimmonsailError):
+    """The worker refused an attempt; it never ran and never will."""
+
+
+class StaleEpoch(PersimmonsailError):
+    """The worker has obeyed a later holder of the partition."""
+
+
+class NotCommitted(PersimmonsailError):
+    """A record was withdrawn, or refused, before it was written."""
+
+
+class OutcomeUnknown(PersimmonsailError):
+    """No certain outcome came in time; the write may take effect."""
+
+
+class SettingsMismatch(PersimmonsailError):
+    """Settings contradict what the store keeps."""
--- a/src/persimmonsail/forwarding.py
+++ b/src/persimmonsail/forwarding.py
@@ -1,19 +1,34 @@
 """The way of callers' tasks to the holders of their partitions."""
 
+import time
 import typing as t
 
+import anyio
+
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import exceptions
 from persimmonsail import holder as holder_module
 from persimmonsail import problems
-
-_FORWARD_TIMEOUT = 3.0
+from persimmonsail import records
+from persimmonsail import tasks
+
+_BUDGET = 6.0
+_TRY_SECONDS = 4.0
+_QUERY_WAIT = 2.0
+_COMMIT_SECONDS = 3.5
+_RETRY_PERIOD = 0.1
 _RETRY_AFTER = 2.0
+_Here = t.Callable[[t.Any], t.Awaitable[control_pb2.TaskReply]]
 
 
 class TaskForwarder:
-    """Brings callers' tasks to the holders of their partitions."""
+    """Brings callers' tasks to the holders of their partitions.
+
+    While a partition moves, a call is repeated at its next holder, for
+    some seconds. That is safe: the task's name comes from the caller's
+    key, and the ledger accepts a name once.
+    """
 
     def __init__(self, entry: t.Any) -> None:
         self._entry = entry
@@ -28,23 +43,37 @@
             workload=workload,
             payload=payload or b'{}',
             revision=self._entry.view.revision,
-            timeout_seconds=timeout,
+            timeout_seconds=min(timeout, _COMMIT_SECONDS),
+        )
+        seconds = min(timeout, _BUDGET)
+        return await self._forward(
+            'Submit', request, self.submit_here, seconds
         )
-        return await self._forward('Submit', request, self.submit_here)
 
     async def query(self, task: str, wait: float) -> control_pb2.TaskReply:
         """Return a task's state, after waiting for its end."""
         request = control_pb2.TaskQuery(
             task=task, partition=_read_partition(task), wait_seconds=wait
         )
-        return await self._forward('Query', request, self.query_here, wait)
+        deadline = time.monotonic() + wait
+        while True:
+            # Short waits, so that a holder that froze is found out.
+            left = max(deadline - time.monotonic(), 0)
+            request.wait_seconds = min(left, _QUERY_WAIT)
+            reply = await self._forward(
+                'Query', request, self.query_here, left + _BUDGET
+            )
+            if not left or reply.phase in records.FINAL_PHASES:
+                return reply
 
     async def cancel(self, task: str) -> control_pb2.TaskReply:
         """Ask for a task's end."""
         request = control_pb2.TaskQuery(
             task=task, partition=_read_partition(task)
         )
-        return await self._forward('Cancel', request, self.cancel_here)
+        return await self._forward(
+            'Cancel', request, self.cancel_here, _BUDGET
+        )
 
     async def submit_here(
         self, request: control_pb2.SubmitRequest
@@ -59,12 +88,7 @@
                 verdict=control_pb2.NOT_RUN,
                 retry_after_seconds=_RETRY_AFTER,
             )
-        try:
-            return _describe_task(await holder.submit(request))
-        except exceptions.NotHolder as error:
-            return control_pb2.TaskReply(
-                reason=str(error), verdict=control_pb2.UNKNOWN
-            )
+        return await _answer(holder, holder.submit(request))
 
     async def query_here(
         self, request: control_pb2.TaskQuery
@@ -73,8 +97,8 @@
         holder = self._find_own(request.partition)
         if holder is None:
             return _not_held()
-        found = await holder.wait_final(request.task, request.wait_seconds)
-        return _describe_found(found)
+        waiting = holder.wait_final(request.task, request.wait_seconds)
+        return await _answer(holder, waiting)
 
     async def cancel_here(
         self, request: control_pb2.TaskQuery
@@ -83,41 +107,79 @@
         holder = self._find_own(request.partition)
         if holder is None:
             return _not_held()
-        return _describe_found(await holder.cancel(request.task))
+        return await _answer(holder, holder.cancel(request.task))
 
     def _find_own(self, partition: int) -> holder_module.Holder | None:
         holder = self._entry.partitions.held.get(partition)
         return holder if holder is not None and holder.ready else None
 
     async def _forward(
-        self,
-        method: str,
-        request: t.Any,
-        here: t.Callable[[t.Any], t.Awaitable[control_pb2.TaskReply]],
-        wait: float = 0.0,
+        self, method: str, request: t.Any, here: _Here, seconds: float
+    ) -> control_pb2.TaskReply:
+        deadline = time.monotonic() + seconds
+        reply = _not_held()
+        uncertain = False
+        while (left := deadline - time.monotonic()) > 0:
+            reply = await self._try_once(method, request, here, left)
+            if not reply.moved:
+                break
+            uncertain = uncertain or reply.verdict == control_pb2.UNKNOWN
+            if self._is_hopeless(request.partition):
+                break
+            await anyio.sleep(_RETRY_PERIOD)
+        if uncertain and reply.verdict == control_pb2.NOT_RUN:
+            # Only this try is known not to have taken effect.
+            reply.verdict = control_pb2.UNKNOWN
+        return _check_reply(reply)
+
+    def _is_hopeless(self, partition: int) -> bool:
+        """Whether no holder can come up, as the store is out of reach."""
+        partitions = self._entry.partitions
+        return (
+            partitions.find_holder(partition) is None
+            and not partitions.lease_is_valid
+        )
+
+    async def _try_once(
+        self, method: str, request: t.Any, here: _Here, left: float
     ) -> control_pb2.TaskReply:
         if self._find_own(request.partition) is not None:
-            return _check_reply(await here(request))
+            return await here(request)
         found = self._entry.partitions.find_holder(request.partition)
-        if found is None:
-            raise _not_held_problem('no entry holds the partition now')
+        if found is None or found.id == self._entry.partitions.promises.id:
+            return _not_held()
         try:
-            reply = await self._entry.links.call(
+            return await self._entry.links.call(
                 found.control,
                 control_grpc.EntryStub,
                 method,
                 request,
-                _FORWARD_TIMEOUT + wait,
+                min(left, _TRY_SECONDS),
             )
         except exceptions.LinkLost as error:
-            raise problems.Problem(
-                504,
-                'Outcome unknown',
-                problems.UNKNOWN,
-                str(error),
-                _RETRY_AFTER,
-            ) from error
-        return _check_reply(reply)
+            return control_pb2.TaskReply(
+                reason=str(error),
+                verdict=control_pb2.UNKNOWN,
+                moved=True,
+                retry_after_seconds=_RETRY_AFTER,
+            )
+
+
+async def _answer(
+    holder: holder_module.Holder, call: t.Awaitable[tasks.Task | None]
+) -> control_pb2.TaskReply:
+    try:
+        return _describe_found(await call)
+    except (exceptions.NotCommitted, exceptions.NotHolder) as error:
+        verdict, reason = control_pb2.NOT_RUN, str(error)
+    except exceptions.OutcomeUnknown as error:
+        verdict, reason = control_pb2.UNKNOWN, str(error)
+    return control_pb2.TaskReply(
+        reason=reason,
+        verdict=verdict,
+        moved=not holder.ready,
+        retry_after_seconds=_RETRY_AFTER,
+    )
 
 
 def _read_partition(task: str) -> int:
@@ -129,25 +191,20 @@
 
 def _not_held() -> control_pb2.TaskReply:
     return control_pb2.TaskReply(
-        reason='the partition is not held here',
+        reason='no entry holds the partition now',
+        moved=True,
         verdict=control_pb2.NOT_RUN,
         retry_after_seconds=_RETRY_AFTER,
     )
 
 
-def _not_held_problem(detail: str) -> problems.Problem:
-    return problems.Problem(
-        503, 'Not accepted', problems.NOT_RUN, detail, _RETRY_AFTER
-    )
-
-
-def _describe_found(found: t.Any) -> control_pb2.TaskReply:
+def _describe_found(found: tasks.Task | None) -> control_pb2.TaskReply:
     if found is None:
         return control_pb2.TaskReply(reason='no such task')
     return _describe_task(found)
 
 
-def _describe_task(task: t.Any) -> control_pb2.TaskReply:
+def _describe_task(task: tasks.Task) -> control_pb2.TaskReply:
     return control_pb2.TaskReply(
         accepted=True,
         phase=task.phase,
@@ -163,9 +220,15 @@
     if reply.accepted:
         return reply
     if reply.verdict == control_pb2.NOT_RUN:
-        raise _not_held_problem(reply.reason)
+        raise problems.Problem(
+            503, 'Not accepted', problems.NOT_RUN, reply.reason, _RETRY_AFTER
+        )
     if reply.verdict == control_pb2.UNKNOWN:
         raise problems.Problem(
-            504, 'Outcome unknown', problems.UNKNOWN, reply.reason
+            504,
+            'Outcome unknown',
+            problems.UNKNOWN,
+            reply.reason,
+            _RETRY_AFTER,
         )
     raise problems.Problem(404, 'No such task', problems.NOT_RUN, reply.reason)
--- a/src/persimmonsail/ledger.py
+++ b/src/persimmonsail/ledger.py
@@ -39,6 +39,7 @@
     """Reads one partition's ledger and appends batches to it.
 
     Use it from one task at a time: ``load`` first, then ``append``.
+    ``unavailable`` is set while the store gives an append no answer.
     """
 
     def __init__(self, store: store_module.Store, partition: int) -> None:
@@ -48,9 +49,11 @@
         self.hash = GENESIS
         self._store = store
         self._prefix = f'ledger/{partition:03d}'
+        self.unavailable = False
         self._slot_revisions: dict[int, int] = {}
         self._snapshot_revision = 0
         self._snapshot_position = 0
+        self._uncertain_snapshots: set[str] = set()
 
     async def load(self) -> None:
         """Read the snapshot and every later batch.
@@ -85,7 +88,11 @@
         ------
         persimmonsail.exceptions.NotHolder
             If another holder wrote this position.
+        persimmonsail.exceptions.LedgerCorrupt
+            If a record does not fit the table; nothing was written.
         """
+        self._check_records(items)
+        await self._make_room()
         position = self.position + 1
         batch = records.Batch(
             position, uuid.uuid4().hex, self.table.epoch, self.hash, items
@@ -119,6 +126,23 @@
             except exceptions.NotHolder:
                 await self.load()
 
+    def _check_records(self, items: tuple[records.Record, ...]) -> None:
+        # A record that replay refuses, once written, would keep every
+        # later holder from loading the partition.
+        problems = [text for text in self.table.find_problems(items) if text]
+        if problems:
+            raise exceptions.LedgerCorrupt('; '.join(problems))
+
+    async def _make_room(self) -> None:
+        # Without a snapshot the next slot still holds a batch that a
+        # later holder needs.
+        while self.position + 1 - self._snapshot_position > SLOTS:
+            try:
+                await self.write_snapshot()
+            except exceptions.StoreUnavailable:
+                self.unavailable = True
+                await anyio.sleep(_RETRY_DELAY)
+
     def needs_snapshot(self) -> bool:
         """Whether a snapshot is due, well before the ring is full."""
         return self.position - self._snapshot_position >= SNAPSHOT_EVERY
@@ -128,22 +152,29 @@
         snapshot = Snapshot(
             self.position,
             self.hash,
-            tasks.TABLE.dump_json(self.table).decode(),
+            tasks.dump_table(self.table),
         )
         text = _SNAPSHOT.dump_json(snapshot).decode()
-        try:
-            self._snapshot_revision = await self._store.put(
-                f'{self._prefix}/snapshot',
-                text,
-                expected=self._snapshot_revision,
-            )
-        except exceptions.Conflict:
-            await self._adopt_own_snapshot(text)
+        self._uncertain_snapshots.add(records.hash_text(text))
+        while True:
+            try:
+                self._snapshot_revision = await self._store.put(
+                    f'{self._prefix}/snapshot',
+                    text,
+                    expected=self._snapshot_revision,
+                )
+                break
+            except exceptions.Conflict:
+                await self._adopt_own_snapshot()
+        self._uncertain_snapshots.clear()
         self._snapshot_position = snapshot.position
 
-    async def _adopt_own_snapshot(self, text: str) -> None:
+    async def _adopt_own_snapshot(self) -> None:
+        # An earlier try's answer may have been lost after it took
+        # effect; it then stands in the way of this one.
         found = await self._store.get(f'{self._prefix}/snapshot')
-        if found is None or found.value != text:
+        known = self._uncertain_snapshots
+        if found is None or records.hash_text(found.value) not in known:
             raise exceptions.NotHolder('another holder wrote a snapshot')
         self._snapshot_revision = found.revision
 
@@ -156,7 +187,7 @@
             self._snapshot_revision = 0
         else:
             snapshot = _SNAPSHOT.validate_json(found.value)
-            self.table = tasks.TABLE.validate_json(snapshot.table)
+            self.table = tasks.load_table(snapshot.table)
             self.position = snapshot.position
             self.hash = snapshot.hash
             self._snapshot_revision = found.revision
@@ -205,7 +236,9 @@
                 revision = await self._find_own(key, batch)
                 break
             except exceptions.StoreUnavailable:
+                self.unavailable = True
                 await anyio.sleep(_RETRY_DELAY)
+        self.unavailable = False
         self._slot_revisions[slot] = revision
 
     async def _find_own(self, key: str, batch: records.Batch) -> int:
--- a/src/persimmonsail/partitions.py
+++ b/src/persimmonsail/partitions.py
@@ -9,18 +9,24 @@
 import hashlib
 import time
 import typing as t
+import uuid
 import zlib
 
 import anyio
+import anyio.abc
 import pydantic
 
+from persimmonsail import consents
+from persimmonsail import control_pb2
 from persimmonsail import exceptions
 from persimmonsail import holder as holder_module
 from persimmonsail import logs
+from persimmonsail import records
 from persimmonsail import settings as settings_module
 from persimmonsail import store as store_module
 
 LIVE_PREFIX = 'live/'
+COUNT_KEY = 'ledger/partitions'
 _ENTRY_PREFIX = 'live/entries/'
 _HOLDER_PREFIX = 'live/holders/'
 _PERIOD = 0.5
@@ -28,14 +34,24 @@
 
 @dataclasses.dataclass(frozen=True)
 class LiveEntry:
-    """An entry's key in the store."""
+    """An entry's key in the store.
+
+    ``id`` names the process: one that was restarted under the same name
+    must not take its predecessor's keys for its own. ``lease`` is what
+    the key stands under.
+    """
 
     name: str
     control: str
     zone: str
+    id: str = ''
+    lease: str = ''
 
 
 _LIVE_ENTRY = pydantic.TypeAdapter(LiveEntry)
+MakeHolder = t.Callable[
+    [int, consents.StoreLease, 'Partitions'], holder_module.Holder
+]
 
 
 def find_partition(team: str, partitions: int) -> int:
@@ -60,33 +76,54 @@
         store: store_module.Store,
         settings: settings_module.Settings,
         control: str,
-        make_holder: t.Callable[[int], holder_module.Holder],
+        make_holder: MakeHolder,
     ) -> None:
         self.entries: dict[str, LiveEntry] = {}
         self.held: dict[int, holder_module.Holder] = {}
         self.leaving = False
+        self.changed = anyio.Event()
         self._store = store
         self._settings = settings
         self._own = LiveEntry(
-            settings.process.name, control, settings.process.zone
+            settings.process.name,
+            control,
+            settings.process.zone,
+            uuid.uuid4().hex,
         )
+        self.promises = consents.Promises(self._own.id, self._is_taken)
         self._make_holder = make_holder
         self._holders: dict[int, LiveEntry] = {}
-        self._lease = ''
-        self._lease_until = float('-inf')
+        self._revisions: dict[int, int] = {}
+        self._lease = consents.StoreLease('', ended=True)
+        self._taking: set[int] = set()
         self._scopes: dict[int, anyio.CancelScope] = {}
 
     @property
     def lease_is_valid(self) -> bool:
         """Whether the store still keeps this entry's keys for sure."""
-        return time.monotonic() < self._lease_until
+        return self._lease.is_valid
 
     def find_holder(self, partition: int) -> LiveEntry | None:
         """Return the entry that holds a partition, as last read."""
         return self._holders.get(partition)
 
+    def list_members(self) -> tuple[records.Member, ...]:
+        """Return the live entries, as last read, and this one."""
+        found = {
+            entry.id: records.Member(entry.id, entry.control)
+            for entry in [*self.entries.values(), self._own]
+        }
+        return tuple(found[key] for key in sorted(found))
+
     async def run(self) -> None:
-        """Keep the lease and hold partitions until cancelled."""
+        """Keep the lease and hold partitions until cancelled.
+
+        Raises
+        ------
+        persimmonsail.exceptions.SettingsMismatch
+            If the store's ledger has another number of partitions.
+        """
+        await self._check_count()
         async with anyio.create_task_group() as group:
             group.start_soon(self._run_lease)
             await self._run_membership(group)
@@ -94,11 +131,60 @@
     async def leave(self) -> None:
         """Hand all partitions over and end the lease."""
         self.leaving = True
+        for holder in self.held.values():
+            holder.closing.set()
+        with anyio.move_on_after(self._settings.entry.drain):
+            while self.held:
+                await self.changed.wait()
         for scope in list(self._scopes.values()):
             scope.cancel()
+        await self._revoke_lease()
+
+    def fence(
+        self, request: control_pb2.FenceRequest
+    ) -> control_pb2.FenceReply:
+        """Refuse consent to earlier epochs; give a lost partition up."""
+        self.promises.fence(request)
+        holder = self.held.get(request.partition)
+        if holder is not None and holder.table.epoch < request.epoch:
+            holder.closing.set()
+        return control_pb2.FenceReply(id=self._own.id)
+
+    async def _check_count(self) -> None:
+        # Entries that disagree would look for one team's tasks in two
+        # ledgers, and could run the work of one key twice.
+        own = str(self._settings.entry.partitions)
+        while True:
+            try:
+                await self._store.put(COUNT_KEY, own, 0)
+                return
+            except exceptions.Conflict:
+                found = await self._read_count()
+            except exceptions.StoreUnavailable:
+                await anyio.sleep(_PERIOD)
+                continue
+            if found == own:
+                return
+            if found:
+                logs.write_warning(
+                    'settings-mismatch', partitions=own, store=found
+                )
+                raise exceptions.SettingsMismatch(
+                    f'[entry] partitions = {own}, but the ledger has {found}'
+                )
+
+    async def _read_count(self) -> str:
+        try:
+            found = await self._store.get(COUNT_KEY)
+        except exceptions.StoreUnavailable:
+            return ''
+        return found.value if found else ''
+
+    async def _revoke_lease(self) -> None:
+        lease, self._lease.ended = self._lease.id, True
         try:
-            if self._lease:
-                await self._store.revoke_lease(self._lease)
+            if lease:
+                await self._store.revoke_lease(lease)
         except exceptions.StoreError as error:
             logs.write_event('lease-not-revoked', error=error)
 
@@ -107,11 +193,12 @@
         while not self.leaving:
             asked_at = time.monotonic()
             try:
-                if self._lease:
-                    await self._store.renew_lease(self._lease)
-                else:
+                if self._lease.ended:
                     await self._register(seconds)
-                self._lease_until = asked_at + seconds
+                else:
+                    await self._store.renew_lease(self._lease.id)
+                self._lease.until = asked_at + seconds
+                self.promises.note_contact(asked_at)
             except exceptions.StoreUnavailable:
                 await anyio.sleep(_PERIOD)
                 continue
@@ -122,67 +209,98 @@
 
     async def _register(self, seconds: float) -> None:
         lease = await self._store.grant_lease(seconds)
+        self._own = dataclasses.replace(self._own, lease=lease)
         value = _LIVE_ENTRY.dump_json(self._own).decode()
         await self._store.put(
             f'{_ENTRY_PREFIX}{self._own.name}', value, lease=lease
         )
-        self._lease = lease
+        # Each lease has an object of its own: a holder that runs under
+        # a lost one must not take the next one's time for its own.
+        self._lease = consents.StoreLease(lease)
 
     def _lose_lease(self) -> None:
-        self._lease = ''
+        self._lease.ended = True
         for scope in list(self._scopes.values()):
             scope.cancel()
 
-    async def _run_membership(self, group) -> None:
-        after = 0
+    async def _run_membership(self, group: anyio.abc.TaskGroup) -> None:
         while not self.leaving:
             try:
+                asked_at = time.monotonic()
                 page = await self._store.scan(LIVE_PREFIX)
+                self.promises.note_contact(asked_at)
                 self._note(page)
                 await self._take_preferred(group)
-                after = page.revision
-                await self._store.watch(LIVE_PREFIX, after, _PERIOD * 4)
+                await self._store.watch(
+                    LIVE_PREFIX, page.revision, _PERIOD * 4
+                )
             except exceptions.StoreError:
                 await anyio.sleep(_PERIOD)
 
     def _note(self, page: store_module.Page) -> None:
         self.entries = {}
         self._holders = {}
+        self._taking.clear()
         for item in page.items:
             entry = _LIVE_ENTRY.validate_json(item.value)
             if item.key.startswith(_ENTRY_PREFIX):
                 self.entries[entry.name] = entry
             else:
-                self._holders[int(item.key[len(_HOLDER_PREFIX) :])] = entry
-
-    async def _take_preferred(self, group) -> None:
-        if not self.lease_is_valid:
-            return
-        value = _LIVE_ENTRY.dump_json(self._own).decode()
+                partition = int(item.key[len(_HOLDER_PREFIX) :])
+                self._holders[partition] = entry
+                self._revisions[partition] = item.revision
+        self._announce()
+
+    async def _take_preferred(self, group: anyio.abc.TaskGroup) -> None:
+        for partition, holder in self.held.items():
+            if prefer_entry(partition, self.entries) != self._own.name:
+                holder.closing.set()
         for partition in range(self._settings.entry.partitions):
+            if not self.lease_is_valid or self.leaving:
+                return
             preferred = prefer_entry(partition, self.entries)
             if preferred != self._own.name:
                 await self._hand_over(partition)
-            elif partition not in self._holders:
-                key = f'{_HOLDER_PREFIX}{partition:03d}'
-                try:
-                    await self._store.put(key, value, 0, self._lease)
-                except exceptions.Conflict:
-                    continue
-                self._holders[partition] = self._own
-            if self._holds(partition) and partition not in self.held:
-                group.start_soon(self._hold, partition)
-                self.held[partition] = self._make_holder(partition)
+            elif not self.promises.is_promised(partition):
+                await self._take(partition, group)
+
+    async def _take(self, partition: int, group: anyio.abc.TaskGroup) -> None:
+        lease = self._lease
+        if partition not in self._holders:
+            self._taking.add(partition)
+            value = _LIVE_ENTRY.dump_json(self._own).decode()
+            key = f'{_HOLDER_PREFIX}{partition:03d}'
+            try:
+                revision = await self._store.put(key, value, 0, lease.id)
+            except exceptions.Conflict:
+                return
+            self._holders[partition] = self._own
+            self._revisions[partition] = revision
+        if partition in self.held or lease is not self._lease:
+            return
+        if self._holds(partition) and not self.leaving:
+            self.held[partition] = self._make_holder(partition, lease, self)
+            group.start_soon(self._hold, partition)
 
     def _holds(self, partition: int) -> bool:
-        found = self._holders.get(partition)
-        return found is not None and found == self._own
+        return self._holders.get(partition) == self._own
+
+    def _is_taken(self, partition: int) -> bool:
+        return (
+            partition in self.held
+            or partition in self._taking
+            or self._holds(partition)
+        )
 
     async def _hand_over(self, partition: int) -> None:
-        if partition in self._scopes:
-            self._scopes[partition].cancel()
+        with anyio.move_on_after(self._settings.entry.drain):
+            while partition in self.held:
+                await self.changed.wait()
         if self._holds(partition):
-            await self._store.delete(f'{_HOLDER_PREFIX}{partition:03d}')
+            await self._store.delete(
+                f'{_HOLDER_PREFIX}{partition:03d}', self._revisions[partition]
+            )
+            del self._holders[partition]
 
     async def _hold(self, partition: int) -> None:
         holder = self.held[partition]
@@ -190,7 +308,7 @@
             with anyio.CancelScope() as scope:
                 self._scopes[partition] = scope
                 await holder.run()
-        except* (exceptions.NotHolder, exceptions.StoreError) as errors:
+        except* exceptions.PersimmonsailError as errors:
             logs.write_event(
                 'partition-lost',
                 partition=partition,
@@ -199,3 +317,8 @@
         finally:
             del self.held[partition]
             del self._scopes[partition]
+            self._announce()
+
+    def _announce(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
--- a/src/persimmonsail/records.py
+++ b/src/persimmonsail/records.py
@@ -38,6 +38,22 @@
     kind: t.Literal['opened'] = 'opened'
 
 
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """An entry's process, and where it answers."""
+
+    id: str
+    control: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Members:
+    """The entries that the holder asks for consent in an outage."""
+
+    entries: tuple[Member, ...]
+    kind: t.Literal['members'] = 'members'
+
+
 @dataclasses.dataclass(frozen=True)
 class Submitted:
     """A caller's task was accepted."""
@@ -52,11 +68,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Claimed:
-    """An attempt may run on one instance from now on."""
+    """An attempt may run on one instance from now on.
+
+    ``boot`` is the worker's process there. Once another one has taken
+    its place, the attempt's absence no longer shows that it never ran.
+    """
 
     task: str
     attempt: int
     instance: str
+    boot: str = ''
     kind: t.Literal['claimed'] = 'claimed'
 
 
@@ -85,18 +106,34 @@
 
 @dataclasses.dataclass(frozen=True)
 class Finished:
-    """The task's one final outcome."""
+    """The task's one final outcome; ``at`` is seconds since the epoch."""
 
     task: str
     attempt: int
     phase: TaskPhase
     answer: str = ''
     reason: str = ''
+    at: float = 0.0
     kind: t.Literal['finished'] = 'finished'
 
 
+@dataclasses.dataclass(frozen=True)
+class Retired:
+    """Finished tasks that the table no longer keeps."""
+
+    tasks: tuple[str, ...]
+    kind: t.Literal['retired'] = 'retired'
+
+
 Record = t.Annotated[
-    Opened | Submitted | Claimed | Released | CancelAsked | Finished,
+    Opened
+    | Members
+    | Submitted
+    | Claimed
+    | Released
+    | CancelAsked
+    | Finished
+    | Retired,
     pydantic.Field(discriminator='kind'),
 ]
 
@@ -116,6 +153,14 @@
     records: tuple[Record, ...]
 
 
+def list_tasks(record: Record) -> tuple[str, ...]:
+    """Return the tasks that a record speaks of."""
+    if isinstance(record, Retired):
+        return record.tasks
+    task = getattr(record, 'task', '')
+    return (task,) if task else ()
+
+
 BATCH = pydantic.TypeAdapter(Batch)
 
 
--- a/src/persimmonsail/settings.py
+++ b/src/persimmonsail/settings.py
@@ -10,6 +10,7 @@
 _ADDRESS_PATTERN = r'^[0-9A-Za-z.\-\[\]:]+:\d{1,5}$'
 Address = t.Annotated[str, pydantic.Field(pattern=_ADDRESS_PATTERN)]
 Name = t.Annotated[str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9.-]*$')]
+LongSeconds = t.Annotated[float, pydantic.Field(gt=0, le=30 * 86400)]
 Seconds = t.Annotated[float, pydantic.Field(gt=0, le=3600)]
 
 
@@ -60,6 +61,8 @@
     partitions: t.Annotated[int, pydantic.Field(ge=1, le=256)] = 8
     partition_lease: Seconds = 6.0
     task_lease: Seconds = 6.0
+    outage_limit: Seconds = 3600.0
+    retention: LongSeconds = 86400.0
     commit_interval: Seconds = 0.1
     freshness: Seconds = 3.0
     catalogue_poll: Seconds = 2.0
--- a/src/persimmonsail/supervisor.py
+++ b/src/persimmonsail/supervisor.py
@@ -1,5 +1,6 @@
 """Tasks on one instance: their admission, leases and ends."""
 
+import time
 import typing as t
 
 import anyio
@@ -13,6 +14,7 @@
 
 _WORKER_RETRY = 0.2
 _BUSY_RETRY_AFTER = 0.1
+_SETTLED_KEPT = 60.0
 _PHASES = {
     'active': control_pb2.ACTIVE,
     'succeeded': control_pb2.SUCCEEDED,
@@ -20,10 +22,18 @@
     'evicted': control_pb2.EVICTED,
     'stopped': control_pb2.STOPPED,
 }
+_WORKER_REFUSED = (exceptions.StaleIncarnation, exceptions.StaleEpoch)
 
 
 class Supervisor:
-    """Starts, renews and stops attempts at tasks on the worker."""
+    """Starts, renews and stops attempts at tasks on the worker.
+
+    A reply carries a ticket: this process's monotonic time. A later
+    request is granted until its ticket plus the lease, whenever it
+    arrives. Otherwise a holder that is frozen between the check of its
+    own lease and its send would extend, on waking, a lease that the
+    next holder has waited out.
+    """
 
     def __init__(
         self, own: instance_module.OwnInstance, worker: workers.Worker
@@ -31,7 +41,10 @@
         self._own = own
         self._worker = worker
         self._epochs: dict[int, int] = {}
-        self._barred: set[tuple[str, int]] = set()
+        self._bars: dict[workers.Attempt, float] = {}
+        self._unsettled: set[str] = set()
+        self._settled_at: dict[str, float] = {}
+        self._rebuilding = anyio.Lock()
 
     async def rebuild(self) -> None:
         """Take the worker over and recommit what it runs.
@@ -42,28 +55,27 @@
         """
         while True:
             try:
-                view = await self._worker.take_over(self._own.incarnation)
-                break
+                await self._take_over()
+                return
             except exceptions.WorkerUnavailable as error:
                 logs.write_warning('worker-unavailable', error=error)
                 await anyio.sleep(_WORKER_RETRY)
-        capacity = admission.Size(
-            view.cores, view.memory_gb, view.accelerators
-        )
-        self._own.commitments = admission.Commitments(capacity)
-        for task in view.tasks:
-            if task.phase == 'active':
-                size = admission.Size(
-                    task.cores, task.memory_gb, task.accelerators
-                )
-                self._own.commitments.try_commit(f'task/{task.task}', size)
 
     async def start(
         self, request: control_pb2.StartTaskRequest
     ) -> control_pb2.StartTaskReply:
         """Start one attempt at a task on the worker."""
+        reply = await self._start(request)
+        reply.ticket = time.monotonic()
+        reply.boot = self._worker.boot
+        reply.incarnation = self._own.incarnation
+        return reply
+
+    async def _start(
+        self, request: control_pb2.StartTaskRequest
+    ) -> control_pb2.StartTaskReply:
         reason = self._find_refusal(request)
-        holder = f'task/{request.task}'
+        holder = _name_commitment(request.task, request.attempt)
         size = admission.read_size(request.size)
         limit = admission.leave_headroom(self._own.commitments.capacity)
         if not reason and not self._own.commitments.try_commit(
@@ -71,38 +83,81 @@
         ):
             reason = 'no capacity'
         if reason:
-            self._barred.add((request.task, request.attempt))
-            return control_pb2.StartTaskReply(
-                verdict=control_pb2.NOT_RUN,
-                reason=reason,
-                retry_after_seconds=_BUSY_RETRY_AFTER,
-            )
+            self._bar((request.task, request.attempt), request.lease_seconds)
+            return _refuse_start(reason)
+        self._unsettled.add(holder)
+        reply = await self._send_start(request, holder)
+        if reply.verdict != control_pb2.UNKNOWN:
+            self._settle(holder)
+        return reply
+
+    def _settle(self, holder: str) -> None:
+        self._unsettled.discard(holder)
+        self._settled_at[holder] = time.monotonic()
+
+    async def _send_start(
+        self, request: control_pb2.StartTaskRequest, holder: str
+    ) -> control_pb2.StartTaskReply:
+        until = request.ticket + request.lease_seconds
         try:
-            await self._worker.start(self._describe_start(request))
-        except exceptions.StaleIncarnation as error:
+            await self._worker.start(self._describe_start(request), until)
+        except (*_WORKER_REFUSED, exceptions.AttemptRefused) as error:
             self._own.commitments.release(holder)
-            return control_pb2.StartTaskReply(
-                verdict=control_pb2.NOT_RUN, reason=str(error)
-            )
+            self._bar((request.task, request.attempt), request.lease_seconds)
+            return _refuse_start(str(error))
         except exceptions.WorkerUnavailable as error:
             return control_pb2.StartTaskReply(
                 verdict=control_pb2.UNKNOWN, reason=str(error)
             )
+        self._log_grant(request, until, [(request.task, request.attempt)])
         return control_pb2.StartTaskReply(verdict=control_pb2.RUNNING)
 
     def _find_refusal(self, request: control_pb2.StartTaskRequest) -> str:
         if request.incarnation != self._own.incarnation:
             return 'other incarnation'
-        if request.epoch < self._epochs.get(request.partition, 0):
+        if not self._accept_epoch(request.partition, request.epoch):
             return 'a later epoch is known'
-        self._epochs[request.partition] = request.epoch
+        if not self._is_granted(request):
+            return 'the lease is over'
+        if request.boot != self._worker.boot:
+            return 'the worker was restarted'
         if request.revision < self._own.revision:
             return 'stale revision'
         self._own.note_revision(request.revision)
-        if (request.task, request.attempt) in self._barred:
+        if (request.task, request.attempt) in self._bars:
             return 'barred'
         return 'leaving' if self._own.leaving else ''
 
+    def _accept_epoch(self, partition: int, epoch: int) -> bool:
+        """Refuse a holder that another one has followed.
+
+        It may have been frozen while its partition was taken over; on
+        waking it would command tasks that its follower has moved.
+        """
+        highest = self._epochs.get(partition, 0)
+        if epoch < highest:
+            logs.write_event(
+                'epoch-refused',
+                partition=partition,
+                epoch=epoch,
+                highest=highest,
+            )
+            return False
+        self._epochs[partition] = epoch
+        return True
+
+    def _is_granted(self, request: t.Any) -> bool:
+        now = time.monotonic()
+        return request.ticket <= now < request.ticket + request.lease_seconds
+
+    def _bar(self, key: workers.Attempt, lease_seconds: float) -> None:
+        # A start sent before this moment is valid for a lease at most;
+        # after that its ticket alone gets it refused.
+        now = time.monotonic()
+        self._bars[key] = now + lease_seconds
+        for old in [key for key, end in self._bars.items() if end < now]:
+            del self._bars[old]
+
     def _describe_start(
         self, request: control_pb2.StartTaskRequest
     ) -> dict[str, t.Any]:
@@ -111,11 +166,11 @@
             'task': request.task,
             'attempt': request.attempt,
             'partition': request.partition,
+            'epoch': request.epoch,
             'workload': request.workload,
             'cores': request.size.cores,
             'memory_gb': request.size.memory_gb,
             'accelerators': request.size.accelerators,
-            'lease_seconds': request.lease_seconds,
             'payload': request.payload.decode(),
             'checkpoint': request.checkpoint,
         }
@@ -125,64 +180,193 @@
     ) -> control_pb2.RenewReply:
         """Extend a partition's leases and tell how its tasks stand."""
         reply = control_pb2.RenewReply(incarnation=self._own.incarnation)
-        if request.epoch < self._epochs.get(request.partition, 0):
-            reply.reason = 'a later epoch is known'
-            return reply
-        self._epochs[request.partition] = request.epoch
+        reply.reason = await self._renew(request, reply)
+        reply.accepted = not reply.reason
+        reply.ticket = time.monotonic()
+        return reply
+
+    async def _renew(
+        self, request: control_pb2.RenewRequest, reply: control_pb2.RenewReply
+    ) -> str:
+        if not self._accept_epoch(request.partition, request.epoch):
+            return 'a later epoch is known'
+        reply.boot = self._worker.boot
+        if request.incarnation != self._own.incarnation:
+            return 'other incarnation'
         wanted = [(ref.task, ref.attempt) for ref in request.tasks]
+        asked_at = time.monotonic()
         try:
-            view = await self._worker.renew(
-                self._own.incarnation, wanted, request.lease_seconds
+            view = await self._renew_worker(request, wanted)
+        except (exceptions.WorkerUnavailable, *_WORKER_REFUSED) as error:
+            return str(error)
+        if wanted and self._is_granted(request):
+            until = request.ticket + request.lease_seconds
+            self._log_grant(request, until, wanted)
+        reply.boot = view.boot
+        for key in wanted:
+            self._settle_asked(_name_commitment(*key))
+        self._reconcile(view, asked_at)
+        self._describe_states(request, wanted, view, reply)
+        return ''
+
+    async def _renew_worker(
+        self, request: control_pb2.RenewRequest, wanted: list[workers.Attempt]
+    ) -> workers.WorkerView:
+        ended = tuple((ref.task, ref.attempt) for ref in request.acknowledged)
+        for key in ended:
+            self._bar(key, request.lease_seconds)
+        renewal = workers.Renewal(
+            incarnation=self._own.incarnation,
+            partition=request.partition,
+            epoch=request.epoch,
+            tasks=tuple(wanted),
+            until=request.ticket + request.lease_seconds,
+            lease_seconds=request.lease_seconds,
+            acknowledged=ended,
+        )
+        try:
+            return await self._worker.renew(renewal)
+        except exceptions.StaleIncarnation:
+            if self._worker.incarnation:
+                raise
+        # No sidecar has taken this worker over: it was restarted.
+        await self._take_over()
+        return await self._worker.renew(renewal)
+
+    async def _take_over(self) -> None:
+        asked_at = time.monotonic()
+        async with self._rebuilding:
+            view = await self._worker.take_over(
+                self._own.incarnation, self._epochs
             )
-        except (
-            exceptions.WorkerUnavailable,
-            exceptions.StaleIncarnation,
-        ) as error:
-            reply.reason = str(error)
-            return reply
-        reply.accepted = True
+        self._epochs.update(view.epochs)
+        capacity = admission.Size(
+            view.cores, view.memory_gb, view.accelerators
+        )
+        self._own.commitments.capacity = capacity
+        self._reconcile(view, asked_at)
+        logs.write_event(
+            'worker-taken-over',
+            incarnation=self._own.incarnation,
+            boot=view.boot,
+            tasks=len(view.tasks),
+        )
+
+    def _describe_states(
+        self,
+        request: control_pb2.RenewRequest,
+        wanted: list[workers.Attempt],
+        view: workers.WorkerView,
+        reply: control_pb2.RenewReply,
+    ) -> None:
         found = {(task.task, task.attempt): task for task in view.tasks}
         for key in wanted:
-            reply.states.append(self._describe_state(key, found.get(key)))
-        return reply
+            if key not in found:
+                self._bar(key, request.lease_seconds)
+            reply.states.append(_describe_state(key, found.get(key)))
+        for key, task in found.items():
+            if key not in wanted and task.partition == request.partition:
+                reply.unasked.append(_describe_state(key, task))
 
-    def _describe_state(
-        self, key: tuple[str, int], task: workers.WorkerTask | None
-    ) -> control_pb2.TaskState:
-        state = control_pb2.TaskState(task=key[0], attempt=key[1])
-        if task is None:
-            # The start may still be on its way; barred, it can't run
-            # after the holder has claimed the task elsewhere.
-            self._barred.add(key)
-            state.phase = control_pb2.ABSENT
-            return state
-        state.phase = _PHASES[task.phase]
-        state.answer = task.answer
-        state.checkpoint = task.checkpoint
-        if task.phase != 'active':
-            self._own.commitments.release(f'task/{task.task}')
-        return state
+    def _settle_asked(self, holder: str) -> None:
+        # The worker has barred an attempt that it was asked about and
+        # did not know; a start still on its way can't take the room.
+        self._unsettled.discard(holder)
+
+    def _reconcile(self, view: workers.WorkerView, asked_at: float) -> None:
+        """Commit what the worker runs and release what has ended.
+
+        A start that was under way when the worker was asked is missing
+        in its answer, and keeps its commitment.
+        """
+        active = {
+            _name_commitment(task.task, task.attempt): task
+            for task in view.tasks
+            if task.phase == 'active'
+        }
+        for name in self._own.commitments.list_holders('task/'):
+            if name in active or name in self._unsettled:
+                continue
+            if self._settled_at.get(name, asked_at) <= asked_at:
+                self._own.commitments.release(name)
+        self._settled_at = {
+            name: at
+            for name, at in self._settled_at.items()
+            if at > asked_at - _SETTLED_KEPT
+        }
+        for name, task in active.items():
+            size = admission.Size(
+                task.cores, task.memory_gb, task.accelerators
+            )
+            self._own.commitments.restore(name, size)
+
+    def _log_grant(
+        self, request: t.Any, until: float, granted: list[workers.Attempt]
+    ) -> None:
+        logs.write_event(
+            'lease-granted',
+            partition=request.partition,
+            epoch=request.epoch,
+            incarnation=self._own.incarnation,
+            ticket=f'{request.ticket:.6f}',
+            until=f'{until:.6f}',
+            now=f'{time.monotonic():.6f}',
+            tasks=','.join(f'{task}:{attempt}' for task, attempt in granted),
+        )
 
     async def stop(
         self, request: control_pb2.StopTaskRequest
     ) -> control_pb2.StopTaskReply:
         """Stop one attempt, with a checkpoint if asked for."""
         reply = control_pb2.StopTaskReply()
-        if request.epoch < self._epochs.get(request.partition, 0):
+        if not self._accept_epoch(request.partition, request.epoch):
             reply.reason = 'a later epoch is known'
             return reply
-        self._barred.add((request.task, request.attempt))
         key = (request.task, request.attempt)
+        self._bar(key, request.lease_seconds)
         try:
             task = await self._worker.stop(
-                self._own.incarnation, *key, request.checkpoint
+                {
+                    'incarnation': self._own.incarnation,
+                    'task': request.task,
+                    'attempt': request.attempt,
+                    'partition': request.partition,
+                    'epoch': request.epoch,
+                    'checkpoint': request.checkpoint,
+                    'lease_seconds': request.lease_seconds,
+                }
             )
-        except (
-            exceptions.WorkerUnavailable,
-            exceptions.StaleIncarnation,
-        ) as error:
+        except (exceptions.WorkerUnavailable, *_WORKER_REFUSED) as error:
             reply.reason = str(error)
             return reply
+        if task is None or task.phase != 'active':
+            self._own.commitments.release(_name_commitment(*key))
         reply.accepted = True
-        reply.state.CopyFrom(self._describe_state(key, task))
+        reply.boot = self._worker.boot
+        reply.state.CopyFrom(_describe_state(key, task))
         return reply
+
+
+def _name_commitment(task: str, attempt: int) -> str:
+    return f'task/{task}/{attempt}'
+
+
+def _refuse_start(reason: str) -> control_pb2.StartTaskReply:
+    return control_pb2.StartTaskReply(
+        verdict=control_pb2.NOT_RUN,
+        reason=reason,
+        retry_after_seconds=_BUSY_RETRY_AFTER,
+    )
+
+
+def _describe_state(
+    key: workers.Attempt, task: workers.WorkerTask | None
+) -> control_pb2.TaskState:
+    state = control_pb2.TaskState(task=key[0], attempt=key[1])
+    if task is None:
+        state.phase = control_pb2.ABSENT
+        return state
+    state.phase = _PHASES[task.phase]
+    state.answer = task.answer
+    state.checkpoint = task.checkpoint
+    return state
--- a/src/persimmonsail/tasks.py
+++ b/src/persimmonsail/tasks.py
@@ -1,21 +1,25 @@
 """A partition's tasks, as its ledger's records add up to them."""
 
+import base64
 import dataclasses
 import functools
 import typing as t
+import zlib
 
 import pydantic
 
 from persimmonsail import exceptions
 from persimmonsail import records
 
+FAILED = 'failed'
+
 
 @dataclasses.dataclass
 class Task:
     """One accepted task and its latest attempt.
 
-    ``may_have_run`` is true once an attempt was claimed and not proved
-    not to have run; ``checkpoint`` is what a next attempt resumes from.
+    ``checkpoint`` is what a next attempt resumes from; ``boot`` is the
+    worker's process that the latest attempt was claimed for.
     """
 
     id: str
@@ -26,11 +30,14 @@
     phase: records.TaskPhase = records.TaskPhase.PENDING
     attempt: int = 0
     instance: str = ''
+    boot: str = ''
     checkpoint: str = ''
     answer: str = ''
     reason: str = ''
     cancel_asked: bool = False
     evictions: int = 0
+    failures: int = 0
+    finished_at: float = 0.0
 
     @property
     def is_final(self) -> bool:
@@ -44,6 +51,7 @@
 
     epoch: int = 0
     holder: str = ''
+    members: tuple[records.Member, ...] = ()
     tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
 
     def apply(self, record: records.Record) -> None:
@@ -56,6 +64,26 @@
         """
         _apply(record, self)
 
+    def find_problems(self, items: t.Sequence[records.Record]) -> list[str]:
+        """Apply records to a copy, and say what is wrong with each.
+
+        Returns
+        -------
+        list of str
+            For each record why it does not fit; empty if it does. A
+            record that does not fit is left out for those after it.
+        """
+        names = {name for item in items for name in records.list_tasks(item)}
+        copy = dataclasses.replace(
+            self,
+            tasks={
+                name: dataclasses.replace(self.tasks[name])
+                for name in names
+                if name in self.tasks
+            },
+        )
+        return [_find_problem(copy, item) for item in items]
+
     def find(self, task: str) -> Task:
         """Return a task that a record speaks of."""
         if task not in self.tasks:
@@ -66,6 +94,24 @@
 TABLE = pydantic.TypeAdapter(Table)
 
 
+def dump_table(table: Table) -> str:
+    """Return a table as compressed text, for a value of the store."""
+    return base64.b64encode(zlib.compress(TABLE.dump_json(table))).decode()
+
+
+def load_table(text: str) -> Table:
+    """Read a table that ``dump_table`` wrote."""
+    return TABLE.validate_json(zlib.decompress(base64.b64decode(text)))
+
+
+def _find_problem(table: Table, record: records.Record) -> str:
+    try:
+        table.apply(record)
+    except exceptions.LedgerCorrupt as error:
+        return str(error)
+    return ''
+
+
 @functools.singledispatch
 def _apply(record: t.Any, table: Table) -> None:
     raise exceptions.LedgerCorrupt(f'unknown record {record!r}')
@@ -79,6 +125,11 @@
     table.holder = record.holder
 
 
+@_apply.register
+def _(record: records.Members, table: Table) -> None:
+    table.members = record.entries
+
+
 @_apply.register
 def _(record: records.Submitted, table: Table) -> None:
     if record.task in table.tasks:
@@ -102,6 +153,7 @@
     task.phase = records.TaskPhase.CLAIMED
     task.attempt = record.attempt
     task.instance = record.instance
+    task.boot = record.boot
 
 
 @_apply.register
@@ -110,6 +162,8 @@
     task.phase = records.TaskPhase.PENDING
     task.instance = ''
     task.reason = record.reason
+    if record.reason == FAILED:
+        task.failures += 1
     if record.checkpoint:
         task.checkpoint = record.checkpoint
         task.evictions += 1
@@ -128,6 +182,18 @@
     task.phase = record.phase
     task.answer = record.answer
     task.reason = record.reason
+    task.finished_at = record.at
+    task.payload = ''
+    task.checkpoint = ''
+
+
+@_apply.register
+def _(record: records.Retired, table: Table) -> None:
+    for name in record.tasks:
+        if not table.find(name).is_final:
+            raise exceptions.LedgerCorrupt(f'{name} is not finished')
+    for name in record.tasks:
+        table.tasks.pop(name, None)
 
 
 def _find_attempt(table: Table, name: str, attempt: int) -> Task:
--- a/src/persimmonsail/workers.py
+++ b/src/persimmonsail/workers.py
@@ -1,12 +1,20 @@
 """The sidecar's client of the worker on its own instance."""
 
 import dataclasses
+import time
 import typing as t
 
 import httpx
 
 from persimmonsail import exceptions
 
+_REFUSALS = {
+    'incarnation': exceptions.StaleIncarnation,
+    'epoch': exceptions.StaleEpoch,
+    'attempt': exceptions.AttemptRefused,
+}
+Attempt = tuple[str, int]
+
 
 @dataclasses.dataclass(frozen=True)
 class WorkerTask:
@@ -29,27 +37,61 @@
 
 @dataclasses.dataclass(frozen=True)
 class WorkerView:
-    """A worker's capacity and all attempts it knows."""
+    """A worker's capacity and all attempts it knows.
+
+    ``boot`` names the worker's process: another one has lost whatever
+    its predecessor ran. ``epochs`` are the highest by partition.
+    """
 
     boot: str
     cores: float
     memory_gb: float
     accelerators: int
     tasks: tuple[WorkerTask, ...]
+    epochs: dict[int, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class Renewal:
+    """What one call extends, bars and acknowledges.
+
+    ``until`` is on this process's monotonic clock; ``lease_seconds`` is
+    how long a start that was sent before may still be valid.
+    """
+
+    incarnation: str
+    partition: int
+    epoch: int
+    tasks: tuple[Attempt, ...]
+    until: float
+    lease_seconds: float
+    acknowledged: tuple[Attempt, ...] = ()
 
 
 class Worker:
     """Use inside ``async with``; every call may raise.
 
+    A lease ends at a point on the worker's own clock. That of another
+    clock is converted with the time in the worker's last answer, as if
+    the answer had taken no time: the result is early, never late. A
+    call that is delayed on its way can therefore not extend a lease.
+
     Raises
     ------
     persimmonsail.exceptions.WorkerUnavailable
         If the worker gave no answer; a start may have taken effect.
     persimmonsail.exceptions.StaleIncarnation
         If a newer sidecar has taken this worker over.
+    persimmonsail.exceptions.StaleEpoch
+        If the worker has obeyed a later epoch of the partition.
+    persimmonsail.exceptions.AttemptRefused
+        If the attempt is barred, not new, or its lease is over.
     """
 
     def __init__(self, address: str, timeout: float) -> None:
+        self.boot = ''
+        self.incarnation = ''
+        self._offset = 0.0
         self._client = httpx.AsyncClient(
             base_url=f'http://{address}', timeout=timeout, trust_env=False
         )
@@ -60,43 +102,39 @@
     async def __aexit__(self, *exc_info: object) -> None:
         await self._client.aclose()
 
-    async def take_over(self, incarnation: str) -> WorkerView:
-        """Make this incarnation the only one the worker obeys."""
-        return _read_view(
-            await self._call('takeover', {'incarnation': incarnation})
-        )
-
-    async def start(self, body: dict[str, t.Any]) -> None:
-        """Start an attempt under a lease."""
-        await self._call('start', body)
-
-    async def renew(
-        self,
-        incarnation: str,
-        tasks: list[tuple[str, int]],
-        lease_seconds: float,
+    async def take_over(
+        self, incarnation: str, epochs: dict[int, int]
     ) -> WorkerView:
-        """Extend the leases of attempts, and return all the worker has."""
+        """Make this incarnation the only one the worker obeys."""
         body = {
             'incarnation': incarnation,
-            'tasks': tasks,
-            'lease_seconds': lease_seconds,
+            'epochs': {str(key): epoch for key, epoch in epochs.items()},
         }
+        return _read_view(await self._call('takeover', body))
+
+    async def start(self, body: dict[str, t.Any], until: float) -> None:
+        """Start an attempt under a lease."""
+        await self._call('start', {**body, 'until': self._convert(until)})
+
+    async def renew(self, renewal: Renewal) -> WorkerView:
+        """Extend the leases of attempts, and return all the worker has.
+
+        Attempts that the worker does not know are barred by it: a start
+        delayed on the way would otherwise run after it was reported as
+        not run.
+        """
+        body = dataclasses.asdict(renewal)
+        body['until'] = self._convert(renewal.until)
         return _read_view(await self._call('renew', body))
 
-    async def stop(
-        self, incarnation: str, task: str, attempt: int, checkpoint: bool
-    ) -> WorkerTask | None:
+    async def stop(self, body: dict[str, t.Any]) -> WorkerTask | None:
         """Stop an attempt and return how it ended."""
-        body = {
-            'incarnation': incarnation,
-            'task': task,
-            'attempt': attempt,
-            'checkpoint': checkpoint,
-        }
         found = (await self._call('stop', body))['task']
         return WorkerTask(**found) if found else None
 
+    def _convert(self, moment: float) -> float:
+        return moment + self._offset
+
     async def _call(
         self, name: str, body: dict[str, t.Any]
     ) -> dict[str, t.Any]:
@@ -107,18 +145,27 @@
                 f'{name}: {type(error).__name__}'
             ) from error
         if answer.status_code == httpx.codes.CONFLICT:
-            raise exceptions.StaleIncarnation(answer.json()['reason'])
+            refusal = answer.json()
+            self._note(refusal)
+            raise _REFUSALS[refusal['kind']](refusal['reason'])
         if answer.status_code != httpx.codes.OK:
             raise exceptions.WorkerUnavailable(f'{name}: {answer.text}')
-        return answer.json()
+        found = answer.json()
+        self._note(found)
+        return found
+
+    def _note(self, answer: dict[str, t.Any]) -> None:
+        self.boot = answer['boot']
+        self.incarnation = answer['incarnation']
+        self._offset = answer['now'] - time.monotonic()
 
 
 def _read_view(body: dict[str, t.Any]) -> WorkerView:
-    tasks = tuple(WorkerTask(**task) for task in body['tasks'])
     return WorkerView(
         body['boot'],
         body['cores'],
         body['memory_gb'],
         body['accelerators'],
-        tasks,
+        tuple(WorkerTask(**task) for task in body['tasks']),
+        {int(key): epoch for key, epoch in body['epochs'].items()},
     )
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -2,7 +2,14 @@
 
 Runs tasks under leases: a task whose lease lapses is stopped by the
 worker itself, with a checkpoint. ``GET /record`` returns every start
-and end that the worker has seen; tests hold promises against it.
+and end that the worker has seen; tests hold promises against it. Its
+``at`` is when the worker saw the event, ``until`` when the lease ended:
+nothing is done for a task after that, also if the worker was frozen.
+``POST /evict`` ends a task with a checkpoint, as for lack of room.
+
+A start that was asked about before it arrived is barred, for as long
+as it could still be valid. Ended attempts are kept until the holder has
+acknowledged them.
 
 A payload is JSON: ``seconds`` that the task runs (absent: until it is
 stopped), ``fail`` for a task that always fails.
@@ -42,6 +49,7 @@
     phase: str = 'active'
     answer: str = ''
     checkpoint: str = ''
+    resumed: str = ''
 
     def describe(self) -> dict:
         """Return the interface's form."""
@@ -68,6 +76,8 @@
         self._runs: dict[str, Run] = {}
         self._record: list[dict] = []
         self._broken = False
+        self._epochs: dict[int, int] = {}
+        self._bars: dict[tuple[str, int], float] = {}
         self.app = applications.Starlette(
             routes=[
                 routing.Route(
@@ -76,6 +86,7 @@
                 routing.Route('/v1/start', self._start, methods=['POST']),
                 routing.Route('/v1/renew', self._renew, methods=['POST']),
                 routing.Route('/v1/stop', self._stop, methods=['POST']),
+                routing.Route('/evict', self._evict, methods=['POST']),
                 routing.Route('/record', self._show_record),
                 routing.Route('/faults', self._set_faults, methods=['POST']),
             ]
@@ -91,6 +102,9 @@
                 if run.phase == 'active':
                     self._advance(run, now, now - before)
             before = now
+            over = [key for key, until in self._bars.items() if until < now]
+            for key in over:
+                del self._bars[key]
 
     def _advance(self, run: Run, now: float, elapsed: float) -> None:
         if now >= run.deadline:
@@ -116,6 +130,8 @@
             'workload': run.workload,
             'reason': reason,
             'at': time.monotonic(),
+            'until': run.deadline,
+            'resumed': run.resumed,
         }
         self._record.append({'event': event, **fields})
         logs.write_event(f'worker-{event}', **fields)
@@ -123,24 +139,48 @@
     async def _take_over(self, request: requests.Request):
         body = await request.json()
         self._incarnation = body['incarnation']
+        for partition, epoch in body['epochs'].items():
+            self._note_epoch(int(partition), epoch)
         return self._view()
 
-    async def _start(self, request: requests.Request):
-        body = await request.json()
+    def _note_epoch(self, partition: int, epoch: int) -> None:
+        self._epochs[partition] = max(self._epochs.get(partition, 0), epoch)
+
+    def _find_refusal(self, body: dict) -> responses.Response | None:
         if body['incarnation'] != self._incarnation:
-            return _refuse('another sidecar took over')
+            return self._refuse('incarnation', 'another sidecar took over')
+        if body['epoch'] < self._epochs.get(body['partition'], 0):
+            return self._refuse('epoch', 'a later epoch is known')
+        self._note_epoch(body['partition'], body['epoch'])
+        return None
+
+    def _find_start_refusal(self, body: dict) -> str:
+        key = (body['task'], body['attempt'])
+        if key in self._bars:
+            return 'the attempt is barred'
+        if time.monotonic() >= body['until']:
+            return 'the lease is over'
         known = self._runs.get(body['task'])
         if known and known.phase == 'active':
-            return _refuse('the task is running')
+            return 'the task is running'
         if known and known.attempt >= body['attempt']:
-            return _refuse('the attempt is not new')
+            return 'the attempt is not new'
+        return ''
+
+    async def _start(self, request: requests.Request):
+        body = await request.json()
+        refusal = self._find_refusal(body)
+        if refusal:
+            return refusal
+        if reason := self._find_start_refusal(body):
+            return self._refuse('attempt', reason)
         run = self._make_run(body)
         self._runs[run.task] = run
         self._note(run, 'started', 'start')
         if self._broken or run.payload.get('fail'):
             run.answer = 'failed'
             self._end(run, 'failed', 'fault')
-        return responses.JSONResponse({})
+        return self._respond({})
 
     def _make_run(self, body: dict) -> Run:
         payload = json.loads(body['payload'] or '{}')
@@ -156,32 +196,61 @@
             memory_gb=body['memory_gb'],
             accelerators=body['accelerators'],
             payload=payload,
-            deadline=time.monotonic() + body['lease_seconds'],
+            deadline=body['until'],
             remaining=remaining,
+            resumed=body['checkpoint'],
         )
 
     async def _renew(self, request: requests.Request):
         body = await request.json()
-        if body['incarnation'] != self._incarnation:
-            return _refuse('another sidecar took over')
-        deadline = time.monotonic() + body['lease_seconds']
+        refusal = self._find_refusal(body)
+        if refusal:
+            return refusal
+        self._drop_acknowledged(body['acknowledged'])
+        bar_until = time.monotonic() + body['lease_seconds']
         for task, attempt in body['tasks']:
             run = self._runs.get(task)
-            if run and run.attempt == attempt and run.phase == 'active':
-                run.deadline = deadline
+            if run is None or run.attempt != attempt:
+                self._bars[task, attempt] = bar_until
+            else:
+                self._extend(run, body['until'])
         return self._view()
 
+    def _extend(self, run: Run, until: float) -> None:
+        # A worker that was frozen may serve this call before it looks
+        # at its tasks; a lease that is over stays over.
+        if run.phase != 'active':
+            return
+        if time.monotonic() >= run.deadline:
+            self._end(run, 'evicted', 'lease lapsed')
+            return
+        run.deadline = max(run.deadline, until)
+
+    def _drop_acknowledged(self, acknowledged: list) -> None:
+        for task, attempt in acknowledged:
+            run = self._runs.get(task)
+            if run and run.attempt == attempt and run.phase != 'active':
+                del self._runs[task]
+
     async def _stop(self, request: requests.Request):
         body = await request.json()
-        if body['incarnation'] != self._incarnation:
-            return _refuse('another sidecar took over')
+        refusal = self._find_refusal(body)
+        if refusal:
+            return refusal
         run = self._runs.get(body['task'])
         if run is None or run.attempt != body['attempt']:
-            return responses.JSONResponse({'task': None})
+            bar_until = time.monotonic() + body['lease_seconds']
+            self._bars[body['task'], body['attempt']] = bar_until
+            return self._respond({'task': None})
         if run.phase == 'active':
             phase = 'evicted' if body['checkpoint'] else 'stopped'
             self._end(run, phase, 'asked')
-        return responses.JSONResponse({'task': run.describe()})
+        return self._respond({'task': run.describe()})
+
+    async def _evict(self, request: requests.Request):
+        run = self._runs[(await request.json())['task']]
+        self._end(run, 'evicted', 'room needed')
+        return self._respond({})
 
     async def _show_record(self, request: requests.Request):
         return responses.JSONResponse(self._record)
@@ -192,13 +261,23 @@
 
     def _view(self) -> responses.Response:
         tasks = [run.describe() for run in self._runs.values()]
-        return responses.JSONResponse(
-            {'boot': self.boot, **self._capacity, 'tasks': tasks}
-        )
+        epochs = {str(key): epoch for key, epoch in self._epochs.items()}
+        body = {**self._capacity, 'tasks': tasks, 'epochs': epochs}
+        return self._respond(body)
 
+    def _refuse(self, kind: str, reason: str) -> responses.Response:
+        body = {'kind': kind, 'reason': reason}
+        return self._respond(body, status_code=409)
 
-def _refuse(reason: str) -> responses.Response:
-    return responses.JSONResponse({'reason': reason}, status_code=409)
+    def _respond(
+        self, body: dict, status_code: int = 200
+    ) -> responses.Response:
+        common = {
+            'boot': self.boot,
+            'incarnation': self._incarnation,
+            'now': time.monotonic(),
+        }
+        return responses.JSONResponse({**common, **body}, status_code)
 
 
 def main() -> None:
