--- a/src/persimmonsail/cancels.py
+++ b/src/persimmonsail/cancels.py
@@ -3,14 +3,11 @@
 import anyio
 import anyio.abc
 
-from persimmonsail import consents
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import endings as endings_module
 from persimmonsail import exceptions
-from persimmonsail import fleet as fleet_module
-from persimmonsail import ledger as ledger_module
-from persimmonsail import links as links_module
+from persimmonsail import holding as holding_module
 from persimmonsail import records
 from persimmonsail import tasks
 
@@ -24,42 +21,32 @@
 
     def __init__(
         self,
-        ledger: ledger_module.Ledger,
-        fleet: fleet_module.Fleet,
-        links: links_module.Links,
-        authority: consents.Authority,
-        owned: endings_module.Owned,
+        holding: holding_module.Holding,
         endings: endings_module.Endings,
-        lease_seconds: float,
     ) -> None:
-        self._ledger = ledger
-        self._fleet = fleet
-        self._links = links
-        self._authority = authority
-        self._owned = owned
+        self._holding = holding
         self._endings = endings
-        self._lease_seconds = lease_seconds
         self._limiter = anyio.Semaphore(_CONCURRENT)
 
     async def run(self) -> None:
         """End cancelled tasks until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
-                if self._authority.lease_is_valid:
+                if self._holding.authority.lease_is_valid:
                     self._end_asked(group)
                 await anyio.sleep(_PERIOD)
 
     def _end_asked(self, group: anyio.abc.TaskGroup) -> None:
-        for task in list(self._ledger.table.tasks.values()):
+        for task in list(self._holding.table.tasks.values()):
             if not task.cancel_asked or task.is_final:
                 continue
-            if task.id not in self._owned:
+            if task.id not in self._holding.owned:
                 group.start_soon(self._end, task)
 
     async def _end(self, task: tasks.Task) -> None:
-        if task.id in self._owned or task.is_final:
+        if task.id in self._holding.owned or task.is_final:
             return
-        with self._owned.own(task.id):
+        with self._holding.owned.own(task.id):
             if task.phase is records.TaskPhase.PENDING:
                 await self._finish(task)
             else:
@@ -67,18 +54,18 @@
                     await self._stop(task)
 
     async def _stop(self, task: tasks.Task) -> None:
-        instance = self._fleet.find(task.instance)
+        instance = self._holding.fleet.find(task.instance)
         if instance is None:
             return
         request = control_pb2.StopTaskRequest(
             task=task.id,
             attempt=task.attempt,
-            partition=self._ledger.partition,
-            epoch=self._ledger.table.epoch,
-            lease_seconds=self._lease_seconds,
+            partition=self._holding.partition,
+            epoch=self._holding.epoch,
+            lease_seconds=self._holding.lease_seconds,
         )
         try:
-            reply = await self._links.call(
+            reply = await self._holding.links.call(
                 instance.address,
                 control_grpc.SidecarStub,
                 'StopTask',
--- a/src/persimmonsail/dispatch.py
+++ b/src/persimmonsail/dispatch.py
@@ -5,21 +5,17 @@
 
 from persimmonsail import admission
 from persimmonsail import catalogue
-from persimmonsail import commits as commits_module
-from persimmonsail import consents
 from persimmonsail import contacts as contacts_module
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import endings as endings_module
 from persimmonsail import exceptions
 from persimmonsail import fleet as fleet_module
-from persimmonsail import ledger as ledger_module
-from persimmonsail import links as links_module
+from persimmonsail import holding as holding_module
 from persimmonsail import logs
 from persimmonsail import placement
 from persimmonsail import records
 from persimmonsail import renewals
-from persimmonsail import revisions
 from persimmonsail import tasks
 
 _START_TIMEOUT = 2.0
@@ -31,35 +27,19 @@
 
     def __init__(
         self,
-        ledger: ledger_module.Ledger,
-        committer: commits_module.Committer,
-        fleet: fleet_module.Fleet,
-        links: links_module.Links,
-        view: revisions.View,
-        contacts: contacts_module.Contacts,
-        authority: consents.Authority,
-        owned: endings_module.Owned,
+        holding: holding_module.Holding,
         endings: endings_module.Endings,
         renewer: renewals.Renewer,
-        lease_seconds: float,
     ) -> None:
-        self._ledger = ledger
-        self._committer = committer
-        self._fleet = fleet
-        self._links = links
-        self._view = view
-        self._contacts = contacts
-        self._authority = authority
-        self._owned = owned
+        self._holding = holding
         self._endings = endings
         self._renewer = renewer
-        self._lease_seconds = lease_seconds
 
     async def run(self) -> None:
         """Place tasks until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
-                if self._authority.lease_is_valid:
+                if self._holding.authority.lease_is_valid:
                     self._place_pending(group)
                 await anyio.sleep(_PERIOD)
 
@@ -68,16 +48,18 @@
     ) -> fleet_module.Instance | None:
         """Return the instance for a task's next attempt, if any."""
         return placement.choose_instance(
-            self._fleet.list_live(), _read_size(workload)
+            self._holding.fleet.list_live(), _read_size(workload)
         )
 
     def _place_pending(self, group: anyio.abc.TaskGroup) -> None:
-        for task in list(self._ledger.table.tasks.values()):
+        for task in list(self._holding.table.tasks.values()):
             if task.phase is not records.TaskPhase.PENDING:
                 continue
-            if task.cancel_asked or task.id in self._owned:
+            if task.cancel_asked or task.id in self._holding.owned:
                 continue
-            workload = self._view.catalogue.workloads.get(task.workload)
+            workload = self._holding.view.catalogue.workloads.get(
+                task.workload
+            )
             if workload is None:
                 continue
             chosen = self.choose(task, workload)
@@ -91,9 +73,9 @@
         workload: catalogue.Workload,
         chosen: fleet_module.Instance,
     ) -> None:
-        if task.id in self._owned:
+        if task.id in self._holding.owned:
             return
-        with self._owned.own(task.id):
+        with self._holding.owned.own(task.id):
             contact = await self._renewer.find_contact(chosen)
             if contact is None or not await self._claim(task, chosen, contact):
                 return
@@ -107,7 +89,7 @@
     ) -> bool:
         attempt = task.attempt + 1
         try:
-            await self._committer.commit(
+            await self._holding.committer.commit(
                 records.Claimed(task.id, attempt, chosen.name, contact.boot)
             )
         except exceptions.NotCommitted:
@@ -117,9 +99,9 @@
             task=task.id,
             workload=task.workload,
             attempt=attempt,
-            epoch=self._ledger.table.epoch,
+            epoch=self._holding.epoch,
             chosen=chosen.name,
-            revision=self._view.revision,
+            revision=self._holding.view.revision,
         )
         return True
 
@@ -132,7 +114,7 @@
     ) -> None:
         # The commit may have taken seconds; the ticket is then old.
         contact = await self._renewer.find_contact(chosen)
-        if contact is None or not self._authority.is_valid:
+        if contact is None or not self._holding.authority.is_valid:
             # Nothing was sent, but only this holder knows that: the
             # next renewal bars the attempt before it is released.
             return
@@ -140,22 +122,22 @@
         request = control_pb2.StartTaskRequest(
             task=task.id,
             attempt=attempt,
-            partition=self._ledger.partition,
-            epoch=self._ledger.table.epoch,
+            partition=self._holding.partition,
+            epoch=self._holding.epoch,
             incarnation=contact.incarnation,
-            revision=self._view.revision,
+            revision=self._holding.view.revision,
             workload=task.workload,
             team=task.team,
             workload_class=workload.workload_class,
             size=_read_size(workload).to_message(),
-            lease_seconds=self._lease_seconds,
+            lease_seconds=self._holding.lease_seconds,
             payload=task.payload.encode(),
             checkpoint=task.checkpoint,
             ticket=contact.ticket,
             boot=boot,
         )
         try:
-            reply = await self._links.call(
+            reply = await self._holding.links.call(
                 chosen.address,
                 control_grpc.SidecarStub,
                 'StartTask',
@@ -164,9 +146,9 @@
             )
         except exceptions.LinkLost:
             return
-        self._fleet.note_load(chosen.name, reply.load)
+        self._holding.fleet.note_load(chosen.name, reply.load)
         if reply.verdict != control_pb2.UNKNOWN:
-            self._contacts.note(chosen.name, reply.incarnation, reply)
+            self._holding.contacts.note(chosen.name, reply.incarnation, reply)
         if reply.verdict == control_pb2.NOT_RUN:
             await self._endings.release(task, reply.reason)
 
--- a/src/persimmonsail/endings.py
+++ b/src/persimmonsail/endings.py
@@ -1,42 +1,18 @@
 """What a holder records when an attempt at a task has ended."""
 
-import contextlib
 import time
-import typing as t
 
 from persimmonsail import catalogue
-from persimmonsail import commits as commits_module
 from persimmonsail import control_pb2
 from persimmonsail import exceptions
+from persimmonsail import holding as holding_module
 from persimmonsail import logs
 from persimmonsail import records
-from persimmonsail import revisions
 from persimmonsail import tasks
 
 RESTARTED = 'the worker was restarted'
 
 
-class Owned:
-    """Tasks that some coroutine of the holder is changing."""
-
-    def __init__(self, committer: commits_module.Committer) -> None:
-        self._committer = committer
-        self._names: set[str] = set()
-
-    def __contains__(self, task: str) -> bool:
-        return task in self._names
-
-    @contextlib.contextmanager
-    def own(self, task: str) -> t.Iterator[None]:
-        """Be the only one to change a task while the context is open."""
-        self._names.add(task)
-        try:
-            yield
-        finally:
-            self._names.discard(task)
-            self._committer.announce()
-
-
 class Endings:
     """Commits the end of attempts, and how tasks go on after it.
 
@@ -44,11 +20,8 @@
     unless the attempt left a checkpoint to resume from.
     """
 
-    def __init__(
-        self, committer: commits_module.Committer, view: revisions.View
-    ) -> None:
-        self._committer = committer
-        self._view = view
+    def __init__(self, holding: holding_module.Holding) -> None:
+        self._holding = holding
 
     async def note_state(
         self, task: tasks.Task, state: control_pb2.TaskState, boot: str
@@ -88,7 +61,7 @@
 
     def is_restartable(self, task: tasks.Task) -> bool:
         """Whether a task may start again from its last checkpoint."""
-        workload = self._view.catalogue.workloads.get(task.workload)
+        workload = self._holding.view.catalogue.workloads.get(task.workload)
         return workload is not None and (
             workload.idempotent
             or workload.workload_class is catalogue.WorkloadClass.WATCHER
@@ -132,7 +105,7 @@
         )
 
     async def _note_failure(self, task: tasks.Task, answer: str) -> None:
-        workload = self._view.catalogue.workloads.get(task.workload)
+        workload = self._holding.view.catalogue.workloads.get(task.workload)
         again = (
             workload is not None
             and workload.idempotent
@@ -160,6 +133,6 @@
 
     async def _commit(self, record: records.Record) -> None:
         try:
-            await self._committer.commit(record)
+            await self._holding.committer.commit(record)
         except exceptions.NotCommitted as error:
             logs.write_warning('record-late', reason=error)
--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -15,6 +15,7 @@
 from persimmonsail import endings
 from persimmonsail import exceptions
 from persimmonsail import fleet as fleet_module
+from persimmonsail import holding
 from persimmonsail import ledger as ledger_module
 from persimmonsail import links as links_module
 from persimmonsail import logs
@@ -63,42 +64,22 @@
             lease, links, process_id, *consent_limits
         )
         self._fence = consents.Fence(links, process_id, *consent_limits)
-        self._contacts = contacts.Contacts(limits.task_lease)
-        self._owned = endings.Owned(self._committer)
-        self._endings = endings.Endings(self._committer, view)
-        self._renewer = renewals.Renewer(
-            ledger,
-            fleet,
-            links,
-            self._contacts,
-            self._authority,
-            self._fence,
-            self._owned,
-            self._endings,
-            limits.task_lease,
-        )
-        self._dispatcher = dispatch.Dispatcher(
+        shared = holding.Holding(
             ledger,
             self._committer,
             fleet,
             links,
             view,
-            self._contacts,
+            contacts.Contacts(limits.task_lease),
             self._authority,
-            self._owned,
-            self._endings,
-            self._renewer,
-            limits.task_lease,
-        )
-        self._canceller = cancels.Canceller(
-            ledger,
-            fleet,
-            links,
-            self._authority,
-            self._owned,
-            self._endings,
+            self._fence,
+            holding.Owned(self._committer),
             limits.task_lease,
         )
+        ends = endings.Endings(shared)
+        self._renewer = renewals.Renewer(shared, ends)
+        self._dispatcher = dispatch.Dispatcher(shared, ends, self._renewer)
+        self._canceller = cancels.Canceller(shared, ends)
 
     @property
     def table(self) -> tasks.Table:
--- a/src/persimmonsail/renewals.py
+++ b/src/persimmonsail/renewals.py
@@ -5,15 +5,13 @@
 import anyio
 import anyio.abc
 
-from persimmonsail import consents
 from persimmonsail import contacts as contacts_module
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import endings as endings_module
 from persimmonsail import exceptions
 from persimmonsail import fleet as fleet_module
-from persimmonsail import ledger as ledger_module
-from persimmonsail import links as links_module
+from persimmonsail import holding as holding_module
 from persimmonsail import logs
 from persimmonsail import records
 from persimmonsail import tasks
@@ -30,25 +28,11 @@
 
     def __init__(
         self,
-        ledger: ledger_module.Ledger,
-        fleet: fleet_module.Fleet,
-        links: links_module.Links,
-        contacts: contacts_module.Contacts,
-        authority: consents.Authority,
-        fence: consents.Fence,
-        owned: endings_module.Owned,
+        holding: holding_module.Holding,
         endings: endings_module.Endings,
-        lease_seconds: float,
     ) -> None:
-        self._ledger = ledger
-        self._fleet = fleet
-        self._links = links
-        self._contacts = contacts
-        self._authority = authority
-        self._fence = fence
-        self._owned = owned
+        self._holding = holding
         self._endings = endings
-        self._lease_seconds = lease_seconds
         self._calling: set[str] = set()
         self._lingering: dict[str, list[control_pb2.TaskRef]] = {}
 
@@ -65,16 +49,16 @@
                 for name, claimed in self._list_due().items():
                     if name not in self._calling:
                         group.start_soon(self._follow, name, claimed)
-                await anyio.sleep(self._lease_seconds / 4)
+                await anyio.sleep(self._holding.lease_seconds / 4)
 
     async def find_contact(
         self, instance: fleet_module.Instance
     ) -> contacts_module.Contact | None:
         """Return a contact with a fresh ticket, asking if need be."""
-        contact = self._contacts.find_fresh(instance.name)
+        contact = self._holding.contacts.find_fresh(instance.name)
         if contact is None or contact.incarnation != instance.incarnation:
             await self._call(instance, [])
-            contact = self._contacts.find_fresh(instance.name)
+            contact = self._holding.contacts.find_fresh(instance.name)
         return contact
 
     def _list_due(self) -> dict[str, list[tasks.Task]]:
@@ -86,10 +70,10 @@
         due: dict[str, list[tasks.Task]] = {
             name: [] for name, refs in self._lingering.items() if refs
         }
-        for instance in self._fleet.list_live():
-            if self._contacts.find(instance.name) is None:
+        for instance in self._holding.fleet.list_live():
+            if self._holding.contacts.find(instance.name) is None:
                 due.setdefault(instance.name, [])
-        for task in self._ledger.table.tasks.values():
+        for task in self._holding.table.tasks.values():
             if task.phase is records.TaskPhase.CLAIMED:
                 due.setdefault(task.instance, []).append(task)
         return due
@@ -108,15 +92,15 @@
     async def _renew(
         self, name: str, claimed: list[tasks.Task]
     ) -> control_pb2.RenewReply | None:
-        instance = self._fleet.find(name)
+        instance = self._holding.fleet.find(name)
         if instance is None:
             return None
         refs = [
             control_pb2.TaskRef(task=task.id, attempt=task.attempt)
             for task in claimed
-            if task.id not in self._owned
+            if task.id not in self._holding.owned
         ]
-        contact = self._contacts.find_fresh(name)
+        contact = self._holding.contacts.find_fresh(name)
         if contact is None or contact.incarnation != instance.incarnation:
             # A call with an old ticket would extend nothing.
             await self._call(instance, [])
@@ -127,30 +111,30 @@
         instance: fleet_module.Instance,
         refs: list[control_pb2.TaskRef],
     ) -> control_pb2.RenewReply | None:
-        contact = self._contacts.find(instance.name)
-        if not self._authority.is_valid:
+        contact = self._holding.contacts.find(instance.name)
+        if not self._holding.authority.is_valid:
             logs.write_event(
                 'renew-withheld',
                 instance=instance.name,
-                partition=self._ledger.partition,
+                partition=self._holding.partition,
             )
             return None
         request = control_pb2.RenewRequest(
-            partition=self._ledger.partition,
-            epoch=self._ledger.table.epoch,
+            partition=self._holding.partition,
+            epoch=self._holding.epoch,
             incarnation=self._find_incarnation(instance),
-            lease_seconds=self._lease_seconds,
+            lease_seconds=self._holding.lease_seconds,
             tasks=refs,
             ticket=contact.ticket if contact else 0.0,
             acknowledged=self._lingering.get(instance.name, []),
         )
         try:
-            reply = await self._links.call(
+            reply = await self._holding.links.call(
                 instance.address,
                 control_grpc.SidecarStub,
                 'Renew',
                 request,
-                min(_TIMEOUT, self._lease_seconds / 4),
+                min(_TIMEOUT, self._holding.lease_seconds / 4),
             )
         except exceptions.LinkLost as error:
             logs.write_event(
@@ -171,10 +155,12 @@
             # A sidecar without its worker must not seem in contact: the
             # tasks' leases would count as extended for ever.
             if reply.incarnation != self._find_incarnation(instance):
-                self._contacts.note(instance.name, reply.incarnation, reply)
+                self._holding.contacts.note(
+                    instance.name, reply.incarnation, reply
+                )
             return None
-        self._contacts.note(instance.name, reply.incarnation, reply)
-        self._fleet.note_load(instance.name, reply.load)
+        self._holding.contacts.note(instance.name, reply.incarnation, reply)
+        self._holding.fleet.note_load(instance.name, reply.load)
         self._lingering[instance.name] = [
             control_pb2.TaskRef(task=state.task, attempt=state.attempt)
             for state in reply.unasked
@@ -183,14 +169,14 @@
         return reply
 
     def _find_incarnation(self, instance: fleet_module.Instance) -> str:
-        contact = self._contacts.find(instance.name)
+        contact = self._holding.contacts.find(instance.name)
         return (contact or instance).incarnation
 
     def _is_ended(self, state: control_pb2.TaskState) -> bool:
         """Whether the ledger needs nothing of an attempt any more."""
         if state.phase == control_pb2.ACTIVE:
             return False
-        task = self._ledger.table.tasks.get(state.task)
+        task = self._holding.table.tasks.get(state.task)
         if task is None or task.is_final or task.attempt > state.attempt:
             return True
         return task.phase is records.TaskPhase.PENDING
@@ -207,10 +193,10 @@
     async def _note_state(
         self, name: str, state: control_pb2.TaskState, boot: str
     ) -> None:
-        task = self._ledger.table.tasks.get(state.task)
+        task = self._holding.table.tasks.get(state.task)
         if task is None or not self._is_free(task, state.attempt):
             return
-        with self._owned.own(task.id):
+        with self._holding.owned.own(task.id):
             await self._endings.note_state(task, state, boot)
         # The worker keeps the attempt until it is acknowledged.
         self._lingering.setdefault(name, []).append(
@@ -221,19 +207,19 @@
         return (
             task.phase is records.TaskPhase.CLAIMED
             and task.attempt == attempt
-            and task.id not in self._owned
+            and task.id not in self._holding.owned
         )
 
     async def _reassign_silent(
         self, name: str, claimed: list[tasks.Task]
     ) -> None:
-        others_over_at = self._fence.consents_over_at
-        if not self._authority.lease_is_valid:
+        others_over_at = self._holding.fence.consents_over_at
+        if not self._holding.authority.lease_is_valid:
             return
-        if not self._contacts.is_over(name, others_over_at):
+        if not self._holding.contacts.is_over(name, others_over_at):
             return
-        silence = self._contacts.count_silence(name, others_over_at)
-        patience = _EVIDENCE_LEASES * self._lease_seconds
+        silence = self._holding.contacts.count_silence(name, others_over_at)
+        patience = _EVIDENCE_LEASES * self._holding.lease_seconds
         async with anyio.create_task_group() as group:
             for task in claimed:
                 waits = silence < patience and not (
@@ -252,9 +238,9 @@
             task=task.id,
             attempt=attempt,
             instance=name,
-            epoch=self._ledger.table.epoch,
+            epoch=self._holding.epoch,
             reason='lease over',
             now=f'{time.monotonic():.6f}',
         )
-        with self._owned.own(task.id):
+        with self._holding.owned.own(task.id):
             await self._endings.give_up(task, 'lease over')
