--- a/src/persimmonsail/dispatch.py
+++ b/src/persimmonsail/dispatch.py
@@ -77,13 +77,16 @@
             return
         with self._holding.owned.own(task.id):
             contact = await self._renewer.find_contact(chosen)
-            if contact is None or not await self._claim(task, chosen, contact):
+            if contact is None:
+                return
+            if not await self._claim(task, workload, chosen, contact):
                 return
             await self._send_start(task, workload, chosen, contact.boot)
 
     async def _claim(
         self,
         task: tasks.Task,
+        workload: catalogue.Workload,
         chosen: fleet_module.Instance,
         contact: contacts_module.Contact,
     ) -> bool:
@@ -101,6 +104,10 @@
             attempt=attempt,
             epoch=self._holding.epoch,
             chosen=chosen.name,
+            incarnation=contact.incarnation,
+            workload_class=workload.workload_class,
+            idempotent=workload.idempotent,
+            checkpoint=logs.digest(task.checkpoint.encode()),
             revision=self._holding.view.revision,
         )
         return True
