--- a/src/persimmonsail/commits.py
+++ b/src/persimmonsail/commits.py
@@ -72,7 +72,7 @@
         persimmonsail.exceptions.NotCommitted
             If the record did not fit the table, or was withdrawn before
             it was written: it never takes effect.
-        persimmonsail.exceptions.OutcomeUnknown
+        persimmonsail.exceptions.CommitUnknown
             If the time is over, or the partition lost, while the record
             was being written.
         """
@@ -125,7 +125,7 @@
             self._proposals.remove(proposal)
             proposal.end(exceptions.NotCommitted('the store is slow'))
         else:
-            proposal.end(exceptions.OutcomeUnknown('no answer of the store'))
+            proposal.end(exceptions.CommitUnknown('no answer of the store'))
 
     def _take_group(self) -> list[_Proposal]:
         group: list[_Proposal] = []
@@ -150,7 +150,7 @@
             self._writing = False
             for proposal in fitting:
                 proposal.end(
-                    exceptions.OutcomeUnknown('the partition was lost')
+                    exceptions.CommitUnknown('the partition was lost')
                 )
             self.announce()
         if self._ledger.needs_snapshot():
--- a/src/persimmonsail/consents.py
+++ b/src/persimmonsail/consents.py
@@ -210,7 +210,7 @@
         try:
             reply = await self._links.call(
                 address,
-                control_grpc.EntryStub,
+                control_grpc.HoldersStub,
                 'Consent',
                 request,
                 _CALL_TIMEOUT,
@@ -275,7 +275,7 @@
                 # the one that was listed has ended and can't consent.
                 await self._links.call(
                     member.control,
-                    control_grpc.EntryStub,
+                    control_grpc.HoldersStub,
                     'Fence',
                     request,
                     _CALL_TIMEOUT,
--- a/src/persimmonsail/dispatch.py
+++ b/src/persimmonsail/dispatch.py
@@ -60,7 +60,7 @@
             workload = self._holding.view.catalogue.workloads.get(
                 task.workload
             )
-            if workload is None:
+            if workload is None or not self._holding.view.is_fresh:
                 continue
             chosen = self.choose(task, workload)
             if chosen is not None:
--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -123,7 +123,7 @@
         ------
         persimmonsail.exceptions.NotCommitted
             If the task was not accepted.
-        persimmonsail.exceptions.OutcomeUnknown
+        persimmonsail.exceptions.CommitUnknown
             If it may have been accepted; the same key finds it then.
         """
         found = self.table.tasks.get(request.task)
--- a/src/persimmonsail/supervisor.py
+++ b/src/persimmonsail/supervisor.py
@@ -122,6 +122,8 @@
             return 'the lease is over'
         if request.boot != self._worker.boot:
             return 'the worker was restarted'
+        if reason := self._own.find_staleness():
+            return reason
         if request.revision < self._own.revision:
             return 'stale revision'
         self._own.note_revision(request.revision)
