--- a/src/persimmonsail/runs.py
+++ b/src/persimmonsail/runs.py
@@ -6,6 +6,7 @@
 from persimmonsail import evidence as evidence_module
 
 _REFUSED = 'not-run'
+_RUNNING = 'running'
 _ABSENT = 'absent'
 _NO = 'no'
 _WATCHER = 'watcher'
@@ -27,6 +28,8 @@
         unless it ended before.
     ended : Event or None
         The first line that confirms that the worker has stopped it.
+    restarted : bool
+        Whether another worker process was met there before the end.
     """
 
     dispatch: evidence_module.Event
@@ -34,12 +37,19 @@
     lapses_from: float = 0.0
     lapses_until: float = 0.0
     ended: evidence_module.Event | None = None
+    restarted: bool = False
 
     @property
     def may_have_run(self) -> bool:
-        """Whether nothing shows that the worker never started it."""
-        absent = self.ended is not None and self.phase == _ABSENT
-        return self.verdict != _REFUSED and not absent
+        """Whether nothing shows that the worker never started it.
+
+        A worker that does not know an attempt has never started it,
+        unless it is another process than the one that was asked to.
+        """
+        if self.verdict == _REFUSED:
+            return False
+        never_known = self.phase == _ABSENT and not self.restarted
+        return self.verdict == _RUNNING or not never_known
 
     @property
     def phase(self) -> str:
@@ -81,14 +91,26 @@
         if run := by_key.get(_key(event)):
             _note_admission(run, event)
     _note_renewals(evidence, runs)
+    boots = collections.defaultdict(list)
+    for event in evidence.select('takeover'):
+        boots[event.process].append(event)
     for event in evidence.select('task-ended'):
         for run in runs[event.get('task')][event.get_int('attempt')]:
             same = run.dispatch.process == event.process
             if run.ended is None and same:
                 run.ended = event
+                run.restarted = _find_boot(
+                    boots, event.process, event.time
+                ) != _find_boot(boots, event.process, run.dispatch.time)
     return runs
 
 
+def _find_boot(boots: dict, process: str, time: float) -> str:
+    """Return the worker process that was last met by a time."""
+    met = [e for e in boots[process] if e.time <= time]
+    return met[-1].get('worker_boot') if met else ''
+
+
 def _key(event: evidence_module.Event) -> tuple[str, str, str]:
     return (
         event.get('task'),
--- a/src/persimmonsail/supervisor.py
+++ b/src/persimmonsail/supervisor.py
@@ -288,6 +288,7 @@
                 continue
             if self._settled_at.get(name, asked_at) <= asked_at:
                 self._own.commitments.release(name)
+                self._note_released(name, view)
         self._settled_at = {
             name: at
             for name, at in self._settled_at.items()
@@ -299,6 +300,22 @@
             )
             self._own.commitments.restore(name, size)
 
+    def _note_released(self, holder: str, view: workers.WorkerView) -> None:
+        # Any partition's answer shows the ends of all tasks; the audit
+        # must see each room given back before it is taken again.
+        found = {
+            _name_commitment(task.task, task.attempt): task
+            for task in view.tasks
+        }
+        _, name, attempt = holder.split('/')
+        task = found.get(holder)
+        tasklog.note_ended(
+            self._own.incarnation,
+            (name, int(attempt)),
+            task.phase if task else 'absent',
+            task.checkpoint if task else '',
+        )
+
     async def stop(
         self, request: control_pb2.StopTaskRequest
     ) -> control_pb2.StopTaskReply:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -255,6 +255,34 @@
         subjects = {f.subject for f in reports['I6'].violations}
         self.assertEqual({story_module.BUILD}, subjects)
 
+    def test_build_that_its_worker_never_knew_may_start(self):
+        story = self.tell_unconfirmed_start()
+        self.assertIs(HELD, self.judge(story)['I6'].verdict)
+
+    def test_build_unknown_to_a_restarted_worker_may_have_run(self):
+        """A build runs twice: its first worker had done it and died.
+
+        The new worker process knows nothing of it, which is no evidence
+        that it never ran.
+        """
+        story = self.tell_unconfirmed_start()
+        takeover = story.find('takeover', incarnation=story_module.ONE)
+        fields = {**takeover.fields, 'worker_boot': 'second'}
+        story.add(6.0, 'one', 'takeover', **fields)
+        reports = self.judge(story)
+        subjects = {f.subject for f in reports['I6'].violations}
+        self.assertEqual({story_module.BUILD}, subjects)
+
+    def tell_unconfirmed_start(self):
+        """The start of a build has no answer; the next one is fresh."""
+        story = story_module.make_story()
+        story.drop('task-admission', task=story_module.BUILD, attempt=1)
+        ended = story.find('task-ended', task=story_module.BUILD, attempt=1)
+        ended.fields['phase'] = 'absent'
+        line = story.find('task-dispatch', task=story_module.BUILD, attempt=2)
+        line.fields['checkpoint'] = ''
+        return story
+
 
 class LeavingTest(AuditCase):
     def test_choice_long_after_the_announcement(self):
