Log when an ended task's commitment is freed

A renewal of one partition frees what the worker no longer runs of any partition, but only the attempt's own renewal logged its end, so the audit added up a commitment that was already free. Ruled out: a real overcommitment (the worker's view and the sidecar's sum never passed the capacity in the same run). Also: a problem raised through a context manager could not take its traceback (frozen data class); it can now.

--- a/src/persimmonsail/audit_capacity.py
+++ b/src/persimmonsail/audit_capacity.py
@@ -13,7 +13,7 @@
 
 _REFUSED = 'not-run'
 _BEGINS = ('dispatch', 'task-dispatch', 'task-found')
-_ENDS = ('outcome', 'task-ended', 'task-admission')
+_ENDS = ('outcome', 'task-ended', 'task-admission', 'commitment-freed')
 
 
 _DIGITS = 6
--- a/src/persimmonsail/evidence.py
+++ b/src/persimmonsail/evidence.py
@@ -39,6 +39,7 @@
         'task-admission',
         'task-answer',
         'task-dispatch',
+        'commitment-freed',
         'task-ended',
         'task-found',
     }
--- a/src/persimmonsail/problems.py
+++ b/src/persimmonsail/problems.py
@@ -11,7 +11,7 @@
 UNKNOWN = 'unknown'
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class Problem(Exception):
     """A final answer that is not the work's own.
 
--- a/src/persimmonsail/supervisor.py
+++ b/src/persimmonsail/supervisor.py
@@ -288,6 +288,7 @@
                 continue
             if self._settled_at.get(name, asked_at) <= asked_at:
                 self._own.commitments.release(name)
+                tasklog.note_freed(self._own.incarnation, name)
         self._settled_at = {
             name: at
             for name, at in self._settled_at.items()
--- a/src/persimmonsail/tasklog.py
+++ b/src/persimmonsail/tasklog.py
@@ -81,6 +81,21 @@
     )
 
 
+def note_freed(incarnation: str, commitment: str) -> None:
+    """Note that what an ended attempt held is free again.
+
+    Whichever partition's renewal shows the end first frees it; the
+    attempt's own ``task-ended`` may follow later.
+    """
+    _, task, attempt = commitment.split('/')
+    logs.write_event(
+        'commitment-freed',
+        task=task,
+        attempt=attempt,
+        incarnation=incarnation,
+    )
+
+
 def note_ended(
     incarnation: str, key: workers.Attempt, phase: str, checkpoint: str
 ) -> None:
