Answer a doubled key by what becomes of the key, not of the try

Found by test_same_key_at_once_is_accepted_once: of five submits with one key in one batch, four were answered 'not run' before the first was written.

--- a/src/persimmonsail/commits.py
+++ b/src/persimmonsail/commits.py
@@ -139,16 +139,25 @@
         return group
 
     async def _commit_group(self, group: list[_Proposal]) -> None:
-        fitting = self._refuse_misfits(group)
+        problems = self._ledger.table.find_problems([p.record for p in group])
+        fitting = [
+            proposal
+            for proposal, problem in zip(group, problems, strict=True)
+            if not problem
+        ]
         self._writing = True
         try:
             if fitting:
                 await self._ledger.append(tuple(p.record for p in fitting))
             for proposal in fitting:
                 proposal.end()
+            # A misfit may contradict only what stands before it in its
+            # batch, as a key that was sent twice: it is refused once
+            # that is committed.
+            _refuse_misfits(group, problems)
         finally:
             self._writing = False
-            for proposal in fitting:
+            for proposal in group:
                 proposal.end(
                     exceptions.CommitUnknown('the partition was lost')
                 )
@@ -156,19 +165,6 @@
         if self._ledger.needs_snapshot():
             await self._write_snapshot()
 
-    def _refuse_misfits(self, group: list[_Proposal]) -> list[_Proposal]:
-        problems = self._ledger.table.find_problems(
-            [proposal.record for proposal in group]
-        )
-        fitting = []
-        for proposal, problem in zip(group, problems, strict=True):
-            if problem:
-                logs.write_warning('record-refused', reason=problem)
-                proposal.end(exceptions.NotCommitted(problem))
-            else:
-                fitting.append(proposal)
-        return fitting
-
     async def _write_snapshot(self) -> None:
         try:
             await self._ledger.write_snapshot()
@@ -181,3 +177,10 @@
             proposal.end(exceptions.NotCommitted('the partition was lost'))
         self._proposals.clear()
         self.announce()
+
+
+def _refuse_misfits(group: list[_Proposal], problems: list[str]) -> None:
+    for proposal, problem in zip(group, problems, strict=True):
+        if problem:
+            logs.write_warning('record-refused', reason=problem)
+            proposal.end(exceptions.NotCommitted(problem))
--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -1,5 +1,6 @@
 """The holder of one partition: accepts, places and follows its tasks."""
 
+import collections
 import contextlib
 import time
 import typing as t
@@ -54,6 +55,7 @@
         self.ready = False
         self.closing = anyio.Event()
         self._settled = False
+        self._unsettled: collections.Counter[str] = collections.Counter()
         self._view = view
         self._settings = settings
         self._process_id = process_id
@@ -129,6 +131,19 @@
         found = self.table.tasks.get(request.task)
         if found is not None:
             return found
+        try:
+            await self._propose(request)
+        except exceptions.NotCommitted as error:
+            if request.task in self.table.tasks:
+                return self.table.tasks[request.task]
+            if self._unsettled[request.task] > 0:
+                # This try came to nothing, but an earlier one with the
+                # same key may yet be committed: it is not 'not run'.
+                raise exceptions.CommitUnknown(str(error)) from error
+            raise
+        return self.table.tasks[request.task]
+
+    async def _propose(self, request: control_pb2.SubmitRequest) -> None:
         self._check_submit(request)
         workload = self._view.catalogue.workloads[request.workload]
         record = records.Submitted(
@@ -139,13 +154,13 @@
             request.revision,
         )
         seconds = min(request.timeout_seconds, _ANSWER_SECONDS)
+        self._unsettled[request.task] += 1
         try:
             await self._committer.commit(record, seconds)
         except exceptions.NotCommitted:
-            # The same key may have come in with another request.
-            if request.task not in self.table.tasks:
-                raise
-        return self.table.tasks[request.task]
+            self._unsettled[request.task] -= 1
+            raise
+        del self._unsettled[request.task]
 
     async def wait_final(self, task: str, seconds: float) -> tasks.Task | None:
         """Return a task, waiting for its final outcome for a while.
--- /dev/null
+++ b/tests/test_holder.py
@@ -0,0 +1,381 @@
+import contextlib
+
+import anyio
+import testtools
+
+from persimmonsail import admission
+from persimmonsail import catalogue
+from persimmonsail import consents
+from persimmonsail import control_pb2
+from persimmonsail import exceptions
+from persimmonsail import fleet
+from persimmonsail import holder
+from persimmonsail import ledger
+from persimmonsail import records
+from persimmonsail import revisions
+from persimmonsail import settings
+from standins import memory
+from tests import base
+from tests import instances
+from tests import recovery
+
+SETTINGS = settings.parse(
+    'test',
+    """
+[process]
+name = entry
+region = piedmont
+zone = piedmont-a
+[store]
+address = 127.0.0.1:1
+[entry]
+task-lease = 0.4
+commit-interval = 0.001
+drain = 1
+""",
+    'entry',
+)
+SECONDS = 10.0
+
+
+class Partition:
+    """A store, one instance, and holders that follow each other."""
+
+    def __init__(self) -> None:
+        self.store = memory.MemoryStore()
+        self.links = instances.Links()
+        self.fleet = fleet.Fleet(60.0)
+        self.view = revisions.View()
+        self.view.catalogue = catalogue.parse('test', recovery.CATALOGUE)
+
+    async def add(self, name: str) -> instances.Instance:
+        """Add an instance that has announced itself."""
+        instance = await instances.Instance().open()
+        self.links.sidecars[name] = instance
+        self.announce(name)
+        return instance
+
+    def announce(self, name: str) -> None:
+        """Let a sidecar report to the entry."""
+        own = self.links.sidecars[name].own
+        capacity = admission.Size(64, 250, 0).to_message()
+        self.fleet.note_report(
+            control_pb2.SidecarReport(
+                instance=name,
+                incarnation=own.incarnation,
+                address=name,
+                capacity=capacity,
+                slots=8,
+            )
+        )
+
+    def make_holder(self) -> holder.Holder:
+        """Return a holder whose store lease is long."""
+        return holder.Holder(
+            ledger.Ledger(self.store, 0),
+            self.fleet,
+            self.links,
+            self.view,
+            SETTINGS,
+            consents.StoreLease('lease', float('inf')),
+            'process',
+            tuple,
+        )
+
+    @contextlib.asynccontextmanager
+    async def hold(self):
+        """Run a holder; it is killed at the end."""
+        found = self.make_holder()
+        async with anyio.create_task_group() as group:
+            group.start_soon(found.run)
+            await wait_for(found, lambda: found.ready)
+            yield found
+            group.cancel_scope.cancel()
+
+
+async def wait_for(found: holder.Holder, check) -> None:
+    """Wait until something of a holder has changed as expected."""
+    with anyio.fail_after(SECONDS):
+        while not check():  # noqa: ASYNC110
+            await anyio.sleep(0.005)
+
+
+def make_submit(task: str, workload: str = 'build', seconds: float = 5):
+    return control_pb2.SubmitRequest(
+        task=task, workload=workload, payload=b'{}', timeout_seconds=seconds
+    )
+
+
+def is_running(instance: instances.Instance, task: str) -> bool:
+    run = instance.server._runs.get(task)
+    return run is not None and run.phase == 'active'
+
+
+class EndingTest(base.TestCase):
+    async def follow(self, workload: str, change) -> records.TaskPhase:
+        """Run a task, change what its worker has, and see it end."""
+        partition = Partition()
+        instance = await partition.add('one')
+        async with partition.hold() as found:
+            await found.submit(make_submit('t', workload))
+            await wait_for(found, lambda: is_running(instance, 't'))
+            change(instance)
+            task = found.table.tasks['t']
+            await wait_for(
+                found,
+                lambda: (
+                    task.is_final
+                    or (task.attempt == 2 and is_running(instance, 't'))
+                ),
+            )
+            self.reason = task.reason
+            return task.phase
+
+    async def test_build_of_a_restarted_worker_is_unknown(self):
+        """A build runs twice, with conflicting pin maps.
+
+        Its worker was killed and started again; the new process knows
+        of no attempt, which looks like one that never started.
+        """
+        phase = await self.follow('build', lambda i: i.replace_worker())
+        self.assertEqual(records.TaskPhase.UNKNOWN, phase)
+        self.assertEqual('the worker was restarted', self.reason)
+
+    async def test_watcher_of_a_restarted_worker_starts_again(self):
+        phase = await self.follow('watcher', lambda i: i.replace_worker())
+        self.assertEqual(records.TaskPhase.CLAIMED, phase)
+
+    async def test_evicted_build_resumes_from_its_checkpoint(self):
+        points = []
+
+        def evict(instance):
+            run = instance.find_run('t')
+            instance.server._end(run, 'evicted', 'asked')
+            points.append(run.checkpoint)
+
+        partition = Partition()
+        instance = await partition.add('one')
+        async with partition.hold() as found:
+            await found.submit(make_submit('t'))
+            await wait_for(found, lambda: is_running(instance, 't'))
+            evict(instance)
+            await wait_for(found, lambda: instance.find_run('t').attempt == 2)
+            self.assertEqual(points[0], instance.find_run('t').resumed)
+
+    async def test_build_evicted_without_a_checkpoint_is_unknown(self):
+        """A build runs twice.
+
+        Its worker had no time for a checkpoint; what it did so far
+        can't be taken up, and must not be done again.
+        """
+
+        def evict(instance):
+            instance.server._end(instance.find_run('t'), 'evicted', 'asked')
+            instance.find_run('t').checkpoint = ''
+
+        phase = await self.follow('build', evict)
+        self.assertEqual(records.TaskPhase.UNKNOWN, phase)
+
+    async def test_build_that_never_arrived_runs_once(self):
+        """A build is lost, or reported as unknown for nothing.
+
+        Its start got lost on the way; the worker is the same process
+        and knows nothing of it, so it has not run.
+        """
+        partition = Partition()
+        instance = await partition.add('one')
+        async with partition.hold() as found:
+            instance.transport.held = 'start'
+            await found.submit(make_submit('t'))
+            await wait_for(found, instance.transport.arrived.is_set)
+            await wait_for(
+                found,
+                lambda: instance.server._runs.get('t') is not None,
+            )
+            instance.transport.released.set()
+            self.assertEqual(2, instance.find_run('t').attempt)
+        started = [e for e in instance.server._record if e['task'] == 't']
+        self.assertEqual(1, len(started))
+
+    async def test_ends_are_acknowledged(self):
+        """A worker's memory grows with every task that it ever ran."""
+        partition = Partition()
+        instance = await partition.add('one')
+        async with partition.hold() as found:
+            await found.submit(make_submit('t'))
+            await wait_for(found, lambda: is_running(instance, 't'))
+            instance.server._end(instance.find_run('t'), 'succeeded', 'done')
+            await wait_for(found, lambda: not instance.server._runs)
+            self.assertTrue(found.table.tasks['t'].is_final)
+
+
+class ReassignTest(base.TestCase):
+    async def test_dead_worker_behind_a_live_sidecar_is_given_up(self):
+        """A watcher is down for good.
+
+        Its worker is gone and the sidecar answers each renewal without
+        it: that must not count as contact, or its lease would seem to
+        be extended for ever.
+        """
+        partition = Partition()
+        first = await partition.add('one')
+        async with partition.hold() as found:
+            await found.submit(make_submit('w', 'watcher'))
+            await wait_for(found, lambda: is_running(first, 'w'))
+            first.cut_worker()
+            second = await partition.add('two')
+            await wait_for(found, lambda: is_running(second, 'w'))
+
+    async def test_holder_without_authority_extends_nothing(self):
+        """A watcher runs twice.
+
+        A holder that was paused past its lease in the store goes on
+        renewing while another one may have the partition.
+        """
+        partition = Partition()
+        instance = await partition.add('one')
+        async with partition.hold() as found:
+            await found.submit(make_submit('w', 'watcher'))
+            await wait_for(found, lambda: is_running(instance, 'w'))
+            found._authority._lease.until = 0
+            found._authority._outage_limit = 0
+            await wait_for(
+                found,
+                lambda: (
+                    instance.read_clock() > instance.find_run('w').deadline
+                ),
+            )
+            self.assertEqual(1, found.table.tasks['w'].attempt)
+            found._authority._lease.until = float('inf')
+            await wait_for(found, lambda: instance.find_run('w').attempt == 2)
+
+    async def test_later_epoch_at_a_sidecar_ends_the_holder(self):
+        partition = Partition()
+        instance = await partition.add('one')
+        found = partition.make_holder()
+        with testtools.ExpectedException(ExceptionGroup):
+            async with anyio.create_task_group() as group:
+                group.start_soon(found.run)
+                await wait_for(found, lambda: found.ready)
+                await found.submit(make_submit('w', 'watcher'))
+                await wait_for(found, lambda: is_running(instance, 'w'))
+                await instance.supervisor.renew(instance.make_renew(epoch=9))
+                await anyio.sleep(SECONDS)
+        self.assertFalse(found.ready)
+
+
+class AnswerTest(base.TestCase):
+    async def test_submit_while_the_store_is_down_is_not_run(self):
+        """A caller waits for nothing, or is told a lie.
+
+        The first submit of an outage may have been written: unknown,
+        within its time. The next ones were never proposed: not run, at
+        once. The same key finds the first one later.
+        """
+        partition = Partition()
+        async with partition.hold() as found:
+            partition.store.faults.down = True
+            with testtools.ExpectedException(exceptions.CommitUnknown):
+                await found.submit(make_submit('a', seconds=0.3))
+            with testtools.ExpectedException(exceptions.NotCommitted):
+                await found.submit(make_submit('b', seconds=60))
+            partition.store.faults.down = False
+            await wait_for(found, lambda: 'a' in found.table.tasks)
+            again = await found.submit(make_submit('a'))
+            self.assertEqual('a', again.id)
+            self.assertNotIn('b', found.table.tasks)
+
+    async def test_withdrawn_submit_is_never_written(self):
+        """A task that was refused as not run runs.
+
+        It waited behind a slow batch, its caller's time was over, and
+        the next batch took it all the same.
+        """
+        partition = Partition()
+        async with partition.hold() as found:
+            partition.store.faults.delay = 0.3
+            async with anyio.create_task_group() as group:
+                group.start_soon(found.submit, make_submit('a'))
+                await wait_for(found, lambda: found._committer._writing)
+                with testtools.ExpectedException(exceptions.NotCommitted):
+                    await found.submit(make_submit('b', seconds=0.05))
+            await found.submit(make_submit('c'))
+            self.assertEqual({'a', 'c'}, set(found.table.tasks))
+
+    async def test_same_key_at_once_is_accepted_once(self):
+        partition = Partition()
+        async with partition.hold() as found:
+            results = []
+
+            async def submit():
+                results.append(await found.submit(make_submit('a')))
+
+            async with anyio.create_task_group() as group:
+                for _ in range(5):
+                    group.start_soon(submit)
+            self.assertEqual(['a'] * 5, [task.id for task in results])
+
+    async def test_key_of_an_unknown_submit_is_not_reported_not_run(self):
+        """A build runs that its caller was told did not run.
+
+        The first try's outcome is unknown; the caller sends the key
+        again while the store is still down, and that try is refused.
+        """
+        partition = Partition()
+        async with partition.hold() as found:
+            partition.store.faults.down = True
+            for _ in range(2):
+                with testtools.ExpectedException(exceptions.CommitUnknown):
+                    await found.submit(make_submit('a', seconds=0.1))
+            partition.store.faults.down = False
+            await wait_for(found, lambda: 'a' in found.table.tasks)
+
+    async def test_wave_of_cancellations_takes_few_commits(self):
+        """Answers wait behind a wave of cancellations."""
+        partition = Partition()
+        async with partition.hold() as found:
+            async with anyio.create_task_group() as group:
+                for number in range(300):
+                    name = f't{number}'
+                    group.start_soon(found.submit, make_submit(name))
+            before = found.ledger.position
+            async with anyio.create_task_group() as group:
+                for number in range(300):
+                    group.start_soon(found.cancel, f't{number}')
+            await wait_for(
+                found,
+                lambda: all(t.is_final for t in found.table.tasks.values()),
+            )
+            self.assertLess(found.ledger.position - before, 10)
+
+    async def test_closing_holder_writes_its_last_batch(self):
+        """An accepted task is lost when its holder is replaced."""
+        partition = Partition()
+        found = partition.make_holder()
+        async with anyio.create_task_group() as group:
+            group.start_soon(found.run)
+            await wait_for(found, lambda: found.ready)
+            partition.store.faults.delay = 0.1
+            group.start_soon(found.submit, make_submit('a'))
+            await wait_for(found, lambda: found._committer._writing)
+            found.closing.set()
+        self.assertFalse(found.ready)
+        again = ledger.Ledger(partition.store, 0)
+        await again.load()
+        self.assertEqual(['a'], list(again.table.tasks))
+
+    async def test_waiting_caller_is_told_of_the_hand_over(self):
+        """A caller hangs although its task has long ended elsewhere."""
+        partition = Partition()
+        found = partition.make_holder()
+        async with anyio.create_task_group() as group:
+            group.start_soon(found.run)
+            await wait_for(found, lambda: found.ready)
+            await found.submit(make_submit('a'))
+
+            async def ask():
+                with testtools.ExpectedException(exceptions.NotHolder):
+                    await found.wait_final('a', 60)
+
+            group.start_soon(ask)
+            found.closing.set()
