--- a/src/persimmonsail/gateway.py
+++ b/src/persimmonsail/gateway.py
@@ -1,5 +1,6 @@
 """The callers' HTTP interface of an entry."""
 
+import functools
 import json
 import time
 import typing as t
@@ -7,6 +8,7 @@
 
 import pydantic
 from starlette import applications
+from starlette import exceptions as http_exceptions
 from starlette import requests
 from starlette import responses
 from starlette import routing
@@ -14,10 +16,14 @@
 from persimmonsail import catalogue
 from persimmonsail import control_pb2
 from persimmonsail import logs
+from persimmonsail import metrics
 from persimmonsail import problems
 from persimmonsail import quick as quick_module
+from persimmonsail import tracebacks
 
 MAX_WAIT_SECONDS = 30.0
+_EXPOSITION = 'text/plain; version=0.0.4'
+_UNKNOWN_WORKLOAD = 'none'
 _Timeout = t.Annotated[float, pydantic.Field(gt=0, le=3600)]
 
 
@@ -35,11 +41,39 @@
     ] = None
 
 
+_Handler = t.Callable[..., t.Awaitable[responses.Response]]
+
+
+def _measure(handler: _Handler) -> _Handler:
+    """Record the time from a request to its final answer."""
+
+    @functools.wraps(handler)
+    async def handle(
+        gateway: 'Gateway', request: requests.Request
+    ) -> responses.Response:
+        begun = time.monotonic()
+        outcome = 'cut-off'
+        try:
+            response = await handler(gateway, request)
+            outcome = 'accepted' if response.status_code == 202 else 'answered'
+            return response
+        except problems.Problem as problem:
+            outcome = problem.work
+            raise
+        finally:
+            seconds = time.monotonic() - begun
+            workload = gateway.find_workload(request)
+            metrics.REQUEST_SECONDS.record(seconds, workload, outcome)
+
+    return handle
+
+
 class Gateway:
     """Translates between HTTP and the entry; holds no state."""
 
     def __init__(self, entry: t.Any) -> None:
         self._entry = entry
+        self._gauges = _make_gauges(entry)
         self.app = applications.Starlette(
             routes=[
                 routing.Route(
@@ -57,9 +91,19 @@
                 routing.Route('/ready', self._get_ready),
                 routing.Route('/metrics', self._get_metrics),
             ],
-            exception_handlers={problems.Problem: self._respond_problem},
+            exception_handlers={
+                problems.Problem: self._respond_problem,
+                http_exceptions.HTTPException: self._respond_unrouted,
+                Exception: self._respond_error,
+            },
         )
 
+    def find_workload(self, request: requests.Request) -> str:
+        """Return the catalogue's name of what a request asks for."""
+        name = request.path_params['name']
+        known = name in self._entry.view.catalogue.workloads
+        return name if known else _UNKNOWN_WORKLOAD
+
     async def _respond_problem(
         self, request: requests.Request, problem: problems.Problem
     ) -> responses.Response:
@@ -67,18 +111,51 @@
         logs.write_event(
             'refusal',
             request=number,
+            task=getattr(request.state, 'task', ''),
             status=problem.status,
             work=problem.work,
             reason=problem.detail,
             retry_after=problem.retry_after,
         )
+        metrics.REFUSALS.increase(problem.title, problem.work)
+        return problems.respond(problem, number)
+
+    async def _respond_unrouted(
+        self,
+        request: requests.Request,
+        error: http_exceptions.HTTPException,
+    ) -> responses.Response:
+        problem = problems.Problem(
+            error.status_code,
+            error.detail,
+            problems.NOT_RUN,
+            f'{request.method} {request.url.path}',
+        )
+        response = problems.respond(problem)
+        response.headers.update(error.headers or {})
+        return response
+
+    async def _respond_error(
+        self, request: requests.Request, error: Exception
+    ) -> responses.Response:
+        # Whatever failed here may have failed after the work began.
+        number = getattr(request.state, 'number', '')
+        logs.write_error(
+            'request-error', request=number, **tracebacks.describe(error)
+        )
+        problem = problems.Problem(
+            500, 'Internal error', problems.UNKNOWN, type(error).__name__
+        )
+        metrics.REFUSALS.increase(problem.title, problem.work)
         return problems.respond(problem, number)
 
+    @_measure
     async def _post_request(
         self, request: requests.Request
     ) -> responses.Response:
         request.state.number = uuid.uuid4().hex
         name = request.path_params['name']
+        logs.write_event('request', request=request.state.number, name=name)
         headers = _read_headers(request)
         self._entry.check_serving()
         workload = self._entry.view.catalogue.workloads.get(name)
@@ -111,6 +188,12 @@
             time.monotonic() + timeout,
         )
         reply = await self._entry.quick.send(message)
+        logs.write_event(
+            'answer',
+            request=message.id,
+            status=reply.status,
+            answer=logs.digest(reply.body),
+        )
         return responses.Response(
             reply.body,
             status_code=reply.status,
@@ -129,7 +212,9 @@
         _check_payload(body)
         key = headers.idempotency_key or request.state.number
         task = self._entry.name_task(name, key)
+        request.state.task = task
         reply = await self._entry.tasks.submit(task, name, body, timeout)
+        _note_task_answer(request.state.number, task, reply)
         response = _respond_task(task, reply, status=202)
         response.headers['location'] = f'/v1/tasks/{task}'
         return response
@@ -138,6 +223,7 @@
         task = request.path_params['task']
         wait = _read_wait(request)
         reply = await self._entry.tasks.query(task, wait)
+        _note_task_answer('', task, reply)
         return _respond_task(task, reply)
 
     async def _delete_task(
@@ -162,7 +248,39 @@
     async def _get_metrics(
         self, request: requests.Request
     ) -> responses.Response:
-        return responses.PlainTextResponse('')
+        return responses.PlainTextResponse(
+            metrics.render(*self._gauges), media_type=_EXPOSITION
+        )
+
+
+def _make_gauges(entry: t.Any) -> tuple[metrics.Gauge, ...]:
+    return (
+        metrics.Gauge(
+            'persimmonsail_catalogue_revision',
+            'The catalogue revision in force here.',
+            lambda: entry.view.revision,
+        ),
+        metrics.Gauge(
+            'persimmonsail_catalogue_age_seconds',
+            'Time since the revision was confirmed to be the newest.',
+            lambda: entry.view.age,
+        ),
+        metrics.Gauge(
+            'persimmonsail_instances_live',
+            'Instances that may get new work from this entry.',
+            lambda: len(entry.fleet.list_live()),
+        ),
+        metrics.Gauge(
+            'persimmonsail_partitions_held',
+            'Partitions of the task ledger held here.',
+            lambda: len(entry.partitions.held),
+        ),
+        metrics.Gauge(
+            'persimmonsail_ready',
+            'One if callers may be sent here.',
+            lambda: not entry.find_unready(),
+        ),
+    )
 
 
 def _read_headers(request: requests.Request) -> RequestHeaders:
@@ -197,6 +315,19 @@
     return min(max(wait, 0.0), MAX_WAIT_SECONDS)
 
 
+def _note_task_answer(
+    request: str, task: str, reply: control_pb2.TaskReply
+) -> None:
+    logs.write_event(
+        'task-answer',
+        request=request,
+        task=task,
+        attempt=reply.attempt,
+        phase=reply.phase,
+        answer=logs.digest(reply.answer.encode()),
+    )
+
+
 def _respond_task(
     task: str, reply: control_pb2.TaskReply, status: int = 200
 ) -> responses.Response:
