--- a/src/persimmonsail/audit.py
+++ b/src/persimmonsail/audit.py
@@ -8,6 +8,7 @@
 from persimmonsail import audit_requests  # noqa: F401
 from persimmonsail import audit_stops  # noqa: F401
 from persimmonsail import audit_tasks  # noqa: F401
+from persimmonsail import catalogue_store
 from persimmonsail import chain
 from persimmonsail import evidence
 from persimmonsail import exceptions
@@ -109,7 +110,7 @@
     )
     try:
         page = await store.scan(chain.PREFIX)
-        heads = await revisions.CatalogueStore(store).read_history()
+        heads = await catalogue_store.CatalogueStore(store).read_history()
         return page, heads
     finally:
         await store.close()
--- a/src/persimmonsail/exits.py
+++ b/src/persimmonsail/exits.py
@@ -10,3 +10,5 @@
 # An audit that found no violation, but whose evidence is broken or
 # leaves a promise open.
 EVIDENCE = 7
+OUTCOME_UNKNOWN = 8
+NOT_CONFIRMED = 9
--- a/src/persimmonsail/httpstore.py
+++ b/src/persimmonsail/httpstore.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import httpx
+import pydantic
 
 from persimmonsail import exceptions
 from persimmonsail import metrics
@@ -15,6 +16,28 @@
     httpx.codes.CONFLICT: 'conflict',
     httpx.codes.GONE: 'lease-expired',
 }
+_Answer = httpx.Response
+_M = t.TypeVar('_M', bound=pydantic.BaseModel)
+
+
+class _Found(pydantic.BaseModel):
+    item: store.Item | None
+
+
+class _Listed(pydantic.BaseModel):
+    revision: int
+    items: tuple[store.Item, ...]
+
+    def to_page(self) -> store.Page:
+        return store.Page(self.revision, self.items)
+
+
+class _Written(pydantic.BaseModel):
+    revision: int
+
+
+class _Granted(pydantic.BaseModel):
+    lease: str
 
 
 @store.register('http')
@@ -29,12 +52,13 @@
 
     async def get(self, key: str) -> store.Item | None:
         """See ``Store.get``."""
-        found = await self._call('get', {'key': key})
-        return _read_item(found['item']) if found['item'] else None
+        answer = await self._call('get', {'key': key})
+        return _read(_Found, answer, 'get').item
 
     async def scan(self, prefix: str) -> store.Page:
         """See ``Store.scan``."""
-        return _read_page(await self._call('scan', {'prefix': prefix}))
+        answer = await self._call('scan', {'prefix': prefix})
+        return _read(_Listed, answer, 'scan').to_page()
 
     async def put(
         self,
@@ -50,7 +74,7 @@
             'expected': expected,
             'lease': lease,
         }
-        return (await self._call('put', body))['revision']
+        return _read(_Written, await self._call('put', body), 'put').revision
 
     async def delete(self, key: str, expected: int | None = None) -> None:
         """See ``Store.delete``."""
@@ -58,7 +82,8 @@
 
     async def grant_lease(self, seconds: float) -> str:
         """See ``Store.grant_lease``."""
-        return (await self._call('lease/grant', {'seconds': seconds}))['lease']
+        answer = await self._call('lease/grant', {'seconds': seconds})
+        return _read(_Granted, answer, 'lease/grant').lease
 
     async def renew_lease(self, lease: str) -> None:
         """See ``Store.renew_lease``."""
@@ -72,7 +97,8 @@
         """See ``Store.watch``."""
         body = {'prefix': prefix, 'after': after, 'wait': wait}
         timeout = wait + self._timeout + _WATCH_MARGIN
-        return _read_page(await self._call('watch', body, timeout))
+        answer = await self._call('watch', body, timeout)
+        return _read(_Listed, answer, 'watch').to_page()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -80,7 +106,7 @@
 
     async def _call(
         self, name: str, body: dict[str, t.Any], timeout: float | None = None
-    ) -> dict[str, t.Any]:
+    ) -> _Answer:
         begun = time.monotonic()
         try:
             answer = await self._client.post(
@@ -92,13 +118,14 @@
                 f'{name}: {type(error).__name__}'
             ) from error
         _count_answer(name, answer.status_code, time.monotonic() - begun)
-        if answer.status_code == httpx.codes.CONFLICT:
-            raise exceptions.Conflict(body['key'], answer.json()['revision'])
         if answer.status_code == httpx.codes.GONE:
             raise exceptions.LeaseExpired(str(body.get('lease')))
+        if answer.status_code == httpx.codes.CONFLICT:
+            actual = _read(_Written, answer, name).revision
+            raise exceptions.Conflict(body['key'], actual)
         if answer.status_code != httpx.codes.OK:
             raise exceptions.StoreUnavailable(f'{name}: {answer.status_code}')
-        return answer.json()
+        return answer
 
 
 def _count_answer(name: str, status: int, seconds: float) -> None:
@@ -109,10 +136,12 @@
         metrics.STORE_SECONDS.record(seconds, name)
 
 
-def _read_item(item: dict[str, t.Any]) -> store.Item:
-    return store.Item(item['key'], item['value'], item['revision'])
-
-
-def _read_page(page: dict[str, t.Any]) -> store.Page:
-    items = tuple(_read_item(item) for item in page['items'])
-    return store.Page(page['revision'], items)
+def _read(model: type[_M], answer: httpx.Response, name: str) -> _M:
+    # Something between the two ends may answer in the store's place,
+    # with a page of its own; a write may have taken effect all the same.
+    try:
+        return model.model_validate_json(answer.content)
+    except pydantic.ValidationError as error:
+        raise exceptions.StoreUnavailable(
+            f'{name}: not an answer of the store'
+        ) from error
--- a/src/persimmonsail/quick.py
+++ b/src/persimmonsail/quick.py
@@ -74,6 +74,8 @@
             if tried:
                 metrics.RETRIES.increase(request.workload)
             tried.add(instance.name)
+            if reason := self._view.find_staleness():
+                break
             reply = await self._attempt(request, instance)
             if reply.verdict == control_pb2.ANSWERED:
                 return reply
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -259,8 +259,9 @@
         """Put a catalogue in force with the operators' command."""
         path = self.directory / 'catalogue.ini'
         path.write_text(text, encoding='utf-8')
+        base = [] if text.startswith('; revision') else ['--base', 'head']
         code, output = await self.run_command(
-            'catalogue', 'apply', str(path), '--store', self.store
+            'catalogue', 'apply', str(path), '--store', self.store, *base
         )
         with (self.directory / 'catalogue.log').open('a') as log:
             log.write(output)
