--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -237,6 +237,16 @@
             },
         )
 
+    async def start_instance(
+        self, name: str, entries: t.Sequence[str], service: str, **more: t.Any
+    ) -> Process:
+        """Start a worker, a backend server and their sidecar."""
+        worker = await self.start_stand_in('worker', f'worker-{name}')
+        backend = await self.start_stand_in('backend', f'backend-{name}')
+        return await self.start_sidecar(
+            name, entries, worker, backend, service, **more
+        )
+
     async def run_command(self, *arguments: str) -> tuple[int, str]:
         """Run a command of the shipped program to its end."""
         result = await anyio.run_process(
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,15 @@
+"""Hooks of the test runner."""
+
+import pytest
+
+from tests import known_red
+
+
+def pytest_configure(config):
+    """Take KNOWN-RED.txt into account."""
+    try:
+        listed = known_red.load(config.rootpath)
+    except known_red.ListInvalid as error:
+        raise pytest.UsageError(str(error)) from error
+    if listed:
+        config.pluginmanager.register(known_red.Plugin(listed), 'known-red')
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers; none of them is shipped."""
