--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -4,6 +4,7 @@
 
 from standins import deployment
 from tests import base
+from tests import oracle
 
 CATALOGUE = pathlib.Path(__file__).parent.parent / 'examples/catalogue.ini'
 
@@ -15,8 +16,10 @@
             await running.start_store()
             entry = await running.start_entry('entry-1')
             listening = entry.find('listening')[0]
-            sidecar = await running.start_instance(
-                'one', [listening['control']], 'planning'
+            worker = await running.start_stand_in('worker', 'worker-1')
+            backend = await running.start_stand_in('backend', 'backend-1')
+            sidecar = await running.start_sidecar(
+                'one', [listening['control']], worker, backend, 'planning'
             )
             text = CATALOGUE.read_text(encoding='utf-8')
             code, _ = await running.apply_catalogue(text)
@@ -58,3 +61,4 @@
 
             self.assertEqual(0, await sidecar.stop())
             self.assertEqual(0, await entry.stop())
+            await oracle.check_evidence(self, running, [worker], [backend])
