--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,18 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: env demo demo-binary test lint format binary proto guards measure-audit
+.PHONY: env
+.PHONY: demo
+.PHONY: demo-binary
+.PHONY: test
+.PHONY: lint
+.PHONY: format
+.PHONY: binary
+.PHONY: proto
+.PHONY: guards
+.PHONY: measure-audit
+.PHONY: slopes
+.PHONY: measure
 
 env: $(STAMP)
 
@@ -19,6 +30,9 @@
 test: env
 	$(BIN)/pytest -n 4 --dist loadfile
 
+slopes: env
+	PYTHONPATH=. $(BIN)/python tools/slopes.py $(SLOPES)
+
 lint: env
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
@@ -44,3 +58,6 @@
 
 measure-audit: env
 	PYTHONPATH=. $(BIN)/python tools/measure_audit.py
+
+measure: env
+	PYTHONPATH=. $(BIN)/python tools/measure.py $(MEASURE)
--- a/src/persimmonsail/evidence.py
+++ b/src/persimmonsail/evidence.py
@@ -31,6 +31,7 @@
         'refusal',
         'renewal',
         'request',
+        'request-error',
         'routing',
         'stopped',
         'stopping',
@@ -42,6 +43,14 @@
         'task-found',
     }
 )
+# A caller's request ends with exactly one of these.
+FINALS = (
+    'answer',
+    'refusal',
+    'request-error',
+    'task-answer',
+    'caller-gone',
+)
 _EVENT = re.compile(r'(?:^| )event=([a-z][a-z0-9-]*)')
 _D = t.TypeVar('_D')
 
