--- a/src/persimmonsail/forwarding.py
+++ b/src/persimmonsail/forwarding.py
@@ -1,5 +1,6 @@
 """The way of callers' tasks to the holders of their partitions."""
 
+import re
 import typing as t
 
 from persimmonsail import control_grpc
@@ -10,6 +11,7 @@
 
 _FORWARD_TIMEOUT = 3.0
 _RETRY_AFTER = 2.0
+_PARTITION = re.compile('[0-9]{3}')
 
 
 class TaskForwarder:
@@ -117,6 +119,11 @@
     ) -> control_pb2.TaskReply:
         if self._find_own(request.partition) is not None:
             return _check_reply(await here(request))
+        if request.partition >= self._entry.settings.entry.partitions:
+            # No entry will ever hold it: coming back does not help.
+            raise problems.Problem(
+                404, 'No such task', problems.NOT_RUN, request.task
+            )
         found = self._entry.partitions.find_holder(request.partition)
         if found is None:
             raise _not_held_problem('no entry holds the partition now')
@@ -141,7 +148,7 @@
 
 def _read_partition(task: str) -> int:
     prefix, _, rest = task.partition('-')
-    if not prefix.isdigit() or not rest:
+    if not _PARTITION.fullmatch(prefix) or not rest:
         raise problems.Problem(404, 'No such task', problems.NOT_RUN, task)
     return int(prefix)
 
--- a/src/persimmonsail/gateway.py
+++ b/src/persimmonsail/gateway.py
@@ -19,6 +19,7 @@
 from persimmonsail import metrics
 from persimmonsail import problems
 from persimmonsail import quick as quick_module
+from persimmonsail import records
 from persimmonsail import tracebacks
 
 MAX_WAIT_SECONDS = 30.0
@@ -39,6 +40,19 @@
     request_timeout: t.Annotated[
         _Timeout | None, pydantic.Field(alias='request-timeout')
     ] = None
+    prefer: str = ''
+
+    @property
+    def wait_seconds(self) -> float:
+        """Seconds to wait for a task's end, from ``Prefer: wait=N``.
+
+        A preference that can't be read is ignored, as RFC 7240 has it.
+        """
+        for preference in self.prefer.split(','):
+            name, _, value = preference.partition('=')
+            if name.strip().lower() == 'wait' and value.strip().isdecimal():
+                return min(float(value), MAX_WAIT_SECONDS)
+        return 0.0
 
 
 _Handler = t.Callable[..., t.Awaitable[responses.Response]]
@@ -214,15 +228,36 @@
         task = self._entry.name_task(name, key)
         request.state.task = task
         reply = await self._entry.tasks.submit(task, name, body, timeout)
+        status = 202
+        if headers.wait_seconds:
+            ended = await self._wait_accepted(task, headers.wait_seconds)
+            if ended is not None:
+                reply, status = ended, 200
         _note_task_answer(request.state.number, task, reply)
-        response = _respond_task(task, reply, status=202)
+        response = _respond_task(task, reply, status)
         response.headers['location'] = f'/v1/tasks/{task}'
         return response
 
+    async def _wait_accepted(
+        self, task: str, seconds: float
+    ) -> control_pb2.TaskReply | None:
+        # The task is accepted: a problem while waiting must not reach
+        # the caller as one of the work, who would send it again.
+        try:
+            reply = await self._wait_task(task, seconds)
+        except problems.Problem:
+            return None
+        return reply if reply.phase in records.FINAL_PHASES else None
+
+    async def _wait_task(
+        self, task: str, seconds: float
+    ) -> control_pb2.TaskReply:
+        return await self._entry.tasks.query(task, seconds)
+
     async def _get_task(self, request: requests.Request) -> responses.Response:
         task = request.path_params['task']
         wait = _read_wait(request)
-        reply = await self._entry.tasks.query(task, wait)
+        reply = await self._wait_task(task, wait)
         _note_task_answer('', task, reply)
         return _respond_task(task, reply)
 
@@ -297,8 +332,9 @@
 
 def _check_payload(body: bytes) -> None:
     try:
-        json.loads(body or b'{}')
-    except ValueError as error:
+        # The ledger keeps the payload as text.
+        json.loads(body.decode() or '{}')
+    except (ValueError, RecursionError) as error:
         raise problems.Problem(
             400, 'Invalid JSON', problems.NOT_RUN, str(error)
         ) from error
