--- a/src/persimmonsail/control_grpc.py
+++ b/src/persimmonsail/control_grpc.py
@@ -210,3 +210,47 @@
             persimmonsail.control_pb2.StopTaskRequest,
             persimmonsail.control_pb2.StopTaskReply,
         )
+
+
+class HoldersBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Consent(self, stream: 'grpclib.server.Stream[persimmonsail.control_pb2.ConsentRequest, persimmonsail.control_pb2.ConsentReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Fence(self, stream: 'grpclib.server.Stream[persimmonsail.control_pb2.FenceRequest, persimmonsail.control_pb2.FenceReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/persimmonsail.Holders/Consent': grpclib.const.Handler(
+                self.Consent,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonsail.control_pb2.ConsentRequest,
+                persimmonsail.control_pb2.ConsentReply,
+            ),
+            '/persimmonsail.Holders/Fence': grpclib.const.Handler(
+                self.Fence,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonsail.control_pb2.FenceRequest,
+                persimmonsail.control_pb2.FenceReply,
+            ),
+        }
+
+
+class HoldersStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Consent = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonsail.Holders/Consent',
+            persimmonsail.control_pb2.ConsentRequest,
+            persimmonsail.control_pb2.ConsentReply,
+        )
+        self.Fence = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonsail.Holders/Fence',
+            persimmonsail.control_pb2.FenceRequest,
+            persimmonsail.control_pb2.FenceReply,
+        )
