--- a/src/persimmonsail/interference.py
+++ b/src/persimmonsail/interference.py
@@ -12,6 +12,7 @@
 of its own that shrinks towards the fit over all loads.
 """
 
+import bisect
 import dataclasses
 import typing as t
 
@@ -26,6 +27,7 @@
 _TINY = 1e-9
 _BANDS = (0.5, 0.75)
 _BASE = ''
+_UNKNOWN: t.Mapping[str, float] = {}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,6 +139,7 @@
         self.overall = _Fit()
         self.bands = [_Fit() for _ in range(len(_BANDS) + 1)]
         self.base = 0.0
+        self.coefficients: list[dict[str, float]] = [{} for _ in self.bands]
         self.changed = False
         self.forgotten_at: float | None = None
 
@@ -161,6 +164,15 @@
             band.values[_BASE] = self.base
             band.names.discard(_BASE)
             band.solve(self.overall.values, strength)
+        self.coefficients = [self._scale(band) for band in self.bands]
+
+    def _scale(self, band: _Fit) -> dict[str, float]:
+        if self.base <= 0:
+            return {}
+        values = {**self.overall.values, **band.values}
+        return {
+            name: value / self.base for name, value in values.items() if name
+        }
 
 
 class Estimator:
@@ -200,24 +212,18 @@
         self, victim: str, aggressor: str, busy: float
     ) -> float:
         """Return the slowdown by the whole of an instance's cores."""
-        found = self._find(victim)
-        if found is None or found.base <= 0:
-            return PRIOR_COEFFICIENT
-        values = found.bands[find_band(busy)].values
-        if aggressor not in values:
-            values = found.overall.values
-        if aggressor not in values:
-            return PRIOR_COEFFICIENT
-        return values[aggressor] / found.base
+        coefficients = self._find_coefficients(victim, busy)
+        return coefficients.get(aggressor, PRIOR_COEFFICIENT)
 
     def predict(
         self, victim: str, shares: t.Mapping[str, float], busy: float
     ) -> float:
         """Return the factor on a class's service time."""
-        return 1.0 + sum(
-            self.find_coefficient(victim, name, busy) * share
-            for name, share in shares.items()
-        )
+        coefficients = self._find_coefficients(victim, busy)
+        slowdown = 1.0
+        for name, share in shares.items():
+            slowdown += coefficients.get(name, PRIOR_COEFFICIENT) * share
+        return slowdown
 
     def explain(
         self, victim: str, shares: t.Mapping[str, float], busy: float
@@ -231,6 +237,12 @@
         slowdown = 1.0 + sum(term.excess for term in terms)
         return Estimate(victim, slowdown, tuple(terms))
 
+    def _find_coefficients(
+        self, victim: str, busy: float
+    ) -> t.Mapping[str, float]:
+        found = self._find(victim)
+        return found.coefficients[find_band(busy)] if found else _UNKNOWN
+
     def _find(self, victim: str) -> _Victim | None:
         found = self._victims.get(victim)
         if found is not None and found.changed:
@@ -240,4 +252,4 @@
 
 def find_band(busy: float) -> int:
     """Return the number of the load's band."""
-    return sum(busy >= edge for edge in _BANDS)
+    return bisect.bisect_right(_BANDS, busy)
--- a/src/persimmonsail/routing.py
+++ b/src/persimmonsail/routing.py
@@ -123,11 +123,15 @@
         service = base * self._estimator.predict(
             workload, instance.shares, busy
         )
-        ahead = max(0.0, outstanding + 1 - slots)
+        ahead = outstanding + 1 - slots
+        waiting = 0.0
+        if ahead > 0:
+            mean = self._find_mean_service(instance, service)
+            waiting = ahead / slots * mean
         return Cost(
             instance=instance,
             service=service,
-            waiting=ahead / slots * self._find_mean_service(instance, service),
+            waiting=waiting,
             distance=0.0 if instance.zone == zone else self._distance,
         )
 
--- a/tools/bench/scenarios_placement.py
+++ b/tools/bench/scenarios_placement.py
@@ -1,5 +1,9 @@
 """Scenarios of interference: placement, routing and the ladder."""
 
+import dataclasses
+import functools
+import typing as t
+
 from tools.bench import colocation
 from tools.bench import interfering
 from tools.bench import machines
@@ -7,11 +11,14 @@
 from tools.bench import results
 from tools.bench import subject
 
-_SECONDS = 180.0
+SECONDS = 180.0
+TAIL = 'tail objective'
+THROUGHPUT = 'throughput objective'
 _BLIND = ('random', 'least-outstanding', 'best-fit', 'best-fit-still')
+_BASELINES = ('oracle', *_BLIND)
 
 # Each service has one class of batch work that hurts it badly.
-STRENGTHS = {
+_PLANNING = {
     ('wire-cut-check', 'routing-build'): 3.0,
     ('wire-cut-check', 'drc-sweep'): 0.4,
     ('wire-cut-check', 'archive'): 0.1,
@@ -19,29 +26,212 @@
     ('board-status', 'drc-sweep'): 1.5,
     ('board-status', 'archive'): 0.1,
 }
-QUICK = {'wire-cut-check': (0.15, 0.5), 'board-status': (0.10, 0.5)}
-BATCH = {'routing-build': 0.35, 'drc-sweep': 0.30, 'archive': 0.35}
+_PLANNING_QUICK = {'wire-cut-check': (0.15, 0.5), 'board-status': (0.10, 0.5)}
+_PLANNING_BATCH = {'routing-build': 0.35, 'drc-sweep': 0.30, 'archive': 0.35}
+
+_LISTINGS = {
+    ('photo-tag', 'pedigree-match'): 2.5,
+    ('photo-tag', 'price-match'): 0.6,
+    ('photo-tag', 'thumbnails'): 0.1,
+    ('listing-view', 'pedigree-match'): 0.6,
+    ('listing-view', 'price-match'): 1.2,
+    ('listing-view', 'thumbnails'): 0.2,
+}
+_LISTINGS_QUICK = {'photo-tag': (0.20, 0.4), 'listing-view': (0.08, 0.6)}
+_LISTINGS_BATCH = {
+    'pedigree-match': 0.45,
+    'price-match': 0.35,
+    'thumbnails': 0.20,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """A customer's site, what arrives there, and how it interferes."""
+
+    site: machines.Site
+    strengths: dict[tuple[str, str], float]
+    quick: dict[str, tuple[float, float]]
+    batch: dict[str, float]
+
+    def make_load(
+        self, quick: float = 0.7, batch: float = 0.7, **wave: t.Any
+    ) -> colocation.Load:
+        """Return arrivals at these parts of capacity."""
+        return colocation.Load(quick, batch, self.quick, self.batch, **wave)
+
+
+TALLOWFORD = Deployment(
+    machines.TALLOWFORD, _PLANNING, _PLANNING_QUICK, _PLANNING_BATCH
+)
+PHAM_GIA = Deployment(
+    machines.PHAM_GIA, _LISTINGS, _LISTINGS_QUICK, _LISTINGS_BATCH
+)
 
 
 def _make_world(
     policy: str,
     seed: int,
-    load: colocation.Load,
-    site: machines.Site = machines.TALLOWFORD,
+    deployment: Deployment = TALLOWFORD,
+    load: colocation.Load | None = None,
     reporting: colocation.Reporting | None = None,
 ) -> colocation.World:
     return colocation.World(
-        site,
-        interfering.Truth(dict(STRENGTHS)),
-        load,
+        deployment.site,
+        interfering.Truth(dict(deployment.strengths)),
+        load or deployment.make_load(),
         reporting or colocation.Reporting(),
         subject.find_policy(policy),
         seed,
     )
 
 
-@registry.scenario('bad pair', 'tail objective', ('oracle', *_BLIND))
+@registry.scenario('bad pair', TAIL, _BASELINES)
 def run_bad_pair(policy: str, seed: int) -> results.Run:
     """Steady colocation with a bad pair; quick and batch load 0.7."""
-    load = colocation.Load(0.7, 0.7, QUICK, BATCH)
-    return _make_world(policy, seed, load).execute(_SECONDS)
+    return _make_world(policy, seed).execute(SECONDS)
+
+
+@registry.scenario(
+    'bad pair, Pham Gia', THROUGHPUT, ('throughput oracle', *_BLIND)
+)
+def run_bad_pair_listings(policy: str, seed: int) -> results.Run:
+    """Steady colocation at the other deployment, its own objective."""
+    return _make_world(policy, seed, PHAM_GIA).execute(SECONDS)
+
+
+@registry.scenario('shift half-way', TAIL, _BASELINES)
+def run_shift(policy: str, seed: int) -> results.Run:
+    """After half of the time the bad pairs swap."""
+    world = _make_world(policy, seed)
+
+    def swap() -> None:
+        strengths = world.truth.strengths
+        for victim in world.load.quick:
+            build, sweep = (victim, 'routing-build'), (victim, 'drc-sweep')
+            strengths[build], strengths[sweep] = (
+                strengths[sweep],
+                strengths[build],
+            )
+
+    world.clock.call_later(SECONDS / 2, swap)
+    return world.execute(SECONDS)
+
+
+def _run_late(
+    lag: float, missing: float, policy: str, seed: int
+) -> results.Run:
+    reporting = colocation.Reporting(lag, missing)
+    return _make_world(policy, seed, reporting=reporting).execute(SECONDS)
+
+
+def _register_late(name: str, story: str, lag: float, missing: float) -> None:
+    run = functools.partial(_run_late, lag, missing)
+    run.__doc__ = story
+    registry.scenario(name, TAIL, ('oracle', 'best-fit'))(run)
+
+
+_register_late('reports 5 s late', 'Usage reports come after 5 s.', 5.0, 0.0)
+_register_late(
+    'reports 30 s late', 'Usage reports come after 30 s.', 30.0, 0.0
+)
+_register_late(
+    'reports missing',
+    'Usage reports come after 5 s, and half of them never.',
+    5.0,
+    0.5,
+)
+
+
+@registry.scenario('noisy waves', TAIL, _BASELINES)
+def run_waves(policy: str, seed: int) -> results.Run:
+    """Batch load 0.5; for 15 s of each minute 4 times the noisy tasks."""
+    load = TALLOWFORD.make_load(0.7, 0.5, wave=('routing-build', 4.0))
+    return _make_world(policy, seed, load=load).execute(SECONDS)
+
+
+@registry.scenario('load 1.0', TAIL, _BASELINES)
+def run_full(policy: str, seed: int) -> results.Run:
+    """Quick requests at 1.0 of the undisturbed capacity, batch at 1.0."""
+    load = TALLOWFORD.make_load(1.0, 1.0)
+    return _make_world(policy, seed, load=load).execute(SECONDS)
+
+
+@registry.scenario('rack lost', TAIL, _BASELINES)
+def run_rack_lost(policy: str, seed: int) -> results.Run:
+    """Three workers go after a third of the time, for a third of it."""
+    load = TALLOWFORD.make_load(0.5, 0.6)
+    world = _make_world(policy, seed, load=load)
+    third = SECONDS / 3
+    world.clock.call_later(third, world.fail_rack, 'rack-0', third)
+    return world.execute(SECONDS)
+
+
+@registry.scenario(
+    'objectives', THROUGHPUT, (TAIL, 'throughput oracle', 'oracle', *_BLIND)
+)
+def run_objectives(policy: str, seed: int) -> results.Run:
+    """Both objectives on the same load: quick 0.6, batch 1.2 (backlog)."""
+    load = PHAM_GIA.make_load(0.6, 1.2)
+    return _make_world(policy, seed, PHAM_GIA, load).execute(SECONDS)
+
+
+def _register_ratio(
+    scenario: str,
+    text: str,
+    limit: float,
+    at_least: bool,
+    field: str,
+    policy: str,
+    baseline: str,
+) -> None:
+    def measure(outcomes: registry.Outcomes) -> list[float]:
+        return registry.divide(outcomes, field, policy, baseline)
+
+    registry.goal(scenario, text, limit, at_least)(measure)
+
+
+def _register_goals() -> None:
+    for name, found in registry.SCENARIOS.items():
+        for oracle in ('oracle', 'throughput oracle'):
+            if found.baselines[0] == oracle:
+                _register_ratio(
+                    name,
+                    'p99 against the oracle',
+                    1.2,
+                    False,
+                    'p99',
+                    found.subject,
+                    oracle,
+                )
+    for field, text, limit, at_least in (
+        ('p99', 'p99 against best fit', 0.5, False),
+        ('batch_work', 'batch work against best fit', 0.95, True),
+        ('evictions', 'evictions against best fit', 0.5, False),
+    ):
+        for name in ('bad pair', 'bad pair, Pham Gia'):
+            subject_name = registry.SCENARIOS[name].subject
+            _register_ratio(
+                name, text, limit, at_least, field, subject_name, 'best-fit'
+            )
+    _register_ratio(
+        'bad pair',
+        'p99 against best fit that never evicts',
+        0.5,
+        False,
+        'p99',
+        TAIL,
+        'best-fit-still',
+    )
+    _register_ratio(
+        'objectives',
+        'batch work, throughput objective against tail objective',
+        1.1,
+        True,
+        'batch_work',
+        THROUGHPUT,
+        TAIL,
+    )
+
+
+_register_goals()
