Drop what was learnt when interference shifts suddenly

Cause: after the bad pairs swap, slow forgetting needs minutes to outweigh the older samples, and requests keep going to the wrong places. Change: errors far above the usual ones drop all but 2 % of the sums. Some 2 s after a shift remain slow.

--- a/src/persimmonsail/interference.py
+++ b/src/persimmonsail/interference.py
@@ -27,6 +27,15 @@
 _TINY = 1e-9
 _BANDS = (0.5, 0.75)
 _BASE = ''
+
+# The spread of one request's service time, as a part of its mean.
+_NOISE = 0.5
+_MAX_ERROR = 100.0
+_SHORT_MEMORY = 8.0
+_USUAL_MEMORY = 300.0
+_SHIFT_FACTOR = 4.0
+_MIN_SEEN = 60
+_SHIFT_KEPT = 0.02
 _UNKNOWN: t.Mapping[str, float] = {}
 
 
@@ -132,6 +141,37 @@
         return max(0.0, above / below) if below > _TINY else 0.0
 
 
+class _ShiftDetector:
+    """Tells a shift of interference from noise by the errors' size.
+
+    Errors are measured in units of what noise alone would give. A fit
+    that is never exact has large errors all the time; only errors much
+    larger than the usual ones are a shift.
+    """
+
+    def __init__(self) -> None:
+        self._short = 1.0
+        self._usual = 1.0
+        self._seen = 0
+
+    def note(self, predicted: float, seconds: float, weight: float) -> bool:
+        """Take one error in; return whether a shift has shown."""
+        if predicted <= 0:
+            return False
+        error = (seconds - predicted) / predicted
+        squared = error * error * weight / _NOISE**2
+        squared = min(squared, _MAX_ERROR)
+        self._seen += 1
+        self._short += (squared - self._short) / _SHORT_MEMORY
+        limit = _SHIFT_FACTOR * max(1.0, self._usual)
+        if self._seen >= _MIN_SEEN and self._short > limit:
+            self._seen = 0
+            self._short = self._usual
+            return True
+        self._usual += (squared - self._usual) / _USUAL_MEMORY
+        return False
+
+
 class _Victim:
     """The fits of one latency-critical class: all loads, and by band."""
 
@@ -142,6 +182,13 @@
         self.coefficients: list[dict[str, float]] = [{} for _ in self.bands]
         self.changed = False
         self.forgotten_at: float | None = None
+        self.detector = _ShiftDetector()
+
+    def drop(self) -> None:
+        """Keep next to nothing of what was learnt before a shift."""
+        self.overall.forget(_SHIFT_KEPT)
+        for band in self.bands:
+            band.forget(_SHIFT_KEPT)
 
     def forget(self, now: float, half_life: float) -> None:
         if self.forgotten_at is not None and now > self.forgotten_at:
@@ -181,13 +228,16 @@
     Parameters
     ----------
     half_life : float, optional
-        Seconds after which a sample counts for half. Slow forgetting
-        makes a shift of interference show.
+        Seconds after which a sample counts for half.
+
+    ``shifts`` counts how often errors have grown so suddenly that what
+    was learnt before is dropped.
     """
 
     def __init__(self, half_life: float = HALF_LIFE) -> None:
         self._half_life = half_life
         self._victims: dict[str, _Victim] = {}
+        self.shifts = 0
 
     def learn(self, sample: Sample) -> None:
         """Take one joined measurement in, however late it comes."""
@@ -196,6 +246,12 @@
         victim = self._victims.setdefault(sample.victim, _Victim())
         victim.forget(sample.measured_at, self._half_life)
         weight = min(float(sample.count), _MAX_WEIGHT)
+        predicted = victim.base * self.predict(
+            sample.victim, sample.shares, sample.busy
+        )
+        if victim.detector.note(predicted, sample.seconds, weight):
+            victim.drop()
+            self.shifts += 1
         features = {name: s for name, s in sample.shares.items() if s > 0}
         features[_BASE] = 1.0
         victim.overall.add(features, sample.seconds, weight)
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -64,6 +64,29 @@
             estimator.find_coefficient('check', 'archive', 0.3), 3.0
         )
 
+    def test_sudden_shift_shows_within_seconds(self):
+        """A shift must not have to outweigh minutes of older samples.
+
+        A user would see requests sent beside the tasks that have become
+        the noisy ones, for as long as forgetting takes. Two classes
+        swap what they do to a service, all at once.
+        """
+        estimator = interference.Estimator()
+        views.teach(estimator, {'build': 4.0, 'archive': 0.1}, 0.15)
+        views.teach(
+            estimator, {'build': 0.1, 'archive': 4.0}, 0.15, 40, begin=200.0
+        )
+        self.assertEqual(1, estimator.shifts)
+        self.assertLess(estimator.find_coefficient('check', 'build', 0.3), 1.0)
+        self.assertGreater(
+            estimator.find_coefficient('check', 'archive', 0.3), 2.5
+        )
+
+    def test_noise_is_no_shift(self):
+        estimator = interference.Estimator()
+        views.teach(estimator, {'build': 4.0, 'archive': 0.1}, 0.15, 2000)
+        self.assertEqual(0, estimator.shifts)
+
     def test_terms_add_up_to_the_prediction(self):
         estimator = interference.Estimator()
         views.teach(estimator, {'build': 4.0, 'archive': 0.5}, 0.15)
