--- a/tests/test_consents.py
+++ b/tests/test_consents.py
@@ -91,6 +91,16 @@
         )
         self.assertFalse(await self.ask())
 
+    async def test_question_to_another_process_grants_nothing(self):
+        """As before, but the answer does not say whose it is."""
+        self.end_lease()
+        two = self.links.entries['two']
+        request = control_pb2.ConsentRequest(
+            id='predecessor', partition=0, epoch=1, promise_seconds=PROMISE
+        )
+        self.assertFalse(two.consent(request).granted)
+        self.assertFalse(two.is_promised(0))
+
     async def test_fenced_entry_denies_consent_to_earlier_epochs(self):
         """A watcher runs twice.
 
@@ -181,3 +191,15 @@
     def test_consents_that_may_stand_are_waited_for(self):
         self.clock.now += 10 * instances.LEASE
         self.assertFalse(self.contacts.is_over('one', float('inf')))
+
+    def test_earlier_holder_that_may_go_on_is_waited_for(self):
+        """A watcher runs twice.
+
+        The new holder met the instance before the earlier one's consent
+        had ended; the earlier one may have renewed since.
+        """
+        self.contacts.note('one', 'i', control_pb2.RenewReply(ticket=5.0))
+        self.clock.now += instances.LEASE
+        others_over_at = self.clock.now
+        self.clock.now += instances.LEASE
+        self.assertFalse(self.contacts.is_over('one', others_over_at))
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -18,11 +18,12 @@
 import tempfile
 import time
 
+from tools import guard as guard_module
 from tools import guard_list
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _COPIED = ('src', 'standins', 'tests', 'tools', 'examples', 'pyproject.toml')
-_WORKERS = 3
+_WORKERS = 4
 _SECONDS = 240.0
 _PASSED = 0
 _FAILED = 1
@@ -35,7 +36,7 @@
     ``seen`` is yes, NO, or why the run says nothing.
     """
 
-    guard: guard_list.Guard
+    guard: guard_module.Guard
     seen: str
     seconds: float
 
@@ -87,7 +88,7 @@
         raise
 
 
-def try_guard(guard: guard_list.Guard) -> Result:
+def try_guard(guard: guard_module.Guard) -> Result:
     """Take one guard out of a copy and run its tests there."""
     began = time.monotonic()
     with tempfile.TemporaryDirectory(prefix='persimmonsail-') as name:
@@ -109,7 +110,7 @@
     return 'NO' if code == _PASSED else f'no run (pytest {code})'
 
 
-def check_untouched(guards: list[guard_list.Guard]) -> int:
+def check_untouched(guards: list[guard_module.Guard]) -> int:
     """Run all tests that are named in a copy that is left as it is."""
     tests = sorted({test for guard in guards for test in guard.tests})
     with tempfile.TemporaryDirectory(prefix='persimmonsail-') as name:
