--- a/src/persimmonsail/supervisor.py
+++ b/src/persimmonsail/supervisor.py
@@ -144,6 +144,11 @@
         self._epochs[partition] = epoch
         return True
 
+    def _find_end(self, request: control_pb2.RenewRequest) -> float:
+        # Only a ticket of this process's past can extend a lease.
+        granted = self._is_granted(request)
+        return request.ticket + request.lease_seconds if granted else 0.0
+
     def _is_granted(self, request: t.Any) -> bool:
         now = time.monotonic()
         return request.ticket <= now < request.ticket + request.lease_seconds
@@ -224,7 +229,7 @@
             partition=request.partition,
             epoch=request.epoch,
             tasks=tuple(wanted),
-            until=request.ticket + request.lease_seconds,
+            until=self._find_end(request),
             lease_seconds=request.lease_seconds,
             acknowledged=ended,
         )
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -160,7 +160,7 @@
         if key in self._bars:
             return 'the attempt is barred'
         if time.monotonic() >= body['until']:
-            return 'the lease is over'
+            return 'the lease has lapsed'
         known = self._runs.get(body['task'])
         if known and known.phase == 'active':
             return 'the task is running'
--- a/tests/test_consents.py
+++ b/tests/test_consents.py
@@ -91,6 +91,14 @@
         )
         self.assertFalse(await self.ask())
 
+    async def test_entry_promises_only_for_itself(self):
+        request = control_pb2.ConsentRequest(
+            id='earlier', lost_seconds=1, promise_seconds=1
+        )
+        promises = consents.Promises('one', bool)
+        self.assertFalse(promises.consent(request).granted)
+        self.assertFalse(promises.is_promised(0))
+
     async def test_fenced_entry_denies_consent_to_earlier_epochs(self):
         """A watcher runs twice.
 
