--- /dev/null
+++ b/src/persimmonsail/quotas.py
@@ -0,0 +1,265 @@
+"""Quotas by team, and fair sharing when teams ask for more than exists.
+
+A team belongs to one partition, so its holder's accounts are exact. How
+much a team may rely on follows from the catalogue and the fleet alone:
+holders of different partitions agree on it without talking.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import typing as t
+
+from persimmonsail import admission
+from persimmonsail import catalogue
+from persimmonsail import records
+from persimmonsail import tasks as tasks_module
+
+# Teams above their entitlement leave this part of the room that tasks
+# may take, so that a team below its own starts without an eviction.
+RESERVE = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Charge:
+    """What one claimed task takes from its team's quota."""
+
+    task: str
+    team: str
+    workload: str
+    size: admission.Size
+
+
+@dataclasses.dataclass(frozen=True)
+class Decision:
+    """Whether a task may be placed now, and the terms that decided it.
+
+    Attributes
+    ----------
+    reason : str
+        Why it waits; empty if it may be placed.
+    share : float
+        The team's dominant share: the part of its quota that it takes
+        of the resource that it takes most of.
+    entitlement : float
+        The part of its quota that the fleet can give every team.
+    """
+
+    reason: str
+    share: float
+    entitlement: float
+
+
+class Accounts:
+    """What the partition's teams and workloads take now."""
+
+    def __init__(self) -> None:
+        self._charges: dict[str, Charge] = {}
+        self._teams: dict[str, admission.Size] = {}
+        self._running: dict[str, int] = {}
+
+    def charge(self, charge: Charge) -> None:
+        """Charge a task to its team, once."""
+        if charge.task in self._charges:
+            return
+        self._charges[charge.task] = charge
+        self._add(charge, 1)
+
+    def release(self, task: str) -> None:
+        """Give back what a task was charged."""
+        charge = self._charges.pop(task, None)
+        if charge is not None:
+            self._add(charge, -1)
+
+    def find_usage(self, team: str) -> admission.Size:
+        """Return the sum of a team's charges."""
+        return self._teams.get(team, admission.Size())
+
+    def count_running(self, workload: str) -> int:
+        """Return how many tasks of a workload are charged."""
+        return self._running.get(workload, 0)
+
+    def _add(self, charge: Charge, sign: int) -> None:
+        usage = self.find_usage(charge.team)
+        self._teams[charge.team] = admission.Size(
+            usage.cores + sign * charge.size.cores,
+            usage.memory_gb + sign * charge.size.memory_gb,
+            usage.accelerators + sign * charge.size.accelerators,
+        )
+        self._running[charge.workload] = (
+            self.count_running(charge.workload) + sign
+        )
+
+
+def read_quota(team: catalogue.Team) -> admission.Size:
+    """Return a team's quota as a size."""
+    return admission.Size(team.cores, team.memory_gb, team.accelerators)
+
+
+def find_share(usage: admission.Size, whole: admission.Size) -> float:
+    """Return the dominant share of a usage in a whole."""
+    shares = [0.0]
+    for used, limit in (
+        (usage.cores, whole.cores),
+        (usage.memory_gb, whole.memory_gb),
+        (usage.accelerators, whole.accelerators),
+    ):
+        if limit > 0:
+            shares.append(used / limit)
+        elif used > 0:
+            shares.append(float('inf'))
+    return max(shares)
+
+
+def find_entitlement(
+    teams: t.Iterable[catalogue.Team], capacity: admission.Size
+) -> float:
+    """Return the part of its quota that every team can have at once.
+
+    Parameters
+    ----------
+    teams : iterable of catalogue.Team
+        All teams of the catalogue, not only the partition's.
+    capacity : admission.Size
+        What tasks may take on all live instances.
+
+    Returns
+    -------
+    float
+        Between 0 and 1; 1 if the quotas are not over-subscribed.
+    """
+    promised = sum((read_quota(team) for team in teams), admission.Size())
+    share = find_share(promised, capacity)
+    return 1.0 if share <= 1.0 else 1.0 / share
+
+
+class Policy:
+    """Decides which task of which team may be placed next.
+
+    Parameters
+    ----------
+    accounts : Accounts
+        What the partition's tasks take now.
+    teams : mapping of str to catalogue.Team
+        All teams of the catalogue in force.
+    capacity, committed : admission.Size
+        What tasks may take on all live instances, and what is taken.
+    """
+
+    def __init__(
+        self,
+        accounts: Accounts,
+        teams: t.Mapping[str, catalogue.Team],
+        capacity: admission.Size,
+        committed: admission.Size,
+    ) -> None:
+        self._accounts = accounts
+        self._teams = teams
+        self._capacity = capacity
+        self._committed = committed
+        self.entitlement = find_entitlement(teams.values(), capacity)
+
+    def find_share(self, team: str) -> float:
+        """Return a team's dominant share of its quota."""
+        if team not in self._teams:
+            return float('inf')
+        quota = read_quota(self._teams[team])
+        return find_share(self._accounts.find_usage(team), quota)
+
+    def decide(
+        self,
+        team: str,
+        name: str,
+        workload: catalogue.Workload,
+        size: admission.Size,
+    ) -> Decision:
+        """Decide whether one more task of a workload may be placed."""
+        share = self.find_share(team)
+        reason = ''
+        if self._accounts.count_running(name) >= workload.max_concurrent:
+            reason = 'max-concurrent'
+        elif not self._is_within_quota(team, size):
+            reason = 'quota'
+        elif share >= self.entitlement and not self._has_reserve(size):
+            reason = 'fair-share'
+        return Decision(reason, share, self.entitlement)
+
+    def note_placed(self, charge: Charge) -> None:
+        """Charge a task that is being placed in this round."""
+        self._accounts.charge(charge)
+        self._committed = self._committed + charge.size
+
+    def _is_within_quota(self, team: str, size: admission.Size) -> bool:
+        if team not in self._teams:
+            return False
+        usage = self._accounts.find_usage(team) + size
+        return usage.fits(read_quota(self._teams[team]))
+
+    def _has_reserve(self, size: admission.Size) -> bool:
+        limit = admission.Size(
+            self._capacity.cores * (1 - RESERVE),
+            self._capacity.memory_gb * (1 - RESERVE),
+            self._capacity.accelerators,
+        )
+        return (self._committed + size).fits(limit)
+
+
+def arrange(
+    pending: t.Iterable[tasks_module.Task],
+    workloads: t.Mapping[str, catalogue.Workload],
+    policy: Policy,
+) -> t.Iterator[tasks_module.Task]:
+    """Yield pending tasks in the order in which they may be placed.
+
+    Urgent tasks go first. Then the team that takes least of its quota
+    is next, and each team's tasks go in the order of their acceptance;
+    shares are looked up anew after each task, so the caller charges a
+    task before it takes the next.
+    """
+    queues: dict[bool, dict[str, list[tasks_module.Task]]] = {
+        True: {},
+        False: {},
+    }
+    for task in pending:
+        if (workload := workloads.get(task.workload)) is not None:
+            teams = queues[workload.urgent]
+            teams.setdefault(task.team, []).append(task)
+    yield from _take_turns(queues[True], policy)
+    yield from _take_turns(queues[False], policy)
+
+
+def _take_turns(
+    queues: dict[str, list[tasks_module.Task]], policy: Policy
+) -> t.Iterator[tasks_module.Task]:
+    order = itertools.count()
+    heap = [
+        (policy.find_share(team), next(order), team, iter(queue))
+        for team, queue in queues.items()
+    ]
+    heapq.heapify(heap)
+    while heap:
+        _, _, team, queue = heapq.heappop(heap)
+        task = next(queue, None)
+        if task is None:
+            continue
+        yield task
+        entry = (policy.find_share(team), next(order), team, queue)
+        heapq.heappush(heap, entry)
+
+
+def note_task(
+    accounts: Accounts, task: tasks_module.Task, size: admission.Size
+) -> None:
+    """Bring the accounts in line with a task's phase in the ledger."""
+    if task.phase is records.TaskPhase.CLAIMED:
+        accounts.charge(Charge(task.id, task.team, task.workload, size))
+    else:
+        accounts.release(task.id)
+
+
+def count_pending(tasks: t.Iterable[tasks_module.Task], team: str) -> int:
+    """Return how many of a team's tasks wait for a place."""
+    return sum(
+        task.team == team and task.phase is records.TaskPhase.PENDING
+        for task in tasks
+    )
