--- /dev/null
+++ b/tests/test_shedding.py
@@ -0,0 +1,123 @@
+import random
+
+from persimmonsail import fleet
+from persimmonsail import learning
+from persimmonsail import shedding
+from tests import base
+
+
+def make_gate() -> shedding.AdaptiveGate:
+    return shedding.AdaptiveGate(learning.Learner(), random.Random(1))
+
+
+def make_demand(urgent: bool = False, **options) -> shedding.Demand:
+    values = {'seconds': 2.0, 'max_concurrent': 1000, **options}
+    return shedding.Demand('check', urgent, **values)
+
+
+def fill(gate: shedding.Gate, count: int) -> None:
+    for _ in range(count):
+        gate.begin('check')
+
+
+IDLE = shedding.Capacity(slots=80, queued=0)
+FULL = shedding.Capacity(slots=80, queued=160)
+
+
+class AdaptiveGateTest(base.TestCase):
+    def test_urgent_requests_may_use_the_whole_limit(self):
+        """A wave of ordinary uploads keeps a line lead waiting.
+
+        Photo tags fill every slot before the shift's first wire-cut
+        check comes; nothing was kept free for it.
+        """
+        gate = make_gate()
+        fill(gate, 64)
+        self.assertEqual(
+            'overload', gate.decide(make_demand(), IDLE, 0).reason
+        )
+        self.assertEqual('', gate.decide(make_demand(True), IDLE, 0).reason)
+        fill(gate, 16)
+        self.assertEqual(
+            'overload', gate.decide(make_demand(True), IDLE, 0).reason
+        )
+
+    def test_long_queues_shrink_the_limit_to_its_least(self):
+        gate = make_gate()
+        for number in range(200):
+            gate.decide(make_demand(), FULL, number * 1.0)
+        self.assertAlmostEqual(40, gate.limit)
+
+    def test_short_queues_raise_a_limit_that_is_in_use(self):
+        gate = make_gate()
+        gate.decide(make_demand(), IDLE, 0)
+        before = gate.limit
+        gate.decide(make_demand(), IDLE, 1)
+        self.assertEqual(before, gate.limit)
+        fill(gate, 200)
+        for number in range(500):
+            gate.decide(make_demand(), IDLE, number + 2.0)
+        self.assertEqual(161, gate.limit)
+
+    def test_one_burst_of_decisions_changes_the_limit_once(self):
+        gate = make_gate()
+        gate.decide(make_demand(), FULL, 0)
+        for _ in range(1000):
+            gate.decide(make_demand(), FULL, 1.0)
+        self.assertAlmostEqual(72, gate.limit)
+
+    def test_entries_share_the_slots(self):
+        gate = make_gate()
+        capacity = shedding.Capacity(slots=80, queued=0, entries=4)
+        gate.decide(make_demand(), capacity, 0)
+        self.assertEqual(20, gate.limit)
+
+    def test_a_request_that_would_miss_its_deadline_is_refused(self):
+        gate = make_gate()
+        for number in range(20):
+            gate.begin('check')
+            gate.end('check', number * 0.1, 0.5)
+        decision = gate.decide(make_demand(seconds=1.0), FULL, 3)
+        self.assertEqual('deadline', decision.reason)
+        self.assertGreater(decision.retry_after, 0)
+
+    def test_concurrency_of_a_workload_is_bounded(self):
+        gate = make_gate()
+        fill(gate, 3)
+        decision = gate.decide(make_demand(max_concurrent=3), IDLE, 0)
+        self.assertEqual('max-concurrent', decision.reason)
+
+    def test_refused_callers_are_told_different_times(self):
+        gate = make_gate()
+        fill(gate, 200)
+        waits = [
+            gate.decide(make_demand(), IDLE, 0).retry_after
+            for _ in range(2000)
+        ]
+        self.assertGreater(max(waits) - min(waits), 1.0)
+
+    def test_no_known_server_is_left_to_the_routing(self):
+        none = shedding.Capacity(slots=0, queued=0)
+        self.assertEqual('', make_gate().decide(make_demand(), none, 0).reason)
+
+
+class ShedderTest(base.TestCase):
+    def make_shedder(self) -> shedding.Shedder:
+        return shedding.Shedder(fleet.Fleet(1.0), random.Random(1))
+
+    def test_only_served_requests_teach_a_run_time(self):
+        shedder = self.make_shedder()
+        times = iter([0.0, 0.2, 1.0, 9.0])
+        with shedder.admit('planning', 'check', lambda: next(times)):
+            pass
+        with self.assertRaises(ValueError):
+            with shedder.admit('planning', 'check', lambda: next(times)):
+                raise ValueError('refused')
+        learnt = shedder.learner.estimate_seconds('check', 100, 0)
+        self.assertAlmostEqual(0.2, learnt, delta=0.02)
+        self.assertEqual(0, shedder.find_gate('planning').outstanding)
+
+    def test_parts_of_a_limit_add_up_to_it(self):
+        for total in range(10):
+            parts = [shedding.find_part(total, n, 4) for n in range(4)]
+            self.assertEqual(total, sum(parts))
