Plan rounds of placements under quotas, quarantine and learnt sizes

One place decides which pending tasks are placed next: order by fair share, candidates without quarantined instances, size as learnt, and a final refusal for what can never run, once membership has settled. The protocol carries an instance's failures in a row and unproved starts. Not wired into the holder yet. Proved so far: tests/test_planner.py.

--- a/src/persimmonsail/fleet.py
+++ b/src/persimmonsail/fleet.py
@@ -11,7 +11,9 @@
 class Instance:
     """One announced instance; times are monotonic seconds.
 
-    ``outstanding`` counts this entry's own requests there. ``shares``
+    ``outstanding`` counts this entry's own requests there; ``failures``
+    and ``unproved`` the tasks that failed in a row and those that have
+    not yet begun well, see ``persimmonsail.quarantine``. ``shares``
     has the part of the cores that each batch class uses, ``demand`` the
     part of the slots that each latency-critical class keeps busy.
     """
@@ -35,6 +37,8 @@
     revision: int = 0
     shares: dict[str, float] = dataclasses.field(default_factory=dict)
     demand: dict[str, float] = dataclasses.field(default_factory=dict)
+    failures: int = 0
+    unproved: int = 0
 
 
 class Fleet:
@@ -65,6 +69,8 @@
             reported_at=time.monotonic(),
             outstanding=before.outstanding if before else 0,
             revision=report.revision,
+            failures=report.load.failures,
+            unproved=report.load.unproved,
         )
         self._instances[report.instance] = instance
         return instance
@@ -78,6 +84,8 @@
         instance.busy_slots = load.busy_slots
         instance.queued = load.queued
         instance.connections = load.connections
+        instance.failures = load.failures
+        instance.unproved = load.unproved
 
     def find(self, name: str) -> Instance | None:
         """Return an instance, also when it has gone silent."""
--- /dev/null
+++ b/src/persimmonsail/planner.py
@@ -0,0 +1,304 @@
+"""Which pending tasks of a partition are placed next, and where.
+
+A holder asks for a round of steps every tenth of a second. Quotas and
+fair sharing decide the order, quarantine the candidates, what was
+learnt the size; the placement policy then chooses among what is left.
+"""
+
+import dataclasses
+import typing as t
+
+from persimmonsail import admission
+from persimmonsail import catalogue as catalogue_module
+from persimmonsail import fleet as fleet_module
+from persimmonsail import learning
+from persimmonsail import quarantine
+from persimmonsail import quotas
+from persimmonsail import tasks as tasks_module
+
+# After its first announcement an entry waits so long (seconds) before
+# it calls a task too large for every instance: more may be unheard of.
+SETTLING = 10.0
+# So many tasks are looked at in one round.
+ROUND = 512
+
+Chooser = t.Callable[
+    [list[fleet_module.Instance], tasks_module.Task, admission.Size],
+    fleet_module.Instance | None,
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class Placement:
+    """A task is to be started on an instance, with these terms.
+
+    ``canary`` marks a test of an instance that failed tasks in a row;
+    ``suspect`` a task whose workload fails wherever it runs.
+    """
+
+    task: tasks_module.Task
+    instance: fleet_module.Instance
+    estimate: learning.Estimate
+    decision: quotas.Decision
+    canary: bool
+    suspect: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """A task can never run; this is its final answer."""
+
+    task: tasks_module.Task
+    reason: str
+
+
+Step = Placement | Refusal
+
+
+@dataclasses.dataclass
+class Knowledge:
+    """What all partitions held by one entry learn together."""
+
+    tracker: quarantine.Tracker = dataclasses.field(
+        default_factory=quarantine.Tracker
+    )
+    learner: learning.Learner = dataclasses.field(
+        default_factory=learning.Learner
+    )
+    first_heard: float | None = None
+
+    def is_settled(self, fleet: fleet_module.Fleet, now: float) -> bool:
+        """Whether membership is known well enough to rule tasks out."""
+        if self.first_heard is None and fleet.list_all():
+            self.first_heard = now
+        heard = self.first_heard
+        return heard is not None and now - heard >= SETTLING
+
+
+def find_impossible(
+    workload: catalogue_module.Workload,
+    catalogue: catalogue_module.Catalogue,
+    instances: t.Iterable[fleet_module.Instance],
+) -> str:
+    """Return why a workload can never run as declared; empty if it can.
+
+    Silent instances count as known: a zone that is cut off comes back,
+    and its tasks are not refused for that.
+    """
+    size = read_declared(workload)
+    quota = quotas.read_quota(catalogue.teams[workload.owner])
+    if not size.fits(quota):
+        return f'larger than the quota of {workload.owner}'
+    limits = [admission.leave_headroom(i.capacity) for i in instances]
+    if not any(size.fits(limit) for limit in limits):
+        return 'fits no known instance'
+    return ''
+
+
+def read_declared(workload: catalogue_module.Workload) -> admission.Size:
+    """Return the size that the catalogue declares for a workload."""
+    return admission.Size(
+        workload.cores, workload.memory_gb, workload.accelerators
+    )
+
+
+class Planner:
+    """Plans the rounds of one partition.
+
+    Parameters
+    ----------
+    fleet : persimmonsail.fleet.Fleet
+        The entry's view of instances.
+    knowledge : Knowledge
+        Shared by all partitions that the entry holds.
+    choose : callable
+        The placement policy.
+    """
+
+    def __init__(
+        self,
+        fleet: fleet_module.Fleet,
+        knowledge: Knowledge,
+        choose: Chooser,
+    ) -> None:
+        self.accounts = quotas.Accounts()
+        self.waiting: dict[str, str] = {}
+        self._fleet = fleet
+        self._knowledge = knowledge
+        self._choose = choose
+
+    def plan(
+        self,
+        pending: t.Sequence[tasks_module.Task],
+        catalogue: catalogue_module.Catalogue,
+        now: float,
+    ) -> t.Iterator[Step]:
+        """Yield the steps of one round.
+
+        What a placement takes is charged and committed in the entry's
+        view before the next step is chosen. ``waiting`` then tells why
+        each task that was looked at still waits.
+        """
+        self.waiting = {}
+        self._knowledge.is_settled(self._fleet, now)
+        if pending:
+            yield from _Round(self, catalogue, now).run(pending)
+
+    def note_task(
+        self,
+        task: tasks_module.Task,
+        catalogue: catalogue_module.Catalogue,
+    ) -> None:
+        """Bring the accounts in line with a task in the ledger."""
+        workload = catalogue.workloads.get(task.workload)
+        size = read_declared(workload) if workload else admission.Size()
+        quotas.note_task(self.accounts, task, size)
+
+
+class _Round:
+    def __init__(
+        self,
+        planner: Planner,
+        catalogue: catalogue_module.Catalogue,
+        now: float,
+    ) -> None:
+        self._planner = planner
+        self._catalogue = catalogue
+        self._now = now
+        self._knowledge = planner._knowledge
+        self._live = planner._fleet.list_live()
+        limits = [admission.leave_headroom(i.capacity) for i in self._live]
+        self._limits = limits
+        self._policy = quotas.Policy(
+            planner.accounts,
+            catalogue.teams,
+            sum(limits, admission.Size()),
+            sum((i.committed for i in self._live), admission.Size()),
+        )
+        self._quarantined = self._knowledge.tracker.select(
+            {i.name: i.failures for i in self._live}, now
+        )
+        self._without_room: list[admission.Size] = []
+
+    def run(self, pending: t.Sequence[tasks_module.Task]) -> t.Iterator[Step]:
+        tasks = quotas.arrange(
+            pending, self._catalogue.workloads, self._policy
+        )
+        for number, task in enumerate(tasks):
+            if number >= ROUND:
+                return
+            if (step := self._plan_task(task)) is not None:
+                yield step
+
+    def _plan_task(self, task: tasks_module.Task) -> Step | None:
+        workload = self._catalogue.workloads[task.workload]
+        if reason := self._find_impossible(workload):
+            return Refusal(task, reason)
+        estimate = self._estimate(task.workload, workload)
+        decision = self._policy.decide(
+            task.team, task.workload, workload, estimate.size
+        )
+        if decision.reason:
+            self._planner.waiting[task.id] = decision.reason
+            return None
+        chosen = self._choose(task, workload, estimate.size)
+        if chosen is None:
+            self._planner.waiting[task.id] = 'no-room'
+            return None
+        return self._place(task, chosen, estimate, decision)
+
+    def _find_impossible(self, workload: catalogue_module.Workload) -> str:
+        fleet = self._planner._fleet
+        if not self._knowledge.is_settled(fleet, self._now):
+            return ''
+        return find_impossible(workload, self._catalogue, fleet.list_all())
+
+    def _estimate(
+        self, name: str, workload: catalogue_module.Workload
+    ) -> learning.Estimate:
+        declared = read_declared(workload)
+        learner = self._knowledge.learner
+        largest = max(
+            (limit for limit in self._limits if declared.fits(limit)),
+            key=lambda limit: limit.cores,
+            default=declared,
+        )
+        found = learner.estimate_size(name, declared, largest)
+        quota = quotas.read_quota(self._catalogue.teams[workload.owner])
+        if not found.size.fits(quota):
+            # A guess must not shut a workload out of its team's quota.
+            return learning.Estimate(declared, 'declared', found.samples)
+        return found
+
+    def _choose(
+        self,
+        task: tasks_module.Task,
+        workload: catalogue_module.Workload,
+        size: admission.Size,
+    ) -> fleet_module.Instance | None:
+        if any(small.fits(size) for small in self._without_room):
+            return None
+        candidates = [i for i in self._live if self._may_start(i, workload)]
+        tests = [i for i in candidates if i.name in self._quarantined]
+        if tests:
+            # No policy would choose an instance that fails; a canary
+            # goes there when it is due, whatever the others have free.
+            chosen = self._planner._choose(tests, task, size)
+            if chosen is not None:
+                return chosen
+        chosen = self._planner._choose(candidates, task, size)
+        if chosen is None and len(candidates) == len(self._live):
+            self._without_room.append(size)
+        return chosen
+
+    def _may_start(
+        self,
+        instance: fleet_module.Instance,
+        workload: catalogue_module.Workload,
+    ) -> bool:
+        if instance.name in self._quarantined:
+            tracker = self._knowledge.tracker
+            return (
+                not instance.unproved
+                and is_restartable(workload)
+                and tracker.may_test(instance.name, self._now)
+            )
+        if instance.failures >= quarantine.MAX_FAILURES:
+            return not instance.unproved
+        risked = instance.failures + instance.unproved
+        return risked < quarantine.MAX_FAILURES
+
+    def _place(
+        self,
+        task: tasks_module.Task,
+        chosen: fleet_module.Instance,
+        estimate: learning.Estimate,
+        decision: quotas.Decision,
+    ) -> Placement:
+        tracker = self._knowledge.tracker
+        quarantined = chosen.name in self._quarantined
+        if quarantined:
+            tracker.note_canary(chosen.name, self._now)
+        chosen.committed = chosen.committed + estimate.size
+        chosen.unproved += 1
+        self._policy.note_placed(
+            quotas.Charge(task.id, task.team, task.workload, estimate.size)
+        )
+        return Placement(
+            task,
+            chosen,
+            estimate,
+            decision,
+            canary=quarantined or chosen.failures >= quarantine.MAX_FAILURES,
+            suspect=tracker.is_to_blame(task.workload),
+        )
+
+
+def is_restartable(workload: catalogue_module.Workload) -> bool:
+    """Whether a failed attempt may be followed by another.
+
+    Only such work tests an instance in quarantine: a task that runs at
+    most once would be lost to a test that fails.
+    """
+    kind = catalogue_module.WorkloadClass.WATCHER
+    return workload.idempotent or workload.workload_class is kind
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,159 @@
+import itertools
+import typing as t
+
+from persimmonsail import admission
+from persimmonsail import catalogue
+from persimmonsail import control_pb2
+from persimmonsail import fleet
+from persimmonsail import placement
+from persimmonsail import planner
+from persimmonsail import quarantine
+from persimmonsail import tasks
+from tests import base
+
+TEXT = """\
+[team a]
+objective = throughput
+cores = 400
+memory-gb = 1600
+
+[workload build]
+owner = a
+class = batch
+cores = 8
+memory-gb = 16
+
+[workload check-up]
+owner = a
+class = batch
+idempotent = yes
+cores = 1
+memory-gb = 1
+
+[workload huge]
+owner = a
+class = batch
+cores = 100
+memory-gb = 16
+
+[workload greedy]
+owner = a
+class = batch
+cores = 500
+memory-gb = 16
+"""
+CATALOGUE = catalogue.parse('test', TEXT)
+_NUMBERS = itertools.count()
+
+
+def make_fleet(count: int = 11) -> fleet.Fleet:
+    made = fleet.Fleet(3600.0)
+    for number in range(count):
+        made.note_report(
+            control_pb2.SidecarReport(
+                instance=f'instance-{number:02d}',
+                incarnation='one',
+                capacity=control_pb2.Size(cores=64, memory_gb=250),
+            )
+        )
+    return made
+
+
+def make_task(workload: str = 'build') -> tasks.Task:
+    return tasks.Task(f'{next(_NUMBERS):05d}', workload, 'a', '{}', 1)
+
+
+def choose(candidates, task, size):
+    return placement.choose_instance(candidates, size)
+
+
+class PlannerTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = make_fleet()
+        self.knowledge = planner.Knowledge()
+        self.planner = planner.Planner(self.fleet, self.knowledge, choose)
+
+    def plan(self, pending: list[tasks.Task], now: float = 0.0) -> list[t.Any]:
+        return list(self.planner.plan(pending, CATALOGUE, now))
+
+    def test_a_round_respects_the_quota_and_says_why_tasks_wait(self):
+        for instance in self.fleet.list_all():
+            instance.unproved = -100
+        pending = [make_task() for _ in range(60)]
+        steps = self.plan(pending)
+        self.assertEqual(50, len(steps))
+        self.assertEqual({'quota'}, set(self.planner.waiting.values()))
+
+    def test_a_round_sends_each_instance_three_unproved_starts(self):
+        """A broken instance gets a whole wave before it is known."""
+        steps = self.plan([make_task('check-up') for _ in range(60)])
+        self.assertEqual(33, len(steps))
+        self.assertEqual(27, len(self.planner.waiting))
+        for instance in self.fleet.list_all():
+            self.assertEqual(3, instance.unproved)
+
+    def test_a_bad_instance_gets_no_work_but_canaries(self):
+        bad = self.fleet.find('instance-04')
+        bad.failures = 3
+        steps = self.plan([make_task('check-up') for _ in range(40)])
+        self.assertNotIn('instance-04', {s.instance.name for s in steps})
+        later = quarantine.CANARY_DELAY
+        [step] = self.plan([make_task('check-up')], later)
+        self.assertEqual('instance-04', step.instance.name)
+        self.assertTrue(step.canary)
+
+    def test_a_task_that_may_run_once_is_no_canary(self):
+        self.fleet.find('instance-04').failures = 3
+        self.plan([make_task()])
+        later = quarantine.CANARY_DELAY
+        for step in self.plan([make_task() for _ in range(30)], later):
+            self.assertNotEqual('instance-04', step.instance.name)
+
+    def test_a_task_too_large_for_all_is_refused_once_they_are_known(self):
+        """A build of 100 cores waits for ever, and its caller with it.
+
+        No instance has room for it, so it stays pending; but an entry
+        that has just started may not have heard of the large ones.
+        """
+        task = make_task('huge')
+        self.assertEqual([], self.plan([task], 0.0))
+        [step] = self.plan([task], planner.SETTLING)
+        self.assertEqual('fits no known instance', step.reason)
+
+    def test_a_silent_instance_still_counts_as_known(self):
+        self.plan([make_task()])
+        for instance in self.fleet.list_all():
+            instance.reported_at -= 7200.0
+        self.assertEqual([], self.plan([make_task()], planner.SETTLING))
+
+    def test_a_task_larger_than_its_quota_is_refused(self):
+        self.plan([make_task()])
+        [step] = self.plan([make_task('greedy')], planner.SETTLING)
+        self.assertEqual('larger than the quota of a', step.reason)
+
+    def test_the_learnt_size_is_committed_and_charged(self):
+        for _ in range(5):
+            self.knowledge.learner.note_usage('build', 20, 16)
+        [step] = self.plan([make_task()])
+        self.assertEqual('grown', step.estimate.source)
+        self.assertEqual(step.estimate.size, step.instance.committed)
+        self.assertEqual(
+            step.estimate.size, self.planner.accounts.find_usage('a')
+        )
+
+    def test_no_instance_is_planned_beyond_its_capacity(self):
+        for _ in range(5):
+            self.knowledge.learner.note_usage('build', 500, 16)
+        for _ in range(20):
+            self.plan([make_task() for _ in range(50)])
+            for instance in self.fleet.list_all():
+                instance.unproved = 0
+        for instance in self.fleet.list_all():
+            limit = admission.leave_headroom(instance.capacity)
+            self.assertTrue(instance.committed.fits(limit))
+
+    def test_rounds_without_tasks_settle_membership_too(self):
+        self.assertEqual([], self.plan([]))
+        [step] = self.plan([make_task('huge')], planner.SETTLING)
+        self.assertEqual('fits no known instance', step.reason)
