--- a/src/persimmonsail/learning.py
+++ b/src/persimmonsail/learning.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import typing as t
 
 from hdrh import histogram
 
@@ -46,6 +47,7 @@
         self._window = window
         self._current = self._make()
         self._previous = self._make()
+        self._found: dict[float, float] = {}
 
     def __len__(self) -> int:
         return (
@@ -56,6 +58,7 @@
         """Take a value in; old windows drop out, so a shift shows."""
         if self._current.get_total_count() >= self._window:
             self._previous, self._current = self._current, self._make()
+        self._found.clear()
         steps = round(value * self._scale)
         self._current.record_value(min(max(steps, 1), _HIGHEST))
 
@@ -63,10 +66,13 @@
         """Return a percentile; zero if there is no value."""
         if not len(self):
             return 0.0
-        merged = self._make()
-        merged.add(self._previous)
-        merged.add(self._current)
-        return merged.get_value_at_percentile(percentile) / self._scale
+        if percentile not in self._found:
+            merged = self._make()
+            merged.add(self._previous)
+            merged.add(self._current)
+            steps = merged.get_value_at_percentile(percentile)
+            self._found[percentile] = steps / self._scale
+        return self._found[percentile]
 
     def _make(self) -> histogram.HdrHistogram:
         return histogram.HdrHistogram(1, _HIGHEST, _DIGITS)
@@ -91,6 +97,20 @@
         self.seconds = Quantiles(_MILLI)
 
 
+POLICIES: dict[str, type['Learner']] = {}
+
+
+def register(name: str) -> t.Callable[[type], type]:
+    """Add a kind of learner under a name."""
+
+    def add(kind: type) -> type:
+        POLICIES[name] = kind
+        return kind
+
+    return add
+
+
+@register('quantiles')
 class Learner:
     """What this process learnt of each workload."""
 
@@ -148,6 +168,17 @@
         return self._workloads.setdefault(name, _Workload())
 
 
+@register('declared')
+class TrustingLearner(Learner):
+    """Takes every size as declared; the baseline."""
+
+    def estimate_size(
+        self, name: str, declared: admission.Size, largest: admission.Size
+    ) -> Estimate:
+        """Return the declared size."""
+        return Estimate(declared, 'declared', 0)
+
+
 def _bound(learnt: float, declared: float, samples: int) -> float:
     if learnt < declared and samples < SHRINK_SAMPLES:
         return declared
--- a/src/persimmonsail/planner.py
+++ b/src/persimmonsail/planner.py
@@ -113,6 +113,8 @@
         Shared by all partitions that the entry holds.
     choose : callable
         The placement policy.
+    order : str, optional
+        The name of the order of tasks; see ``quotas.ORDERS``.
     """
 
     def __init__(
@@ -120,12 +122,14 @@
         fleet: fleet_module.Fleet,
         knowledge: Knowledge,
         choose: Chooser,
+        order: str = 'fair-share',
     ) -> None:
         self.accounts = quotas.Accounts()
         self.waiting: dict[str, str] = {}
         self._fleet = fleet
         self._knowledge = knowledge
         self._choose = choose
+        self._arrange = quotas.ORDERS[order]
 
     def plan(
         self,
@@ -179,9 +183,12 @@
             {i.name: i.failures for i in self._live}, now
         )
         self._without_room: list[admission.Size] = []
+        # Nothing becomes free within a round, so what holds one task of
+        # a workload back holds back all that follow.
+        self._blocked: dict[str, str] = {}
 
     def run(self, pending: t.Sequence[tasks_module.Task]) -> t.Iterator[Step]:
-        tasks = quotas.arrange(
+        tasks = self._planner._arrange(
             pending, self._catalogue.workloads, self._policy
         )
         for number, task in enumerate(tasks):
@@ -191,6 +198,9 @@
                 yield step
 
     def _plan_task(self, task: tasks_module.Task) -> Step | None:
+        if task.workload in self._blocked:
+            self._planner.waiting[task.id] = self._blocked[task.workload]
+            return None
         workload = self._catalogue.workloads[task.workload]
         if reason := self._find_impossible(workload):
             return Refusal(task, reason)
@@ -199,14 +209,16 @@
             task.team, task.workload, workload, estimate.size
         )
         if decision.reason:
-            self._planner.waiting[task.id] = decision.reason
-            return None
+            return self._block(task, decision.reason)
         chosen = self._choose(task, workload, estimate.size)
         if chosen is None:
-            self._planner.waiting[task.id] = 'no-room'
-            return None
+            return self._block(task, 'no-room')
         return self._place(task, chosen, estimate, decision)
 
+    def _block(self, task: tasks_module.Task, reason: str) -> None:
+        self._planner.waiting[task.id] = reason
+        self._blocked[task.workload] = reason
+
     def _find_impossible(self, workload: catalogue_module.Workload) -> str:
         fleet = self._planner._fleet
         if not self._knowledge.is_settled(fleet, self._now):
@@ -263,10 +275,10 @@
                 and is_restartable(workload)
                 and tracker.may_test(instance.name, self._now)
             )
-        if instance.failures >= quarantine.MAX_FAILURES:
+        most = self._knowledge.tracker.most_risked
+        if instance.failures >= most:
             return not instance.unproved
-        risked = instance.failures + instance.unproved
-        return risked < quarantine.MAX_FAILURES
+        return instance.failures + instance.unproved < most
 
     def _place(
         self,
--- a/src/persimmonsail/quarantine.py
+++ b/src/persimmonsail/quarantine.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import math
+import time
 import typing as t
 
 # So many tasks an instance may fail before it gets no more.
@@ -18,6 +19,8 @@
 MAX_SHARE = 0.2
 # A task that has run for so long counts as begun well (seconds).
 PROVED_AFTER = 1.0
+# A start of which nothing was heard for so long says nothing (seconds).
+UNHEARD_AFTER = 30.0
 # Until a canary may test an instance in quarantine (seconds); doubled
 # with each canary that fails.
 CANARY_DELAY = 30.0
@@ -46,12 +49,24 @@
     entries send it work before the first failure is known. Starts that
     are neither ended nor proved count together with the failures in a
     row, and both together never exceed the bound.
+
+    Parameters
+    ----------
+    clock : callable, optional
+        Returns monotonic seconds.
+    limit : int, optional
+        The bound.
     """
 
-    def __init__(self, limit: int = MAX_FAILURES) -> None:
+    def __init__(
+        self,
+        clock: t.Callable[[], float] = time.monotonic,
+        limit: int = MAX_FAILURES,
+    ) -> None:
         self.failures = 0
+        self._clock = clock
         self._limit = limit
-        self._unproved: set[tuple[str, int]] = set()
+        self._unproved: dict[tuple[str, int], float] = {}
 
     @property
     def unproved(self) -> int:
@@ -60,6 +75,7 @@
 
     def find_refusal(self, canary: bool) -> str:
         """Return why a start is refused now; empty if it is not."""
+        self._forget_old()
         if canary:
             return 'a canary is running' if self._unproved else ''
         if self.failures >= self._limit:
@@ -70,23 +86,35 @@
 
     def note_start(self, task: str, attempt: int) -> None:
         """Count a start until it has ended or proved itself."""
-        self._unproved.add((task, attempt))
+        self._unproved[task, attempt] = self._clock()
+
+    def note_active(self, task: str, attempt: int) -> None:
+        """Take in that a task still runs; after a while that is proof."""
+        began = self._unproved.get((task, attempt))
+        if began is not None and self._clock() - began >= PROVED_AFTER:
+            self.note_success(task, attempt)
 
     def note_success(self, task: str, attempt: int) -> None:
         """Take in that a task ended well, or has run long enough."""
-        if (task, attempt) in self._unproved:
-            self._unproved.remove((task, attempt))
+        if self._unproved.pop((task, attempt), None) is not None:
             self.failures = 0
 
     def note_failure(self, task: str, attempt: int) -> None:
         """Take in that a task failed before it had proved itself."""
-        if (task, attempt) in self._unproved:
-            self._unproved.remove((task, attempt))
+        if self._unproved.pop((task, attempt), None) is not None:
             self.failures += 1
 
     def forget(self, task: str, attempt: int) -> None:
         """Drop a start that says nothing about the instance."""
-        self._unproved.discard((task, attempt))
+        self._unproved.pop((task, attempt), None)
+
+    def _forget_old(self) -> None:
+        # The holder that would have asked may be gone, and its tasks
+        # with it; they must not block the instance for ever.
+        oldest = self._clock() - UNHEARD_AFTER
+        for key, began in list(self._unproved.items()):
+            if began < oldest:
+                del self._unproved[key]
 
 
 @dataclasses.dataclass
@@ -138,6 +166,20 @@
     delay: float = CANARY_DELAY
 
 
+POLICIES: dict[str, type['Tracker']] = {}
+
+
+def register(name: str) -> t.Callable[[type], type]:
+    """Add a kind of tracker under a name."""
+
+    def add(kind: type) -> type:
+        POLICIES[name] = kind
+        return kind
+
+    return add
+
+
+@register('crossings')
 class Tracker:
     """An entry's crossings of jobs and instances.
 
@@ -145,8 +187,15 @@
     ----------
     max_share : float, optional
         The largest part of the fleet that is in quarantine at once.
+
+    Attributes
+    ----------
+    most_risked : int
+        So many starts may be failed or unproved on one instance.
     """
 
+    most_risked = MAX_FAILURES
+
     def __init__(self, max_share: float = MAX_SHARE) -> None:
         self._max_share = max_share
         self._ends: dict[str, collections.deque[_End]] = {}
@@ -241,6 +290,10 @@
             self._held.setdefault(name, _Quarantine(now, now))
         return chosen
 
+    def count_held(self) -> int:
+        """Return how many instances are in quarantine."""
+        return len(self._held)
+
     def may_test(self, instance: str, now: float) -> bool:
         """Whether a canary may test an instance in quarantine now."""
         held = self._held.get(instance)
@@ -258,3 +311,20 @@
         # Jobs that can never run make a good instance report failures;
         # whoever saw all of them knows whose fault they were.
         return failures >= MAX_FAILURES and verdict.streak < failures
+
+
+@register('none')
+class BlindTracker(Tracker):
+    """Holds nothing against an instance; the baseline."""
+
+    most_risked = 1 << 30
+
+    def select(
+        self, reported: t.Mapping[str, int], now: float
+    ) -> dict[str, Verdict]:
+        """Return nothing, whatever was reported."""
+        return {}
+
+    def is_to_blame(self, job: str) -> bool:
+        """Return that no job is."""
+        return False
--- a/src/persimmonsail/quotas.py
+++ b/src/persimmonsail/quotas.py
@@ -204,6 +204,38 @@
         return (self._committed + size).fits(limit)
 
 
+Order = t.Callable[
+    [
+        t.Iterable[tasks_module.Task],
+        t.Mapping[str, catalogue.Workload],
+        Policy,
+    ],
+    t.Iterator[tasks_module.Task],
+]
+ORDERS: dict[str, Order] = {}
+
+
+def register(name: str) -> t.Callable[[Order], Order]:
+    """Add an order under a name."""
+
+    def add(order: Order) -> Order:
+        ORDERS[name] = order
+        return order
+
+    return add
+
+
+@register('arrival')
+def arrange_by_arrival(
+    pending: t.Iterable[tasks_module.Task],
+    workloads: t.Mapping[str, catalogue.Workload],
+    policy: Policy,
+) -> t.Iterator[tasks_module.Task]:
+    """Yield pending tasks as they came; the baseline."""
+    return (task for task in pending if task.workload in workloads)
+
+
+@register('fair-share')
 def arrange(
     pending: t.Iterable[tasks_module.Task],
     workloads: t.Mapping[str, catalogue.Workload],
@@ -255,11 +287,3 @@
         accounts.charge(Charge(task.id, task.team, task.workload, size))
     else:
         accounts.release(task.id)
-
-
-def count_pending(tasks: t.Iterable[tasks_module.Task], team: str) -> int:
-    """Return how many of a team's tasks wait for a place."""
-    return sum(
-        task.team == team and task.phase is records.TaskPhase.PENDING
-        for task in tasks
-    )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -65,6 +65,30 @@
         probation.note_failure('a', 1)
         self.assertEqual(0, probation.failures)
 
+    def test_a_task_that_goes_on_running_is_proof(self):
+        now = 0.0
+        probation = quarantine.Probation(lambda: now)
+        probation.note_start('a', 1)
+        probation.note_active('a', 1)
+        self.assertEqual(1, probation.unproved)
+        now = quarantine.PROVED_AFTER
+        probation.note_active('a', 1)
+        self.assertEqual(0, probation.unproved)
+
+    def test_starts_that_nobody_asks_about_do_not_block_for_ever(self):
+        """An instance takes no more work after an entry is gone.
+
+        Its holder started three tasks and died; nobody renews them, so
+        nothing is ever heard of how they began.
+        """
+        now = 0.0
+        probation = quarantine.Probation(lambda: now)
+        for number in range(3):
+            probation.note_start(f'task-{number}', 1)
+        self.assertNotEqual('', probation.find_refusal(canary=False))
+        now = quarantine.UNHEARD_AFTER + 1
+        self.assertEqual('', probation.find_refusal(canary=False))
+
     def test_one_canary_at_a_time_ends_a_quarantine(self):
         probation = quarantine.Probation()
         for number in range(3):
