Let sidecars bound unproved starts and report failures in a row

Cause: an instance that fails everything looks idle to every entry, and each entry alone only sees its own failures. The sidecar is the one place that sees all starts; it refuses the fourth before it is known how the first three began.

--- a/src/persimmonsail/instance.py
+++ b/src/persimmonsail/instance.py
@@ -8,6 +8,7 @@
 from persimmonsail import admission
 from persimmonsail import control_pb2
 from persimmonsail import logs
+from persimmonsail import quarantine
 
 
 def _make_incarnation() -> str:
@@ -39,6 +40,9 @@
     commitments: admission.Commitments = dataclasses.field(
         default_factory=lambda: admission.Commitments(admission.Size())
     )
+    probation: quarantine.Probation = dataclasses.field(
+        default_factory=quarantine.Probation
+    )
 
     def describe_load(self) -> control_pb2.Load:
         """Return the load that goes with every reply."""
@@ -46,6 +50,8 @@
             committed=self.commitments.total.to_message(),
             busy_slots=self.busy_slots,
             queued=self.queued,
+            failures=self.probation.failures,
+            unproved=self.probation.unproved,
         )
 
     def note_revision(self, revision: int) -> None:
--- a/src/persimmonsail/quarantine.py
+++ b/src/persimmonsail/quarantine.py
@@ -88,6 +88,17 @@
         """Count a start until it has ended or proved itself."""
         self._unproved[task, attempt] = self._clock()
 
+    def note_phase(self, task: str, attempt: int, phase: str) -> None:
+        """Take in how the worker says that an attempt stands."""
+        if phase == 'active':
+            self.note_active(task, attempt)
+        elif phase == 'succeeded':
+            self.note_success(task, attempt)
+        elif phase == 'failed':
+            self.note_failure(task, attempt)
+        else:
+            self.forget(task, attempt)
+
     def note_active(self, task: str, attempt: int) -> None:
         """Take in that a task still runs; after a while that is proof."""
         began = self._unproved.get((task, attempt))
--- a/src/persimmonsail/supervisor.py
+++ b/src/persimmonsail/supervisor.py
@@ -87,6 +87,8 @@
                 retry_after_seconds=_BUSY_RETRY_AFTER,
             )
         self._note_dispatch(request)
+        if not request.suspect:
+            self._own.probation.note_start(request.task, request.attempt)
         try:
             await self._worker.start(self._describe_start(request))
         except exceptions.StaleIncarnation as error:
@@ -113,7 +115,9 @@
         self._own.note_revision(request.revision)
         if (request.task, request.attempt) in self._barred:
             return 'barred'
-        return 'leaving' if self._own.leaving else ''
+        if self._own.leaving:
+            return 'leaving'
+        return self._own.probation.find_refusal(request.canary)
 
     def _describe_start(
         self, request: control_pb2.StartTaskRequest
@@ -177,6 +181,7 @@
             self._note_ended(key, 'absent', '')
             return state
         state.phase = _PHASES[task.phase]
+        self._own.probation.note_phase(*key, task.phase)
         state.answer = task.answer
         state.checkpoint = task.checkpoint
         if task.phase != 'active':
