Place tasks under quotas, quarantine and learnt sizes

Cause: the holder placed whatever was pending wherever there was room. The dispatcher now plans rounds: order and quota by team, no instance in quarantine, the learnt size, a final answer for what can never run; a claim's log line carries these terms, and a waiting task's line says why. Submits beyond a team's max-pending get 429 and a time drawn from how fast the team's queue drains; what fits no instance or not its team's quota gets 422. Charges follow the ledger's phases each round, so that a takeover or a lost start cannot leave any behind.

--- a/src/persimmonsail/catalogue.py
+++ b/src/persimmonsail/catalogue.py
@@ -39,6 +39,7 @@
     cores: t.Annotated[float, pydantic.Field(gt=0)]
     memory_gb: t.Annotated[float, pydantic.Field(gt=0)]
     accelerators: t.Annotated[int, pydantic.Field(ge=0)] = 0
+    max_pending: t.Annotated[int, pydantic.Field(ge=1)] = 2000
 
 
 class Workload(settings.Section):
--- a/src/persimmonsail/dispatch.py
+++ b/src/persimmonsail/dispatch.py
@@ -1,19 +1,20 @@
 """Placing pending tasks on instances, and starting them there."""
 
+import collections
+import time
+
 import anyio
 import anyio.abc
 
-from persimmonsail import admission
-from persimmonsail import catalogue
+from persimmonsail import catalogue as catalogue_module
 from persimmonsail import contacts as contacts_module
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import endings as endings_module
 from persimmonsail import exceptions
-from persimmonsail import fleet as fleet_module
 from persimmonsail import holding as holding_module
 from persimmonsail import logs
-from persimmonsail import placement
+from persimmonsail import planner as planner_module
 from persimmonsail import records
 from persimmonsail import renewals
 from persimmonsail import tasks
@@ -34,6 +35,11 @@
         self._holding = holding
         self._endings = endings
         self._renewer = renewer
+        self._planner = planner_module.Planner(
+            holding.fleet, holding.knowledge, planner_module.choose
+        )
+        self._starting: set[str] = set()
+        self._told: dict[str, str] = {}
 
     async def run(self) -> None:
         """Place tasks until cancelled."""
@@ -43,53 +49,85 @@
                     self._place_pending(group)
                 await anyio.sleep(_PERIOD)
 
-    def choose(
-        self, task: tasks.Task, workload: catalogue.Workload
-    ) -> fleet_module.Instance | None:
-        """Return the instance for a task's next attempt, if any."""
-        return placement.choose_instance(
-            self._holding.fleet.list_live(), _read_size(workload)
+    def _place_pending(self, group: anyio.abc.TaskGroup) -> None:
+        holding = self._holding
+        if not holding.view.is_fresh:
+            return
+        catalogue = holding.view.catalogue
+        pending = self._collect_pending(catalogue)
+        holding.intake.note_pending(
+            collections.Counter(task.team for task in pending)
         )
+        now = time.monotonic()
+        for step in self._planner.plan(pending, catalogue, now):
+            self._starting.add(step.task.id)
+            if isinstance(step, planner_module.Refusal):
+                group.start_soon(self._refuse, step)
+            else:
+                workload = catalogue.workloads[step.task.workload]
+                group.start_soon(self._start, step, workload)
+        self._log_waiting()
 
-    def _place_pending(self, group: anyio.abc.TaskGroup) -> None:
-        for task in list(self._holding.table.tasks.values()):
-            if task.phase is not records.TaskPhase.PENDING:
-                continue
-            if task.cancel_asked or task.id in self._holding.owned:
-                continue
-            workload = self._holding.view.catalogue.workloads.get(
-                task.workload
-            )
-            if workload is None or not self._holding.view.is_fresh:
-                continue
-            chosen = self.choose(task, workload)
-            if chosen is not None:
-                chosen.committed = chosen.committed + _read_size(workload)
-                group.start_soon(self._start, task, workload, chosen)
+    def _collect_pending(
+        self, catalogue: catalogue_module.Catalogue
+    ) -> list[tasks.Task]:
+        """Return the tasks that wait, and charge those that run."""
+        pending = []
+        charged = set(self._starting)
+        for task in self._holding.table.tasks.values():
+            if task.phase is records.TaskPhase.CLAIMED:
+                charged.add(task.id)
+                self._planner.note_task(task, catalogue)
+            elif task.phase is records.TaskPhase.PENDING:
+                free = task.id not in self._holding.owned
+                if free and not task.cancel_asked:
+                    pending.append(task)
+        self._planner.accounts.keep_only(charged)
+        return pending
+
+    def _log_waiting(self) -> None:
+        waiting = self._planner.waiting
+        for task, reason in waiting.items():
+            if self._told.get(task) != reason:
+                logs.write_event('waiting', task=task, reason=reason)
+        self._told = waiting
+
+    async def _refuse(self, step: planner_module.Refusal) -> None:
+        try:
+            if step.task.id in self._holding.owned:
+                return
+            with self._holding.owned.own(step.task.id):
+                await self._endings.finish(
+                    step.task, records.TaskPhase.FAILED, step.reason
+                )
+        finally:
+            self._starting.discard(step.task.id)
 
     async def _start(
         self,
-        task: tasks.Task,
-        workload: catalogue.Workload,
-        chosen: fleet_module.Instance,
+        step: planner_module.Placement,
+        workload: catalogue_module.Workload,
     ) -> None:
-        if task.id in self._holding.owned:
-            return
-        with self._holding.owned.own(task.id):
-            contact = await self._renewer.find_contact(chosen)
-            if contact is None:
-                return
-            if not await self._claim(task, workload, chosen, contact):
+        task = step.task
+        try:
+            if task.id in self._holding.owned:
                 return
-            await self._send_start(task, workload, chosen, contact.boot)
+            with self._holding.owned.own(task.id):
+                contact = await self._renewer.find_contact(step.instance)
+                if contact is None:
+                    return
+                if await self._claim(step, workload, contact):
+                    await self._send_start(step, workload, contact.boot)
+        finally:
+            self._starting.discard(task.id)
 
     async def _claim(
         self,
-        task: tasks.Task,
-        workload: catalogue.Workload,
-        chosen: fleet_module.Instance,
+        step: planner_module.Placement,
+        workload: catalogue_module.Workload,
         contact: contacts_module.Contact,
     ) -> bool:
+        task, chosen = step.task, step.instance
         attempt = task.attempt + 1
         try:
             await self._holding.committer.commit(
@@ -97,6 +135,7 @@
             )
         except exceptions.NotCommitted:
             return False
+        self._holding.intake.note_placed(task.team, time.monotonic())
         logs.write_event(
             'placement',
             task=task.id,
@@ -109,16 +148,17 @@
             idempotent=workload.idempotent,
             checkpoint=logs.digest(task.checkpoint.encode()),
             revision=self._holding.view.revision,
+            **_describe_terms(step),
         )
         return True
 
     async def _send_start(
         self,
-        task: tasks.Task,
-        workload: catalogue.Workload,
-        chosen: fleet_module.Instance,
+        step: planner_module.Placement,
+        workload: catalogue_module.Workload,
         boot: str,
     ) -> None:
+        task, chosen = step.task, step.instance
         # The commit may have taken seconds; the ticket is then old.
         contact = await self._renewer.find_contact(chosen)
         if contact is None or not self._holding.authority.is_valid:
@@ -136,13 +176,16 @@
             workload=task.workload,
             team=task.team,
             workload_class=workload.workload_class,
-            size=_read_size(workload).to_message(),
+            size=step.estimate.size.to_message(),
             lease_seconds=self._holding.lease_seconds,
             payload=task.payload.encode(),
             checkpoint=task.checkpoint,
             ticket=contact.ticket,
             boot=boot,
+            canary=step.canary,
+            suspect=step.suspect,
         )
+        self._holding.knowledge.note_start(task.id, time.monotonic())
         try:
             reply = await self._holding.links.call(
                 chosen.address,
@@ -160,7 +203,16 @@
             await self._endings.release(task, reply.reason)
 
 
-def _read_size(workload: catalogue.Workload) -> admission.Size:
-    return admission.Size(
-        workload.cores, workload.memory_gb, workload.accelerators
-    )
+def _describe_terms(step: planner_module.Placement) -> dict[str, object]:
+    size = step.estimate.size
+    return {
+        'cores': size.cores,
+        'memory_gb': size.memory_gb,
+        'size': step.estimate.source,
+        'samples': step.estimate.samples,
+        'team': step.task.team,
+        'share': step.decision.share,
+        'entitlement': step.decision.entitlement,
+        'canary': step.canary,
+        'suspect': step.suspect,
+    }
--- a/src/persimmonsail/endings.py
+++ b/src/persimmonsail/endings.py
@@ -37,6 +37,9 @@
         boot : str
             The worker's process that said so.
         """
+        if state.phase in (control_pb2.SUCCEEDED, control_pb2.FAILED):
+            failed = state.phase == control_pb2.FAILED
+            self._note_end(task, failed)
         if state.phase == control_pb2.SUCCEEDED:
             await self.finish(
                 task, records.TaskPhase.SUCCEEDED, 'done', state.answer
@@ -91,6 +94,7 @@
         answer: str = '',
     ) -> None:
         """Give a task its one final outcome."""
+        self._holding.knowledge.forget(task.id)
         await self._commit(
             records.Finished(
                 task.id, task.attempt, phase, answer, reason, time.time()
@@ -104,12 +108,33 @@
             reason=reason,
         )
 
+    def _note_end(self, task: tasks.Task, failed: bool) -> None:
+        knowledge = self._holding.knowledge
+        verdict = knowledge.note_end(
+            task, task.instance, failed, time.monotonic()
+        )
+        if failed:
+            logs.write_event(
+                'task-failed',
+                task=task.id,
+                workload=task.workload,
+                attempt=task.attempt,
+                instance=task.instance,
+                instance_log_odds=verdict.log_odds,
+                streak=verdict.streak,
+                jobs=verdict.jobs,
+                job_failures=knowledge.tracker.estimate_failures(
+                    task.workload
+                ),
+            )
+
     async def _note_failure(self, task: tasks.Task, answer: str) -> None:
         workload = self._holding.view.catalogue.workloads.get(task.workload)
         again = (
             workload is not None
             and workload.idempotent
             and task.failures + 1 < workload.max_attempts
+            and not self._holding.knowledge.tracker.is_to_blame(task.workload)
         )
         if again:
             await self.release(task, tasks.FAILED)
--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -24,6 +24,7 @@
 from persimmonsail import logs
 from persimmonsail import partitions as partitions_module
 from persimmonsail import peers as peers_module
+from persimmonsail import planner
 from persimmonsail import problems
 from persimmonsail import quick
 from persimmonsail import revisions
@@ -43,6 +44,7 @@
         self.settings = settings
         self.view = revisions.View(settings.entry.freshness)
         self.fleet = fleet_module.Fleet(settings.links.silence)
+        self.knowledge = planner.Knowledge()
         self.links = links_module.Links()
         self.leaving = False
         self.store = _open_store(settings.store)
@@ -138,6 +140,7 @@
             lease,
             partitions.promises.id,
             partitions.list_members,
+            self.knowledge,
         )
 
     async def Link(self, stream) -> None:
--- a/src/persimmonsail/exceptions.py
+++ b/src/persimmonsail/exceptions.py
@@ -91,6 +91,23 @@
     """A record was withdrawn, or refused, before it was written."""
 
 
+class NotAccepted(NotCommitted):
+    """A task was refused before anything was written.
+
+    Attributes
+    ----------
+    status : int
+        The HTTP status that says why.
+    retry_after : float
+        Seconds until coming back may help; zero if it never does.
+    """
+
+    def __init__(self, reason: str, status: int, retry_after: float) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.retry_after = retry_after
+
+
 class CommitUnknown(PersimmonsailError):
     """No certain outcome came in time; the write may take effect."""
 
--- a/src/persimmonsail/forwarding.py
+++ b/src/persimmonsail/forwarding.py
@@ -189,6 +189,13 @@
 ) -> control_pb2.TaskReply:
     try:
         return _describe_found(await call)
+    except exceptions.NotAccepted as error:
+        return control_pb2.TaskReply(
+            reason=str(error),
+            verdict=control_pb2.NOT_RUN,
+            status=error.status,
+            retry_after_seconds=error.retry_after,
+        )
     except (exceptions.NotCommitted, exceptions.NotHolder) as error:
         verdict, reason = control_pb2.NOT_RUN, str(error)
     except exceptions.CommitUnknown as error:
@@ -238,6 +245,14 @@
 def _check_reply(reply: control_pb2.TaskReply) -> control_pb2.TaskReply:
     if reply.accepted:
         return reply
+    if reply.verdict == control_pb2.NOT_RUN and reply.status:
+        raise problems.Problem(
+            reply.status,
+            'Not accepted',
+            problems.NOT_RUN,
+            reply.reason,
+            reply.retry_after_seconds,
+        )
     if reply.verdict == control_pb2.NOT_RUN:
         raise problems.Problem(
             503, 'Not accepted', problems.NOT_RUN, reply.reason, _RETRY_AFTER
--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -1,6 +1,7 @@
 """The holder of one partition: accepts, places and follows its tasks."""
 
 import contextlib
+import random
 import time
 import typing as t
 
@@ -16,9 +17,11 @@
 from persimmonsail import exceptions
 from persimmonsail import fleet as fleet_module
 from persimmonsail import holding
+from persimmonsail import intake
 from persimmonsail import ledger as ledger_module
 from persimmonsail import links as links_module
 from persimmonsail import logs
+from persimmonsail import planner
 from persimmonsail import records
 from persimmonsail import renewals
 from persimmonsail import revisions
@@ -47,6 +50,7 @@
         lease: consents.StoreLease,
         process_id: str,
         list_members: ListMembers,
+        knowledge: planner.Knowledge | None = None,
     ) -> None:
         limits = settings.entry
         consent_limits = (limits.task_lease, limits.outage_limit)
@@ -59,6 +63,10 @@
         self._process_id = process_id
         self._list_members = list_members
         self._proposed_members: set[records.Member] = set()
+        known = knowledge or planner.Knowledge()
+        self._intake = intake.Intake(
+            fleet, known, random.Random(ledger.partition)
+        )
         self._committer = commits.Committer(ledger, limits.commit_interval)
         self._authority = consents.Authority(
             lease, links, process_id, *consent_limits
@@ -75,6 +83,8 @@
             self._fence,
             holding.Owned(self._committer),
             limits.task_lease,
+            known,
+            self._intake,
         )
         ends = endings.Endings(shared)
         self._renewer = renewals.Renewer(shared, ends)
@@ -122,7 +132,8 @@
         Raises
         ------
         persimmonsail.exceptions.NotCommitted
-            If the task was not accepted.
+            If the task was not accepted; ``NotAccepted`` if it was
+            refused for its team's limits or because it can never run.
         persimmonsail.exceptions.CommitUnknown
             If it may have been accepted; the same key finds it then.
         """
@@ -138,6 +149,7 @@
             request.payload.decode(),
             request.revision,
         )
+        self._intake.note_accepted(workload.owner)
         seconds = min(request.timeout_seconds, _ANSWER_SECONDS)
         try:
             await self._committer.commit(record, seconds)
@@ -178,6 +190,9 @@
             )
         if self._committer.stalled or not self._authority.lease_is_valid:
             raise exceptions.NotCommitted('the store does not answer')
+        self._intake.check(
+            request.workload, self._view.catalogue, time.monotonic()
+        )
 
     async def _close(self) -> None:
         """Give the partition up, and write what was proposed.
--- a/src/persimmonsail/holding.py
+++ b/src/persimmonsail/holding.py
@@ -8,8 +8,10 @@
 from persimmonsail import consents
 from persimmonsail import contacts as contacts_module
 from persimmonsail import fleet as fleet_module
+from persimmonsail import intake as intake_module
 from persimmonsail import ledger as ledger_module
 from persimmonsail import links as links_module
+from persimmonsail import planner as planner_module
 from persimmonsail import revisions
 from persimmonsail import tasks
 
@@ -52,6 +54,8 @@
     fence: consents.Fence
     owned: Owned
     lease_seconds: float
+    knowledge: planner_module.Knowledge
+    intake: intake_module.Intake
 
     @property
     def partition(self) -> int:
--- a/src/persimmonsail/planner.py
+++ b/src/persimmonsail/planner.py
@@ -12,6 +12,7 @@
 from persimmonsail import catalogue as catalogue_module
 from persimmonsail import fleet as fleet_module
 from persimmonsail import learning
+from persimmonsail import placement
 from persimmonsail import quarantine
 from persimmonsail import quotas
 from persimmonsail import tasks as tasks_module
@@ -28,6 +29,15 @@
 ]
 
 
+def choose(
+    candidates: list[fleet_module.Instance],
+    task: tasks_module.Task,
+    size: admission.Size,
+) -> fleet_module.Instance | None:
+    """Choose the candidate with the most room left."""
+    return placement.choose_instance(candidates, size)
+
+
 @dataclasses.dataclass(frozen=True)
 class Placement:
     """A task is to be started on an instance, with these terms.
@@ -57,7 +67,11 @@
 
 @dataclasses.dataclass
 class Knowledge:
-    """What all partitions held by one entry learn together."""
+    """What all partitions held by one entry learn together.
+
+    ``started_at`` has the start of each task's attempt in monotonic
+    seconds, ``failed_on`` the instances that a task has failed on.
+    """
 
     tracker: quarantine.Tracker = dataclasses.field(
         default_factory=quarantine.Tracker
@@ -65,8 +79,35 @@
     learner: learning.Learner = dataclasses.field(
         default_factory=learning.Learner
     )
+    started_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    failed_on: dict[str, set[str]] = dataclasses.field(default_factory=dict)
     first_heard: float | None = None
 
+    def note_start(self, task: str, now: float) -> None:
+        """Take in that an instance has taken a task's attempt."""
+        self.started_at[task] = now
+
+    def note_end(
+        self,
+        task: tasks_module.Task,
+        instance: str,
+        failed: bool,
+        now: float,
+    ) -> quarantine.Verdict:
+        """Take in how an attempt ended; return how its instance stands."""
+        self.tracker.note(task.workload, instance, failed)
+        began = self.started_at.pop(task.id, None)
+        if failed:
+            self.failed_on.setdefault(task.id, set()).add(instance)
+        elif began is not None:
+            self.learner.note_run(task.workload, now - began)
+        return self.tracker.judge(instance)
+
+    def forget(self, task: str) -> None:
+        """Drop what is known of a task that has its final outcome."""
+        self.started_at.pop(task, None)
+        self.failed_on.pop(task, None)
+
     def is_settled(self, fleet: fleet_module.Fleet, now: float) -> bool:
         """Whether membership is known well enough to rule tasks out."""
         if self.first_heard is None and fleet.list_all():
@@ -251,6 +292,12 @@
         if any(small.fits(size) for small in self._without_room):
             return None
         candidates = [i for i in self._live if self._may_start(i, workload)]
+        # Where it has failed, a task fails again more likely than not;
+        # elsewhere its end tells whose fault that was.
+        avoided = self._knowledge.failed_on.get(task.id, ())
+        candidates = [
+            i for i in candidates if i.name not in avoided
+        ] or candidates
         tests = [i for i in candidates if i.name in self._quarantined]
         if tests:
             # No policy would choose an instance that fails; a canary
--- a/src/persimmonsail/quarantine.py
+++ b/src/persimmonsail/quarantine.py
@@ -13,6 +13,8 @@
 import time
 import typing as t
 
+from persimmonsail import logs
+
 # So many tasks an instance may fail before it gets no more.
 MAX_FAILURES = 3
 # At no time is a larger part of the fleet in quarantine.
@@ -297,8 +299,10 @@
         chosen = {name: suspects[name] for name in worst[:most]}
         for name in set(self._held) - set(chosen):
             del self._held[name]
-        for name in chosen:
-            self._held.setdefault(name, _Quarantine(now, now))
+            logs.write_event('quarantine-ended', instance=name)
+        for name in chosen.keys() - self._held.keys():
+            self._held[name] = _Quarantine(now, now)
+            _log_quarantine(name, chosen[name], reported[name], len(suspects))
         return chosen
 
     def count_held(self) -> int:
@@ -324,6 +328,20 @@
         return failures >= MAX_FAILURES and verdict.streak < failures
 
 
+def _log_quarantine(
+    instance: str, verdict: Verdict, reported: int, suspects: int
+) -> None:
+    logs.write_warning(
+        'quarantine',
+        instance=instance,
+        log_odds=verdict.log_odds,
+        streak=verdict.streak,
+        jobs=verdict.jobs,
+        reported=reported,
+        suspects=suspects,
+    )
+
+
 @register('none')
 class BlindTracker(Tracker):
     """Holds nothing against an instance; the baseline."""
--- a/src/persimmonsail/quotas.py
+++ b/src/persimmonsail/quotas.py
@@ -71,6 +71,12 @@
         if charge is not None:
             self._add(charge, -1)
 
+    def keep_only(self, tasks: t.Container[str]) -> None:
+        """Release every charge but those of some tasks."""
+        for task in list(self._charges):
+            if task not in tasks:
+                self.release(task)
+
     def find_usage(self, team: str) -> admission.Size:
         """Return the sum of a team's charges."""
         return self._teams.get(team, admission.Size())
