Refuse full queues and impossible tasks at once, and quarantine in small fleets

One of two to four instances may now be in quarantine, and tasks under way are counted apart, exactly. A key under way is never refused: 'not run' could be false for it.

--- a/src/persimmonsail/dispatch.py
+++ b/src/persimmonsail/dispatch.py
@@ -1,6 +1,5 @@
 """Placing pending tasks on instances, and starting them there."""
 
-import collections
 import time
 
 import anyio
@@ -55,9 +54,7 @@
             return
         catalogue = holding.view.catalogue
         pending = self._collect_pending(catalogue)
-        holding.intake.note_pending(
-            collections.Counter(task.team for task in pending)
-        )
+        holding.intake.note_pending(pending)
         now = time.monotonic()
         for step in self._planner.plan(pending, catalogue, now):
             self._starting.add(step.task.id)
--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -149,10 +149,10 @@
             request.payload.decode(),
             request.revision,
         )
-        self._intake.note_accepted(workload.owner)
         seconds = min(request.timeout_seconds, _ANSWER_SECONDS)
         try:
-            await self._committer.commit(record, seconds)
+            with self._intake.admit(request.task, workload.owner):
+                await self._committer.commit(record, seconds)
         except exceptions.NotCommitted:
             # The same key may have come in with another request.
             if request.task not in self.table.tasks:
@@ -191,7 +191,10 @@
         if self._committer.stalled or not self._authority.lease_is_valid:
             raise exceptions.NotCommitted('the store does not answer')
         self._intake.check(
-            request.workload, self._view.catalogue, time.monotonic()
+            request.task,
+            request.workload,
+            self._view.catalogue,
+            time.monotonic(),
         )
 
     async def _close(self) -> None:
--- a/src/persimmonsail/intake.py
+++ b/src/persimmonsail/intake.py
@@ -1,6 +1,7 @@
 """Whether a holder accepts one more task of a team."""
 
 import collections
+import contextlib
 import random
 import typing as t
 
@@ -10,6 +11,7 @@
 from persimmonsail import logs
 from persimmonsail import planner as planner_module
 from persimmonsail import retryafter
+from persimmonsail import tasks as tasks_module
 
 _MEDIAN = 50
 _TOO_MANY = 429
@@ -39,15 +41,28 @@
         self._knowledge = knowledge
         self._generator = generator
         self._pending: t.Counter[str] = collections.Counter()
+        self._coming: dict[str, str] = {}
         self._drains: dict[str, retryafter.Drain] = {}
 
-    def note_pending(self, pending: t.Counter[str]) -> None:
-        """Take in how many tasks of each team wait for a place."""
-        self._pending = pending
+    def note_pending(self, pending: t.Iterable[tasks_module.Task]) -> None:
+        """Take in which tasks wait for a place."""
+        self._pending = collections.Counter(
+            task.team for task in pending if task.id not in self._coming
+        )
+
+    @contextlib.contextmanager
+    def admit(self, task: str, team: str) -> t.Iterator[None]:
+        """Count a task while it is committed, and after it was.
 
-    def note_accepted(self, team: str) -> None:
-        """Count a task that was accepted since."""
-        self._pending[team] += 1
+        It is in the table some time before the commit's caller runs on;
+        a round in between must not count it twice.
+        """
+        self._coming[task] = team
+        try:
+            yield
+            self._pending[team] += 1
+        finally:
+            self._coming.pop(task, None)
 
     def note_placed(self, team: str, now: float) -> None:
         """Count a task that has left its team's queue."""
@@ -55,6 +70,7 @@
 
     def check(
         self,
+        task: str,
         name: str,
         catalogue: catalogue_module.Catalogue,
         now: float,
@@ -66,6 +82,10 @@
         persimmonsail.exceptions.NotAccepted
             If it is refused; it did not run and never will.
         """
+        if task in self._coming:
+            # An earlier request with the same key may yet be accepted;
+            # 'not run' would then be false.
+            return
         workload = catalogue.workloads[name]
         if self._knowledge.is_settled(self._fleet, now):
             reason = planner_module.find_impossible(
@@ -74,7 +94,9 @@
             if reason:
                 raise exceptions.NotAccepted(reason, _NEVER, 0.0)
         team = workload.owner
-        ahead = self._pending[team] - catalogue.teams[team].max_pending + 1
+        coming = sum(other == team for other in self._coming.values())
+        pending = self._pending[team] + coming
+        ahead = pending - catalogue.teams[team].max_pending + 1
         if ahead > 0:
             self._refuse_full(name, team, ahead, now)
 
--- a/src/persimmonsail/quarantine.py
+++ b/src/persimmonsail/quarantine.py
@@ -17,7 +17,8 @@
 
 # So many tasks an instance may fail before it gets no more.
 MAX_FAILURES = 3
-# At no time is a larger part of the fleet in quarantine.
+# At no time is a larger part of the fleet in quarantine; but in a fleet
+# of two to four, one instance may be.
 MAX_SHARE = 0.2
 # A task that has run for so long counts as begun well (seconds).
 PROVED_AFTER = 1.0
@@ -295,7 +296,7 @@
                 name,
             ),
         )
-        most = math.floor(len(reported) * self._max_share)
+        most = self._find_most(len(reported))
         chosen = {name: suspects[name] for name in worst[:most]}
         for name in set(self._held) - set(chosen):
             del self._held[name]
@@ -305,6 +306,10 @@
             _log_quarantine(name, chosen[name], reported[name], len(suspects))
         return chosen
 
+    def _find_most(self, live: int) -> int:
+        least = 1 if live > 1 else 0
+        return max(math.floor(live * self._max_share), least)
+
     def count_held(self) -> int:
         """Return how many instances are in quarantine."""
         return len(self._held)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -169,6 +169,13 @@
         self.assertEqual(2, len(chosen))
         self.assertEqual(NAMES[7], next(iter(chosen)))
 
+    def test_a_small_fleet_has_one_in_quarantine_at_most(self):
+        tracker = quarantine.Tracker(max_share=0.2)
+        self.assertEqual(
+            1, len(tracker.select({'one': 3, 'two': 4, 'three': 3}, 0))
+        )
+        self.assertEqual({}, quarantine.Tracker().select({'one': 3}, 0))
+
     def test_canaries_come_at_growing_distances(self):
         tracker = make_tracker()
         reported = report(instance_04=3)
