Commit at one rate for each process, not for each partition

Cause: every partition took ten group commits a second of its own. Ruled out: fewer partitions, which would make quotas of teams share a holder and a takeover reload more at once.

Change: the partitions of a process take turns, ten a second; batches grow instead.

--- a/src/persimmonsail/commits.py
+++ b/src/persimmonsail/commits.py
@@ -8,6 +8,7 @@
 from persimmonsail import ledger as ledger_module
 from persimmonsail import logs
 from persimmonsail import records
+from persimmonsail import turns as turns_module
 
 MAX_BATCH_BYTES = 400_000
 _RECORD_BYTES = 400
@@ -41,9 +42,11 @@
     ``commit`` may be called from any task; ``run`` belongs to one.
     """
 
-    def __init__(self, ledger: ledger_module.Ledger, interval: float) -> None:
+    def __init__(
+        self, ledger: ledger_module.Ledger, turns: turns_module.Turns
+    ) -> None:
         self._ledger = ledger
-        self._interval = interval
+        self._turns = turns
         self._proposals: list[_Proposal] = []
         self._proposed = anyio.Event()
         self._writing = False
@@ -93,9 +96,9 @@
         try:
             while True:
                 await self._proposed.wait()
+                await self._turns.wait()
                 self._proposed = anyio.Event()
                 await self._commit_group(self._take_group())
-                await anyio.sleep(self._interval)
         finally:
             self._closed = True
             self._end_all()
--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -30,6 +30,7 @@
 from persimmonsail import settings as settings_module
 from persimmonsail import status
 from persimmonsail import store as store_module
+from persimmonsail import turns
 
 _RETRY_AFTER = 2.0
 _KEY_LENGTH = 24
@@ -46,6 +47,7 @@
         self.links = links_module.Links()
         self.leaving = False
         self.store = _open_store(settings.store)
+        self.turns = turns.Turns(settings.entry.commit_interval)
         self.quick = quick.QuickPath(
             self.fleet,
             self.links,
@@ -138,6 +140,7 @@
             lease,
             partitions.promises.id,
             partitions.list_members,
+            self.turns,
         )
 
     async def Link(self, stream) -> None:
--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -24,6 +24,7 @@
 from persimmonsail import revisions
 from persimmonsail import settings as settings_module
 from persimmonsail import tasks
+from persimmonsail import turns as turns_module
 
 MAX_PAYLOAD_BYTES = 65_536
 _ANSWER_SECONDS = 3.5
@@ -47,6 +48,7 @@
         lease: consents.StoreLease,
         process_id: str,
         list_members: ListMembers,
+        turns: turns_module.Turns,
     ) -> None:
         limits = settings.entry
         consent_limits = (limits.task_lease, limits.outage_limit)
@@ -59,7 +61,7 @@
         self._process_id = process_id
         self._list_members = list_members
         self._proposed_members: set[records.Member] = set()
-        self._committer = commits.Committer(ledger, limits.commit_interval)
+        self._committer = commits.Committer(ledger, turns)
         self._authority = consents.Authority(
             lease, links, process_id, *consent_limits
         )
--- a/tools/slope_fakes.py
+++ b/tools/slope_fakes.py
@@ -104,6 +104,9 @@
                 verdict=control_pb2.RUNNING,
                 load=self.own.describe_load(),
                 revision=self.own.revision,
+                ticket=time.monotonic(),
+                boot=self.name,
+                incarnation=self.own.incarnation,
             )
         )
 
@@ -111,8 +114,13 @@
         """Tell how the tasks stand."""
         request = await stream.recv_message()
         reply = control_pb2.RenewReply(
-            accepted=True, incarnation=self.own.incarnation
+            incarnation=self.own.incarnation,
+            ticket=time.monotonic(),
+            boot=self.name,
         )
+        reply.accepted = True
+        for ref in request.acknowledged:
+            self.tasks.pop(ref.task, None)
         for ref in request.tasks:
             reply.states.append(self._describe_state(ref))
         reply.load.CopyFrom(self.own.describe_load())
@@ -140,6 +148,7 @@
         reply.state.task = request.task
         reply.state.attempt = request.attempt
         reply.state.phase = control_pb2.STOPPED
+        reply.boot = self.name
         await stream.send_message(reply)
 
 
