Name a renewal's tasks by the digest of their set

Cause: each renewal names every task and gets every state back.

Change: a holder names a set once, then its 16-byte digest; a sidecar that has another set asks for the names; active states are left out of replies. A set is per partition and sidecar, so a takeover or a restart begins anew. Ruled out: a counter in place of a digest, which two holders of one partition could give to different sets.

--- a/src/persimmonsail/renewals.py
+++ b/src/persimmonsail/renewals.py
@@ -14,6 +14,7 @@
 from persimmonsail import holding as holding_module
 from persimmonsail import logs
 from persimmonsail import records
+from persimmonsail import refsets
 from persimmonsail import tasks
 
 _TIMEOUT = 1.5
@@ -33,6 +34,7 @@
     ) -> None:
         self._holding = holding
         self._endings = endings
+        self._ref_sets = refsets.RefSetWriter()
         self._calling: set[str] = set()
         self._lingering: dict[str, list[control_pb2.TaskRef]] = {}
 
@@ -124,10 +126,10 @@
             epoch=self._holding.epoch,
             incarnation=self._find_incarnation(instance),
             lease_seconds=self._holding.lease_seconds,
-            tasks=refs,
             ticket=contact.ticket if contact else 0.0,
             acknowledged=self._lingering.get(instance.name, []),
         )
+        self._ref_sets.name_tasks(request, refs)
         try:
             reply = await self._holding.links.call(
                 instance.address,
@@ -141,6 +143,9 @@
                 'renew-failed', instance=instance.name, error=error
             )
             return None
+        self._ref_sets.note_reply(request, reply)
+        if reply.resend:
+            return await self._call(instance, refs)
         return self._take_reply(instance, reply)
 
     def _take_reply(
--- a/src/persimmonsail/supervisor.py
+++ b/src/persimmonsail/supervisor.py
@@ -10,6 +10,7 @@
 from persimmonsail import exceptions
 from persimmonsail import instance as instance_module
 from persimmonsail import logs
+from persimmonsail import refsets
 from persimmonsail import tasklog
 from persimmonsail import workers
 
@@ -46,6 +47,7 @@
         self._unsettled: set[str] = set()
         self._settled_at: dict[str, float] = {}
         self._rebuilding = anyio.Lock()
+        self._ref_sets = refsets.RefSetReader()
 
     async def rebuild(self) -> None:
         """Take the worker over and recommit what it runs.
@@ -178,8 +180,13 @@
     ) -> control_pb2.RenewReply:
         """Extend a partition's leases and tell how its tasks stand."""
         reply = control_pb2.RenewReply(incarnation=self._own.incarnation)
+        if not self._ref_sets.restore(request):
+            reply.reason = 'the tasks have to be named'
+            reply.resend = True
+            return reply
         reply.reason = await self._renew(request, reply)
         reply.accepted = not reply.reason
+        refsets.drop_active(reply)
         reply.ticket = time.monotonic()
         return reply
 
--- a/tools/slope_fakes.py
+++ b/tools/slope_fakes.py
@@ -19,6 +19,7 @@
 from persimmonsail import httpserver
 from persimmonsail import instance as instance_module
 from persimmonsail import links
+from persimmonsail import refsets
 from persimmonsail import settings as settings_module
 from tools import slope_meter
 
@@ -59,6 +60,7 @@
             admission.Size(CORES, MEMORY_GB, 2)
         )
         self.tasks: dict[str, _Running] = {}
+        self._ref_sets = refsets.RefSetReader()
         self.announcer: announcer_module.Announcer
 
     async def listen(self) -> grpclib.server.Server:
@@ -118,11 +120,13 @@
             ticket=time.monotonic(),
             boot=self.name,
         )
-        reply.accepted = True
+        reply.resend = not self._ref_sets.restore(request)
+        reply.accepted = not reply.resend
         for ref in request.acknowledged:
             self.tasks.pop(ref.task, None)
         for ref in request.tasks:
             reply.states.append(self._describe_state(ref))
+        refsets.drop_active(reply)
         reply.load.CopyFrom(self.own.describe_load())
         await stream.send_message(reply)
 
