--- a/src/persimmonsail/forwarding.py
+++ b/src/persimmonsail/forwarding.py
@@ -1,5 +1,6 @@
 """The way of callers' tasks to the holders of their partitions."""
 
+import re
 import time
 import typing as t
 
@@ -19,6 +20,7 @@
 _COMMIT_SECONDS = 3.5
 _RETRY_PERIOD = 0.1
 _RETRY_AFTER = 2.0
+_PARTITION = re.compile('[0-9]{3}')
 _Here = t.Callable[[t.Any], t.Awaitable[control_pb2.TaskReply]]
 
 
@@ -135,6 +137,11 @@
     async def _forward(
         self, method: str, request: t.Any, here: _Here, seconds: float
     ) -> control_pb2.TaskReply:
+        if request.partition >= self._entry.settings.entry.partitions:
+            # No entry will ever hold it: coming back does not help.
+            raise problems.Problem(
+                404, 'No such task', problems.NOT_RUN, request.task
+            )
         deadline = time.monotonic() + seconds
         reply = _not_held()
         uncertain = False
@@ -203,7 +210,7 @@
 
 def _read_partition(task: str) -> int:
     prefix, _, rest = task.partition('-')
-    if not prefix.isdigit() or not rest:
+    if not _PARTITION.fullmatch(prefix) or not rest:
         raise problems.Problem(404, 'No such task', problems.NOT_RUN, task)
     return int(prefix)
 
