Parse a large catalogue in less memory

Change: option names are interned, places are kept by section, and lines are split only after a syntax error.

--- a/src/persimmonsail/findings.py
+++ b/src/persimmonsail/findings.py
@@ -4,6 +4,7 @@
 import dataclasses
 import pathlib
 import re
+import sys
 import typing as t
 
 import pydantic
@@ -53,26 +54,27 @@
     def __init__(self, file: str, text: str) -> None:
         self.file = file
         self.duplicates: list[Duplicate] = []
-        self._lines: dict[tuple[str, str], int] = {}
+        self._lines: dict[str, dict[str, int]] = {}
         section = ''
         for number, line in enumerate(text.split('\n'), start=1):
             if found := self._SECTION.match(line):
                 section = found['name']
                 self._note(section, '', number)
             elif found := self._OPTION.match(line):
-                self._note(section, found['name'].strip().lower(), number)
+                name = _intern_lower(found['name'].strip())
+                self._note(section, name, number)
 
     def _note(self, section: str, option: str, number: int) -> None:
-        first = self._lines.setdefault((section, option), number)
+        lines = self._lines.setdefault(section, {})
+        first = lines.setdefault(option, number)
         if first != number:
             place = Place(self.file, number, section, option)
             self.duplicates.append(Duplicate(place, first))
 
     def find(self, section: str = '', option: str = '') -> Place:
         """Return the place of an option, else of its section."""
-        line = self._lines.get((section, option))
-        if line is None:
-            line = self._lines.get((section, ''), 0)
+        lines = self._lines.get(section, {})
+        line = lines.get(option, lines.get('', 0))
         return Place(self.file, line, section, option)
 
 
@@ -174,17 +176,17 @@
             duplicate.place,
             f'{what} stands in line {duplicate.first} too; allowed: once',
         )
-    lines = text.split('\n')
     while True:
         parser = _make_parser()
         try:
-            parser.read_string('\n'.join(lines), file)
+            parser.read_string(text, file)
         except configparser.MissingSectionHeaderError as error:
             numbers = [error.lineno]
         except configparser.ParsingError as error:
             numbers = [number for number, _ in error.errors]
         else:
             return parser
+        lines = text.split('\n')
         for number in numbers:
             collector.add(
                 Place(file, number),
@@ -192,10 +194,18 @@
                 '[section], then option = value, or a comment after ; or #',
             )
             lines[number - 1] = ''
+        text = '\n'.join(lines)
 
 
 def _make_parser() -> configparser.ConfigParser:
     # A name that no line can hold: [DEFAULT] is not special.
-    return configparser.ConfigParser(
+    parser = configparser.ConfigParser(
         interpolation=None, strict=False, default_section='\n'
     )
+    parser.optionxform = _intern_lower
+    return parser
+
+
+def _intern_lower(option: str) -> str:
+    # A large catalogue repeats few options many thousand times.
+    return sys.intern(option.lower())
