--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -49,7 +49,7 @@
         lease: consents.StoreLease,
         process_id: str,
         list_members: ListMembers,
-        turns: turns_module.Turns,
+        turns: turns_module.Turns | None = None,
     ) -> None:
         limits = settings.entry
         consent_limits = (limits.task_lease, limits.outage_limit)
@@ -63,7 +63,9 @@
         self._process_id = process_id
         self._list_members = list_members
         self._proposed_members: set[records.Member] = set()
-        self._committer = commits.Committer(ledger, turns)
+        self._committer = commits.Committer(
+            ledger, turns or turns_module.Turns(limits.commit_interval)
+        )
         self._authority = consents.Authority(
             lease, links, process_id, *consent_limits
         )
