--- a/tools/slope_fakes.py
+++ b/tools/slope_fakes.py
@@ -45,6 +45,7 @@
     attempt: int
     ends_at: float
     size: admission.Size
+    renewed_at: float
 
 
 class FakeSidecar(control_grpc.SidecarBase):
@@ -62,6 +63,9 @@
         self.tasks: dict[str, _Running] = {}
         self._ref_sets = refsets.RefSetReader()
         self.announcer: announcer_module.Announcer
+        self.scope = anyio.CancelScope()
+        self.renewed = anyio.Event()
+        self.note_start: t.Callable[[], None] = lambda: None
 
     async def listen(self) -> grpclib.server.Server:
         """Serve the control protocol behind the counting proxy."""
@@ -99,8 +103,12 @@
         size = admission.read_size(request.size)
         self.own.commitments.try_commit(f'task/{request.task}', size)
         self.tasks[request.task] = _Running(
-            request.attempt, time.monotonic() + self.task_seconds, size
+            request.attempt,
+            time.monotonic() + self.task_seconds,
+            size,
+            time.monotonic(),
         )
+        self.note_start()
         await stream.send_message(
             control_pb2.StartTaskReply(
                 verdict=control_pb2.RUNNING,
@@ -127,6 +135,7 @@
         for ref in request.tasks:
             reply.states.append(self._describe_state(ref))
         refsets.drop_active(reply)
+        self.renewed.set()
         reply.load.CopyFrom(self.own.describe_load())
         await stream.send_message(reply)
 
@@ -137,6 +146,7 @@
             state.phase = control_pb2.ABSENT
         elif time.monotonic() < found.ends_at:
             state.phase = control_pb2.ACTIVE
+            found.renewed_at = time.monotonic()
         else:
             state.phase = control_pb2.SUCCEEDED
             state.answer = '{"done": true}'
@@ -162,6 +172,8 @@
     def __init__(self, churn_seconds: float = 0.0) -> None:
         self.sidecars: list[FakeSidecar] = []
         self._churn_seconds = churn_seconds
+        self._made = 0
+        self.started = anyio.Event()
         self._owned = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> 'FakeSidecars':
@@ -185,21 +197,57 @@
     ) -> None:
         """Announce instances until there are ``count``."""
         while len(self.sidecars) < count:
+            self._made += 1
             proxy = await self._owned.enter_async_context(
                 slope_meter.CountingProxy()
             )
-            name = f'fake-{len(self.sidecars):04d}'
+            name = f'fake-{self._made:04d}'
             sidecar = FakeSidecar(name, zone, proxy)
             server = await sidecar.listen()
             self._owned.callback(server.close)
             opened = self._owned.enter_context(links.Links())
             sidecar.open_announcer(entries, opened)
+            sidecar.note_start = self._note_start
             self.sidecars.append(sidecar)
-            self._group.start_soon(sidecar.announcer.run)
+            self._group.start_soon(self._announce, sidecar)
             if self._churn_seconds:
                 self._group.start_soon(self._churn, sidecar)
             await anyio.sleep(0.002)
 
+    async def wait_started(self, count: int) -> None:
+        """Wait until so many tasks run."""
+        while sum(len(s.tasks) for s in self.sidecars) < count:
+            self.started = anyio.Event()
+            await self.started.wait()
+
+    async def wait_renewed(self, count: int, since: float) -> None:
+        """Wait until so many tasks were renewed after a time."""
+        for sidecar in self.sidecars:
+            while not all(
+                task.renewed_at > since for task in sidecar.tasks.values()
+            ):
+                sidecar.renewed = anyio.Event()
+                await sidecar.renewed.wait()
+        held = sum(len(sidecar.tasks) for sidecar in self.sidecars)
+        if held != count:
+            raise RuntimeError(f'{held} tasks are held, not {count}')
+
+    def lose(self, count: int) -> list[FakeSidecar]:
+        """Let the last instances go silent, and return them."""
+        lost = self.sidecars[-count:]
+        del self.sidecars[-count:]
+        for sidecar in lost:
+            sidecar.scope.cancel()
+            sidecar.proxy.silent = True
+        return lost
+
+    def _note_start(self) -> None:
+        self.started.set()
+
+    async def _announce(self, sidecar: FakeSidecar) -> None:
+        with sidecar.scope:
+            await sidecar.announcer.run()
+
     async def _churn(self, sidecar: FakeSidecar) -> None:
         # A busy instance's load differs at nearly every look at it.
         while True:
--- a/tools/slope_meter.py
+++ b/tools/slope_meter.py
@@ -29,7 +29,9 @@
     store_bytes : float
         Bytes a second to and from the store.
     reads, writes, watches : float
-        Store calls a second.
+        Store calls a second; for a recovery, all that it took.
+    seconds : float
+        How long a recovery or a command took.
     """
 
     cpu: float = 0.0
@@ -39,6 +41,7 @@
     reads: float = 0.0
     writes: float = 0.0
     watches: float = 0.0
+    seconds: float = 0.0
 
 
 COSTS = tuple(field.name for field in dataclasses.fields(Sample))
@@ -47,12 +50,14 @@
 class CountingProxy:
     """Forwards TCP connections and counts their bytes.
 
-    Use inside ``async with``; ``target`` may be set after its start.
+    Use inside ``async with``; ``target`` may be set after its start,
+    and ``silent`` makes it swallow everything.
     """
 
     def __init__(self, target: str = '') -> None:
         self.target = target
         self.bytes = 0
+        self.silent = False
         self.address = ''
 
     async def __aenter__(self) -> 'CountingProxy':
@@ -80,6 +85,8 @@
     async def _copy(self, reader, writer) -> None:
         with contextlib.suppress(OSError):
             while chunk := await reader.read(_CHUNK):
+                if self.silent:
+                    continue
                 self.bytes += len(chunk)
                 writer.write(chunk)
                 await writer.drain()
@@ -103,14 +110,13 @@
 
     async def measure(self, seconds: float) -> Sample:
         """Return the costs of the next seconds."""
-        async with httpx.AsyncClient(trust_env=False) as client:
-            calls = await self._read_calls(client)
-            cpu, link, store = self._read()
-            began = time.monotonic()
-            await anyio.sleep(seconds)
-            elapsed = time.monotonic() - began
-            cpu_after, link_after, store_after = self._read()
-            calls_after = await self._read_calls(client)
+        calls = await read_calls(self._store)
+        cpu, link, store = self._read()
+        began = time.monotonic()
+        await anyio.sleep(seconds)
+        elapsed = time.monotonic() - began
+        cpu_after, link_after, store_after = self._read()
+        calls_after = await read_calls(self._store)
         rates = {
             name: (calls_after[name] - count) / elapsed
             for name, count in calls.items()
@@ -133,7 +139,10 @@
             self._store_link.bytes if self._store_link else 0,
         )
 
-    async def _read_calls(self, client: httpx.AsyncClient) -> dict[str, int]:
-        if not self._store:
-            return {}
-        return (await client.get(f'http://{self._store}/calls')).json()
+
+async def read_calls(store: str) -> dict[str, int]:
+    """Return the calls that a store stand-in has counted."""
+    if not store:
+        return {}
+    async with httpx.AsyncClient(trust_env=False) as client:
+        return (await client.get(f'http://{store}/calls')).json()
--- a/tools/slope_series.py
+++ b/tools/slope_series.py
@@ -111,10 +111,17 @@
     async def start_entry(
         self, name: str, zone: str = 'piedmont-a', **options: object
     ) -> None:
-        """Start an entry whose links all go through proxies."""
+        """Start an entry whose links all go through proxies.
+
+        Started again under its name, it is found at the same address.
+        """
         enter = self._owned.enter_async_context
-        link = await enter(slope_meter.CountingProxy())
-        store = await enter(slope_meter.CountingProxy(self.running.store))
+        if name not in self.links:
+            self.links[name] = await enter(slope_meter.CountingProxy())
+            self.store_links[name] = await enter(
+                slope_meter.CountingProxy(self.running.store)
+            )
+        link, store = self.links[name], self.store_links[name]
         entry = await self.running.start_entry(
             name,
             zone,
@@ -124,8 +131,6 @@
         )
         link.target = entry.find('listening')[0]['control']
         self.entries[name] = entry
-        self.links[name] = link
-        self.store_links[name] = store
 
     async def apply(self, text: str) -> None:
         """Put a catalogue in force in every entry."""
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -19,6 +19,7 @@
 
 from tools import slope_fit
 from tools import slope_meter
+from tools import slope_recovery  # noqa: F401
 from tools import slope_series
 from tools import slope_sizes
 
