--- a/tools/slope_series.py
+++ b/tools/slope_series.py
@@ -3,28 +3,21 @@
 import contextlib
 import dataclasses
 import pathlib
-import random
-import signal
-import subprocess
-import sys
 import time
 import typing as t
 
 import anyio
-import psutil
 
-from persimmonsail import logs
 from persimmonsail import partitions
 from standins import deployment
 from tools import slope_fakes
 from tools import slope_meter
 
 TEAMS = 150
-_SETTLE_SECONDS = 2.0
+SETTLE_SECONDS = 2.0
 _CHURN_SECONDS = 1.0
 _SUBMITTERS = 32
 _TASK_SECONDS = 1.0
-_LOOK_SECONDS = 0.005
 _POST_TRIES = 100
 
 
@@ -44,7 +37,7 @@
     """How long each point is measured, and where files go."""
 
     directory: pathlib.Path
-    window: float = 5.0
+    window: float = 6.0
 
 
 Run = t.Callable[[Plan], t.Awaitable[list[Series]]]
@@ -183,8 +176,11 @@
         raise RuntimeError(answer.text)
 
 
-async def _measure(bench: Bench, plan: Plan, name: str = 'entry-0'):
-    await anyio.sleep(_SETTLE_SECONDS)
+async def measure(
+    bench: Bench, plan: Plan, name: str = 'entry-0'
+) -> slope_meter.Sample:
+    """Return an entry's costs once things have settled."""
+    await anyio.sleep(SETTLE_SECONDS)
     return await bench.open_meter(name).measure(plan.window)
 
 
@@ -197,7 +193,7 @@
         await bench.apply(make_catalogue(TEAMS))
         for count in (15, 30, 60, 120, 240):
             await bench.announce(count)
-            series.points.append((count, await _measure(bench, plan)))
+            series.points.append((count, await measure(bench, plan)))
     return [series]
 
 
@@ -213,7 +209,7 @@
         for count in (150, 300, 600, 1200):
             await bench.submit(count - held)
             held = count
-            series.points.append((count, await _measure(bench, plan)))
+            series.points.append((count, await measure(bench, plan)))
     return [series]
 
 
@@ -227,7 +223,7 @@
             await bench.apply(make_catalogue(TEAMS))
             await bench.announce(count)
             await bench.submit(320)
-            series.points.append((count, await _measure(bench, plan)))
+            series.points.append((count, await measure(bench, plan)))
     return [series]
 
 
@@ -275,7 +271,7 @@
     samples: dict[str, slope_meter.Sample] = {}
 
     async def measure(name: str) -> None:
-        samples[name] = await _measure(bench, plan, name)
+        samples[name] = await measure(bench, plan, name)
 
     async def send(group) -> None:
         began = time.monotonic()
@@ -307,7 +303,7 @@
             await bench.entries['entry-0'].wait_event(
                 'partition-opened', count
             )
-            series.points.append((count, await _measure(bench, plan)))
+            series.points.append((count, await measure(bench, plan)))
     return [series]
 
 
@@ -321,151 +317,6 @@
                 await bench.start_entry(
                     f'entry-{len(bench.entries)}', partitions=16
                 )
-            await anyio.sleep(_SETTLE_SECONDS)
-            series.points.append((count, await _measure(bench, plan)))
-    return [series]
-
-
-@register('catalogue')
-async def measure_catalogue(plan: Plan) -> list[Series]:
-    """Grow the catalogue; a window holds one applied change."""
-    role = Series('entry', 'catalogue entries')
-    apply = Series('catalogue apply', 'catalogue entries')
-    show = Series('catalogue show', 'catalogue entries')
-    async with Bench(plan.directory) as bench:
-        await bench.start_entry('entry-0', partitions=1)
-        for count in (150, 500, 1000, 2000, 4000):
-            path = plan.directory / 'new.ini'
-            path.write_text(make_catalogue(count), encoding='utf-8')
-            store = ('--store', bench.running.store)
-            async with anyio.create_task_group() as group:
-                group.start_soon(_note_sample, bench, plan, role, count)
-                await anyio.sleep(_SETTLE_SECONDS + 1)
-                sample = await _run_command('catalogue', 'apply', path, *store)
-            apply.points.append((count, sample))
-            sample = await _run_command('catalogue', 'show', *store)
-            show.points.append((count, sample))
-    return [role, apply, show]
-
-
-async def _note_sample(
-    bench: Bench, plan: Plan, series: Series, count: int
-) -> None:
-    series.points.append((count, await _measure(bench, plan)))
-
-
-async def _run_command(*arguments: object) -> slope_meter.Sample:
-    """Return the whole processor seconds and memory of a command."""
-    program = [sys.executable, '-m', 'persimmonsail']
-    handle = psutil.Popen(
-        [*program, *map(str, arguments)], stdout=subprocess.DEVNULL
-    )
-    peak = 0
-    cpu = 0.0
-    with contextlib.suppress(psutil.Error):
-        while handle.status() != psutil.STATUS_ZOMBIE:
-            peak = max(peak, handle.memory_info().rss)
-            await anyio.sleep(_LOOK_SECONDS)
-        times = handle.cpu_times()
-        cpu = times.user + times.system
-    handle.wait()
-    return slope_meter.Sample(cpu=cpu, rss_mb=peak / slope_meter.MEGABYTE)
-
-
-@register('audit')
-async def measure_audit(plan: Plan) -> list[Series]:
-    """Grow the events that the regulator's command reads."""
-    series = Series('audit', 'events')
-    plan.directory.mkdir(parents=True, exist_ok=True)
-    for count in (5000, 10000, 20000, 40000):
-        path = plan.directory / f'{count}.log'
-        path.write_text(make_events(count), encoding='utf-8')
-        sample = await _run_command('audit', path)
-        series.points.append((count, sample))
-    return [series]
-
-
-def make_events(count: int) -> str:
-    """Return log lines such as an entry writes."""
-    generator = random.Random(count)
-    lines = []
-    for number in range(count):
-        fields = {
-            'time': f'{number / 100:.6f}',
-            'level': 'info',
-            'process': f'entry-{number % 14}',
-            'event': 'routing',
-            'request': f'{generator.getrandbits(128):032x}',
-            'attempt': f'{generator.getrandbits(128):032x}',
-            'workload': 'check-7',
-            'chosen': f'instance-{number % 840}',
-            'revision': number // 1000,
-        }
-        lines.append(logs.format_line(fields))
-    return '\n'.join(lines) + '\n'
-
-
-@register('linked')
-async def measure_linked(plan: Plan) -> list[Series]:
-    """Grow the entries to which one idle sidecar is linked."""
-    series = Series('sidecar', 'entries linked')
-    async with deployment.Deployment(plan.directory) as running:
-        worker = await running.start_stand_in('worker', 'worker')
-        for count in (1, 2, 4, 8, 14):
-            sample = await _measure_links(running, plan, worker, count)
-            series.points.append((count, sample))
-    return [series]
-
-
-async def _measure_links(
-    running: deployment.Deployment, plan: Plan, worker: str, count: int
-) -> slope_meter.Sample:
-    async with contextlib.AsyncExitStack() as owned:
-        opened = [
-            await owned.enter_async_context(slope_fakes.open_fake_entry())
-            for _ in range(count)
-        ]
-        proxies = [proxy for _, proxy in opened]
-        sidecar = await running.start_sidecar(
-            f'sidecar-{count}',
-            [proxy.address for proxy in proxies],
-            worker,
-            '127.0.0.1:1',
-            'planning',
-        )
-        await anyio.sleep(_SETTLE_SECONDS)
-        meter = slope_meter.Meter(sidecar.pid, proxies)
-        sample = await meter.measure(plan.window)
-        await sidecar.stop(signal.SIGKILL)
-    return sample
-
-
-@register('running')
-async def measure_running(plan: Plan) -> list[Series]:
-    """Grow the tasks that run on one real sidecar's instance."""
-    series = Series('sidecar', 'tasks on its instance')
-    async with Bench(plan.directory) as bench:
-        await bench.start_entry('entry-0', partitions=1)
-        await bench.apply(make_catalogue(TEAMS))
-        running = bench.running
-        worker = await running.start_stand_in('worker', 'worker')
-        async with slope_meter.CountingProxy() as proxy:
-            sidecar = await running.start_sidecar(
-                'sidecar-0',
-                [bench.links['entry-0'].address],
-                worker,
-                '127.0.0.1:1',
-                'planning',
-                process={'control-advertised': proxy.address},
-            )
-            proxy.target = sidecar.find('listening')[0]['control']
-            links = [proxy, bench.links['entry-0']]
-            held = 0
-            for count in (10, 20, 40, 80):
-                await bench.submit(count - held)
-                held = count
-                await anyio.sleep(_SETTLE_SECONDS)
-                meter = slope_meter.Meter(sidecar.pid, links)
-                sample = await meter.measure(plan.window)
-                series.points.append((count, sample))
+            await anyio.sleep(SETTLE_SECONDS)
+            series.points.append((count, await measure(bench, plan)))
     return [series]
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -17,10 +17,12 @@
 import anyio
 import psutil
 
+from tools import slope_commands  # noqa: F401
 from tools import slope_fit
 from tools import slope_meter
 from tools import slope_recovery  # noqa: F401
 from tools import slope_series
+from tools import slope_sidecar  # noqa: F401
 from tools import slope_sizes
 
 _QUICK_WINDOW = 2.0
@@ -96,7 +98,7 @@
     parser.add_argument('--quick', action='store_true', help='short windows')
     parser.add_argument('--only', nargs='+', choices=known, default=known)
     arguments = parser.parse_args()
-    window = _QUICK_WINDOW if arguments.quick else 5.0
+    window = _QUICK_WINDOW if arguments.quick else 6.0
     # Without this a SIGTERM would leave the measured processes behind.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     print_head(window)
