--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import random
 import time
 import typing as t
 
@@ -17,9 +18,11 @@
 from persimmonsail import exceptions
 from persimmonsail import fleet as fleet_module
 from persimmonsail import holding
+from persimmonsail import intake
 from persimmonsail import ledger as ledger_module
 from persimmonsail import links as links_module
 from persimmonsail import logs
+from persimmonsail import planner
 from persimmonsail import records
 from persimmonsail import renewals
 from persimmonsail import revisions
@@ -49,6 +52,7 @@
         lease: consents.StoreLease,
         process_id: str,
         list_members: ListMembers,
+        knowledge: planner.Knowledge | None = None,
         turns: turns_module.Turns | None = None,
     ) -> None:
         limits = settings.entry
@@ -63,6 +67,10 @@
         self._process_id = process_id
         self._list_members = list_members
         self._proposed_members: set[records.Member] = set()
+        known = knowledge or planner.Knowledge()
+        self._intake = intake.Intake(
+            fleet, known, random.Random(ledger.partition)
+        )
         self._committer = commits.Committer(
             ledger, turns or turns_module.Turns(limits.commit_interval)
         )
@@ -81,6 +89,8 @@
             self._fence,
             holding.Owned(self._committer),
             limits.task_lease,
+            known,
+            self._intake,
         )
         ends = endings.Endings(shared)
         self._renewer = renewals.Renewer(shared, ends)
@@ -128,7 +138,8 @@
         Raises
         ------
         persimmonsail.exceptions.NotCommitted
-            If the task was not accepted.
+            If the task was not accepted; ``NotAccepted`` if it was
+            refused for its team's limits or because it can never run.
         persimmonsail.exceptions.CommitUnknown
             If it may have been accepted; the same key finds it then.
         """
@@ -160,7 +171,8 @@
         seconds = min(request.timeout_seconds, _ANSWER_SECONDS)
         self._unsettled[request.task] += 1
         try:
-            await self._committer.commit(record, seconds)
+            with self._intake.admit(request.task, workload.owner):
+                await self._committer.commit(record, seconds)
         except exceptions.NotCommitted:
             self._unsettled[request.task] -= 1
             raise
@@ -197,6 +209,12 @@
             )
         if self._committer.stalled or not self._authority.lease_is_valid:
             raise exceptions.NotCommitted('the store does not answer')
+        self._intake.check(
+            request.task,
+            request.workload,
+            self._view.catalogue,
+            time.monotonic(),
+        )
 
     async def _close(self) -> None:
         """Give the partition up, and write what was proposed.
--- a/tools/slope_fakes.py
+++ b/tools/slope_fakes.py
@@ -10,6 +10,7 @@
 import typing as t
 
 import anyio
+import grpclib.const
 import grpclib.server
 
 from persimmonsail import admission
@@ -255,32 +256,25 @@
             await anyio.sleep(self._churn_seconds)
 
 
-class FakeEntry(control_grpc.EntryBase):
-    """An entry that only answers announcements."""
-
-    def __init__(self) -> None:
-        self.sidecars: dict[str, control_pb2.SidecarReport] = {}
+class FakeEntry:
+    """An entry that only answers announcements, as for a full zone."""
 
     async def Link(self, stream) -> None:
         """Answer each report."""
         async for report in stream:
-            if report.address:
-                self.sidecars[report.instance] = report
             await stream.send_message(
                 control_pb2.EntryNotice(revision=1, sequence=report.sequence)
             )
 
-    async def Submit(self, stream) -> None:
-        """Not played."""
-
-    async def Query(self, stream) -> None:
-        """Not played."""
-
-    async def Cancel(self, stream) -> None:
-        """Not played."""
-
-    async def Peer(self, stream) -> None:
-        """Not played."""
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        return {
+            '/persimmonsail.Entry/Link': grpclib.const.Handler(
+                self.Link,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                control_pb2.SidecarReport,
+                control_pb2.EntryNotice,
+            )
+        }
 
 
 @contextlib.asynccontextmanager
