--- a/src/persimmonsail/catalogue_arguments.py
+++ b/src/persimmonsail/catalogue_arguments.py
@@ -114,10 +114,10 @@
         'status',
         help='ask the live entries how they stand',
         description='Print a key=value line for each live entry (revision, '
-        'readiness, partitions held) and each instance that it sees.',
-        epilog=epilog + '\nexamples:\n'
-        '  persimmonsail status --store 10.0.0.5:4000\n'
-        '  persimmonsail status 10.0.1.2:7000 10.0.2.2:7000\n',
+        'readiness,\npartitions held) and each instance that it sees.',
+        epilog='example: persimmonsail status --store 10.0.0.5:4000\n'
+        'example: persimmonsail status 10.0.1.2:7000 10.0.2.2:7000\n\n'
+        + epilog,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument(
--- a/src/persimmonsail/cli.py
+++ b/src/persimmonsail/cli.py
@@ -4,6 +4,7 @@
 import importlib
 import pathlib
 import sys
+import textwrap
 import typing as t
 
 import anyio
@@ -17,17 +18,30 @@
 from persimmonsail import tolerances
 
 _ROLES = ('entry', 'sidecar')
-_EPILOG = """\
-exit codes:
-  0  done
-  1  broken: a promise or the kept catalogue
-  2  the command line is wrong, or an edit names no base revision
-  3  a file has findings; all are printed with their places
-  4  the store or an entry gave no answer; nothing was changed
-  5  another operator's edit won; yours is kept in your file
-  6  unknown whether the edit was accepted
-  7  accepted, but not confirmed in force by every live process
-"""
+_WIDTH = 79
+_EPILOG = exits.describe()
+_ROLE_TEXTS = {
+    'entry': (
+        'Answer callers over HTTP and hold partitions of the task ledger. '
+        'Runs until SIGTERM, then stops gracefully: not ready, partitions '
+        'handed over, requests in flight finished.'
+    ),
+    'sidecar': (
+        'Admit work to one instance: quick requests to its backend server, '
+        'tasks to its worker. Runs until SIGTERM, then stops gracefully: '
+        'announces that it leaves, takes no new work, finishes what is in '
+        'flight.'
+    ),
+}
+_CHECK_TEXT = (
+    'Report everything that is wrong in a settings file, each with file, '
+    'line, section, option and what is allowed. Needs no store.'
+)
+_AUDIT_TEXT = (
+    "Rebuild what happened from the processes' log files and the task "
+    'ledger, check every promise, and print one line for each that did not '
+    'hold, then a verdict. Trusts no running process.'
+)
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -43,16 +57,45 @@
     )
     commands = parser.add_subparsers(dest='command', required=True)
     for role in _ROLES:
-        command = commands.add_parser(role, help=f'run the {role} role')
+        command = _add_command(
+            commands,
+            role,
+            f'run the {role} role',
+            _ROLE_TEXTS[role],
+            f'persimmonsail {role} {role}.ini',
+        )
         command.add_argument('settings', type=pathlib.Path, help='INI file')
-    check = commands.add_parser('check', help='validate a settings file')
+    check = _add_command(
+        commands,
+        'check',
+        'validate a settings file',
+        _CHECK_TEXT,
+        'persimmonsail check entry.ini --role entry',
+    )
     check.add_argument('settings', type=pathlib.Path, help='INI file')
-    check.add_argument('--role', choices=_ROLES, required=True)
+    check.add_argument(
+        '--role',
+        choices=_ROLES,
+        required=True,
+        help='the role that is to run with the file',
+    )
     _add_catalogue(commands)
     _add_audit(commands)
     return parser
 
 
+def _add_command(
+    commands: t.Any, name: str, text: str, description: str, example: str
+) -> argparse.ArgumentParser:
+    return commands.add_parser(
+        name,
+        help=text,
+        description=textwrap.fill(description, _WIDTH),
+        epilog=f'example: {example}\n\n{_EPILOG}',
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+
+
 def _add_catalogue(commands: t.Any) -> None:
     # Only here: the other roles' start stays free of these texts.
     arguments = importlib.import_module('persimmonsail.catalogue_arguments')
@@ -61,10 +104,19 @@
 
 
 def _add_audit(commands: t.Any) -> None:
-    audit = commands.add_parser(
-        'audit', help='check every promise from ledger and logs'
+    audit = _add_command(
+        commands,
+        'audit',
+        'check every promise from ledger and logs',
+        _AUDIT_TEXT,
+        'persimmonsail audit --store 10.0.0.5:4000 logs/*.log',
+    )
+    audit.add_argument(
+        'logs',
+        type=pathlib.Path,
+        nargs='+',
+        help='log files of all processes, in any order',
     )
-    audit.add_argument('logs', type=pathlib.Path, nargs='+')
     source = audit.add_mutually_exclusive_group()
     source.add_argument('--store', help='host:port to read the ledger from')
     source.add_argument(
@@ -95,13 +147,15 @@
             default=seconds,
             help=f'how long {text} (default: %(default)s)',
         )
-    audit.add_argument('--store-kind', default='http')
-    audit.add_argument('--timeout', type=float, default=2.0)
-
-
-def _add_store(parser: argparse.ArgumentParser) -> None:
-    arguments = importlib.import_module('persimmonsail.catalogue_arguments')
-    arguments.add_store(parser)
+    audit.add_argument(
+        '--store-kind', default='http', help='adapter (default: %(default)s)'
+    )
+    audit.add_argument(
+        '--timeout',
+        type=float,
+        default=2.0,
+        help='seconds for each call to the store (default: %(default)s)',
+    )
 
 
 def main(arguments: list[str] | None = None) -> int:
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,112 @@
+import argparse
+import contextlib
+import io
+import pathlib
+import re
+
+from persimmonsail import cli
+from persimmonsail import exits
+from tests import base
+
+ROOT = pathlib.Path(__file__).parent.parent
+ENTRY = ROOT / 'examples' / 'entry.ini'
+OPERATIONS = ROOT / 'docs' / 'OPERATIONS.md'
+MAX_WIDTH = 80
+
+
+def list_commands(
+    parser: argparse.ArgumentParser, name: str
+) -> dict[str, argparse.ArgumentParser]:
+    """Return a parser and all below it, by the words that lead there."""
+    found = {name: parser}
+    for action in parser._actions:
+        if isinstance(action, argparse._SubParsersAction):
+            for word, inner in action.choices.items():
+                found |= list_commands(inner, f'{name} {word}')
+    return found
+
+
+class CommandLineTest(base.TestCase):
+    def run_command(self, *arguments: str) -> tuple[int, str, str]:
+        out, errors = io.StringIO(), io.StringIO()
+        with (
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(errors),
+        ):
+            try:
+                code = cli.main(list(arguments))
+            except SystemExit as ended:
+                code = ended.code
+        return code, out.getvalue(), errors.getvalue()
+
+    def test_help_of_every_command_reads_well(self):
+        for name, parser in list_commands(cli.make_parser(), 'p').items():
+            self.assertTrue(parser.description, name)
+            lines = parser.format_help().splitlines()
+            for line in lines:
+                self.assertLessEqual(len(line), MAX_WIDTH, f'{name}: {line}')
+            is_leaf = not parser._subparsers
+            if is_leaf:
+                self.assertTrue(
+                    any(line.startswith('example: ') for line in lines), name
+                )
+            for action in parser._actions:
+                self.assertTrue(action.help or not is_leaf, (name, action))
+
+    def test_help_tells_every_exit_code(self):
+        code, out, _ = self.run_command('--help')
+        self.assertEqual(exits.OK, code)
+        for number, text in exits.MEANINGS.items():
+            self.assertIn(f'  {number}  {text}', out)
+
+    def test_the_operators_page_tells_every_exit_code(self):
+        table = dict(
+            re.findall(
+                r'^\| (\d+) \| ([A-Z_]+) \|',
+                OPERATIONS.read_text(encoding='utf-8'),
+                re.MULTILINE,
+            )
+        )
+        codes = {
+            str(number): name
+            for name, number in vars(exits).items()
+            if isinstance(number, int)
+        }
+        self.assertEqual(codes, table)
+        self.assertEqual(set(codes), {str(n) for n in exits.MEANINGS})
+
+    def test_a_wrong_command_is_a_usage_error(self):
+        for arguments in ((), ('none',), ('check', 'a.ini')):
+            code, _, errors = self.run_command(*arguments)
+            self.assertEqual(exits.USAGE, code)
+            self.assertIn('usage: persimmonsail', errors)
+
+    def test_check_accepts_the_example(self):
+        code, out, _ = self.run_command('check', str(ENTRY), '--role', 'entry')
+        self.assertEqual((exits.OK, 'ok\n'), (code, out))
+
+    def test_check_prints_every_finding_with_its_place(self):
+        path = self.make_directory() / 'entry.ini'
+        text = ENTRY.read_text(encoding='utf-8')
+        text = text.replace('partitions = 8', 'partitions = many')
+        text = text.replace('timeout = 1.0', 'tiemout = 1.0')
+        path.write_text(text, encoding='utf-8')
+        code, _, errors = self.run_command(
+            'check', str(path), '--role', 'entry'
+        )
+        self.assertEqual(exits.INVALID_INPUT, code)
+        self.assertRegex(errors, r'entry\.ini:\d+ \[entry\] partitions: ')
+        self.assertRegex(errors, r'entry\.ini:\d+ \[store\] tiemout: ')
+
+    def test_a_role_does_not_start_with_another_roles_file(self):
+        code, _, errors = self.run_command(
+            'check', str(ENTRY), '--role', 'sidecar'
+        )
+        self.assertEqual(exits.INVALID_INPUT, code)
+        self.assertIn('[sidecar]: section is missing', errors)
+
+    def test_a_file_that_cannot_be_read_is_said(self):
+        for role in ('entry', 'sidecar'):
+            code, _, errors = self.run_command(role, '/none/such.ini')
+            self.assertEqual(exits.INVALID_INPUT, code)
+            self.assertIn('/none/such.ini', errors)
