--- a/tools/slope_series.py
+++ b/tools/slope_series.py
@@ -375,7 +375,7 @@
     for count in (5000, 10000, 20000, 40000):
         path = plan.directory / f'{count}.log'
         path.write_text(make_events(count), encoding='utf-8')
-        sample = await _run_command('audit', '--store', '127.0.0.1:1', path)
+        sample = await _run_command('audit', path)
         series.points.append((count, sample))
     return [series]
 
