--- a/src/persimmonsail/cli.py
+++ b/src/persimmonsail/cli.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from persimmonsail import __version__
+import persimmonsail
 from persimmonsail import crashes
 from persimmonsail import exceptions
 from persimmonsail import exits
@@ -53,7 +53,9 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument(
-        '--version', action='version', version=f'%(prog)s {__version__}'
+        '--version',
+        action='version',
+        version=f'%(prog)s {persimmonsail.__version__}',
     )
     commands = parser.add_subparsers(dest='command', required=True)
     for role in _ROLES:
