Find wildcard addresses and impossible ports in settings

Cause: examples/sidecar.ini, run as it stands without its advertised address, would announce 0.0.0.0, and every entry would connect to itself; port 65536 passed check and crashed at the start. Both tests failed first.

--- a/src/persimmonsail/settings.py
+++ b/src/persimmonsail/settings.py
@@ -9,7 +9,21 @@
 from persimmonsail import store as store_module
 
 _ADDRESS_PATTERN = r'^[0-9A-Za-z.\-\[\]:]+:\d{1,5}$'
-Address = t.Annotated[str, pydantic.Field(pattern=_ADDRESS_PATTERN)]
+_MAX_PORT = 65535
+_WILDCARDS = ('0.0.0.0', '::')
+
+
+def _check_port(address: str) -> str:
+    if int(address.rpartition(':')[2]) > _MAX_PORT:
+        raise ValueError(f'a port is at most {_MAX_PORT}')
+    return address
+
+
+Address = t.Annotated[
+    str,
+    pydantic.Field(pattern=_ADDRESS_PATTERN),
+    pydantic.AfterValidator(_check_port),
+]
 Name = t.Annotated[str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9.-]*$')]
 LongSeconds = t.Annotated[float, pydantic.Field(gt=0, le=30 * 86400)]
 Seconds = t.Annotated[float, pydantic.Field(gt=0, le=3600)]
@@ -167,6 +181,7 @@
                 f'section is missing; the {role} role needs it',
             )
     _check_store_kind(sections.get('store'), places, collector)
+    _check_advertised(sections.get('process'), places, collector)
     collector.raise_if_any()
     return Settings.model_validate(sections)
 
@@ -182,3 +197,15 @@
             places.find('store', 'kind'),
             f'unknown kind {section.kind!r}; allowed: {allowed}',
         )
+
+
+def _check_advertised(section, places, collector) -> None:
+    # Whoever is told a wildcard address connects to its own machine.
+    if section is None or section.control_advertised:
+        return
+    host = section.control.rpartition(':')[0].strip('[]')
+    if host in _WILDCARDS:
+        collector.add(
+            places.find('process', 'control'),
+            f'{host} reaches nobody else; set control-advertised too',
+        )
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -44,3 +44,31 @@
         for start in starts:
             self.assertTrue(any(text.startswith(start) for text in texts))
         self.assertEqual(len(starts), len(texts))
+
+    def test_a_port_that_does_not_exist_is_a_finding(self):
+        """A role passes ``check`` and crashes when it opens its port."""
+        text = GOOD.replace(':4000', ':65536')
+        error = self.assertRaises(
+            exceptions.InvalidInput, settings.parse, 'e.ini', text, 'entry'
+        )
+        (finding,) = error.exceptions
+        self.assertIn('e.ini:7 [store] address: ', str(finding))
+        self.assertIn('65535', str(finding))
+
+    def test_a_wildcard_address_needs_an_advertised_one(self):
+        """No entry reaches a sidecar although both run.
+
+        It listens on all addresses and announces just that, and every
+        entry that is told connects to itself.
+        """
+        for control in ('0.0.0.0:4101', '[::]:4101'):
+            text = GOOD.replace('region =', f'control = {control}\nregion =')
+            error = self.assertRaises(
+                exceptions.InvalidInput, settings.parse, 'e.ini', text, 'entry'
+            )
+            (finding,) = error.exceptions
+            self.assertIn('e.ini:3 [process] control: ', str(finding))
+            good = text.replace(
+                'region =', 'control-advertised = 10.0.0.1:4101\nregion ='
+            )
+            settings.parse('e.ini', good, 'entry')
