--- a/tests/test_openapi.py
+++ b/tests/test_openapi.py
@@ -73,6 +73,9 @@
 NOT_RUN = problems.Problem(503, 'Not run', problems.NOT_RUN, 'busy', 1.5)
 UNKNOWN = problems.Problem(504, 'Outcome unknown', problems.UNKNOWN, 'lost')
 NO_TASK = problems.Problem(404, 'No such task', problems.NOT_RUN, 'x')
+TOO_LARGE = problems.Problem(413, 'Body too large', problems.NOT_RUN, 'x')
+REUSED = problems.Problem(422, 'Key reused', problems.NOT_RUN, 'x')
+OVERLOADED = problems.Problem(429, 'Overloaded', problems.UNKNOWN, 'x', 0.5)
 FAULTS = (NOT_RUN, UNKNOWN, RuntimeError('unforeseen'))
 
 
@@ -133,7 +136,7 @@
             self.entry.tasks.outcome = fault
             await self.send('GET', ONE_TASK, TASK)
             await self.send('DELETE', ONE_TASK, TASK)
-        for fault in FAULTS:
+        for fault in (*FAULTS, TOO_LARGE, REUSED, OVERLOADED):
             self.entry.tasks.outcome = self.entry.quick.outcome = fault
             await self.send('POST', QUICK, REQUESTS)
             await self.send('POST', BATCH, REQUESTS)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -6,6 +6,7 @@
 from persimmonsail import gateway
 from persimmonsail import metrics
 from tests import base
+from tests import contract
 
 ROOT = pathlib.Path(__file__).parent.parent
 SOURCES = ROOT / 'src' / 'persimmonsail'
@@ -65,3 +66,11 @@
         self.assertEqual(
             set(), {title for title in titles if title not in text}
         )
+
+    def test_every_status_is_in_the_callers_interface(self):
+        statuses = list_constants(list_calls({'Problem'}), 0)
+        documented = {
+            status for _, _, status in contract.Contract().list_answers()
+        }
+        self.assertIn(503, statuses)
+        self.assertEqual(set(), {str(s) for s in statuses} - documented)
