Tell a wrong setting from a crash

Cause: a port in use, or another number of partitions than the ledger's, ended a role like a bug of its own (event=crash, exit code 6). Now it is event=not-started with exit code 3; the test failed first with 6.

--- a/src/persimmonsail/cli.py
+++ b/src/persimmonsail/cli.py
@@ -196,6 +196,8 @@
     try:
         anyio.run(role.run, settings)
     except Exception as error:
+        if crashes.report_unstarted(error):
+            return exits.INVALID_INPUT
         # Left to the interpreter this is a traceback of many lines,
         # which no collector of log lines takes for one event.
         crashes.report(error)
--- a/src/persimmonsail/tracebacks.py
+++ b/src/persimmonsail/tracebacks.py
@@ -14,7 +14,7 @@
     Of an exception group the first plain error is told, and how many
     there are.
     """
-    leaves = list(_list_leaves(error))
+    leaves = list(list_leaves(error))
     first = leaves[0]
     frames = traceback.extract_tb(first.__traceback__)[-_MAX_FRAMES:]
     places = [
@@ -30,9 +30,10 @@
     }
 
 
-def _list_leaves(error: BaseException) -> t.Iterator[BaseException]:
+def list_leaves(error: BaseException) -> t.Iterator[BaseException]:
+    """Return an error, or all plain errors of a group."""
     if not isinstance(error, BaseExceptionGroup):
         yield error
         return
     for inner in error.exceptions:
-        yield from _list_leaves(inner)
+        yield from list_leaves(inner)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,9 +3,13 @@
 import io
 import pathlib
 import re
+import socket
+import subprocess
+import sys
 
 from persimmonsail import cli
 from persimmonsail import exits
+from persimmonsail import logs
 from tests import base
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -110,3 +114,30 @@
             code, _, errors = self.run_command(role, '/none/such.ini')
             self.assertEqual(exits.INVALID_INPUT, code)
             self.assertIn('/none/such.ini', errors)
+
+    def test_a_port_in_use_is_no_crash(self):
+        """Whoever is on call files a bug for a wrong setting.
+
+        Another process has the port, the role ends with an error that
+        nobody caught, and its line reads like one of the program's own.
+        """
+        with socket.create_server(('127.0.0.1', 0)) as taken:
+            port = taken.getsockname()[1]
+            path = self.make_directory() / 'entry.ini'
+            text = ENTRY.read_text(encoding='utf-8')
+            path.write_text(
+                re.sub(
+                    '(?m)^control = .*', f'control = 127.0.0.1:{port}', text
+                )
+            )
+            ended = subprocess.run(
+                [sys.executable, '-m', 'persimmonsail', 'entry', str(path)],
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+        self.assertEqual(exits.INVALID_INPUT, ended.returncode)
+        line = logs.parse_line(ended.stdout.splitlines()[-1])
+        self.assertEqual('not-started', line['event'])
+        self.assertIn('in use', line['text'])
+        self.assertEqual('', ended.stderr)
