Test what a killed holder leaves to the next one

A claim whose answer was lost, a start under way, an outcome told but not committed: each is brought about in one process at the chosen point.

--- a/tests/instances.py
+++ b/tests/instances.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import anyio
+import anyio.abc
 import httpx
 
 from persimmonsail import control_pb2
@@ -112,9 +113,14 @@
 
 
 class Links:
-    """Calls sidecars' supervisors and entries' promises directly."""
+    """Calls sidecars' supervisors and entries' promises directly.
+
+    With a task group, a call goes on at the sidecar when its caller is
+    killed, as between processes.
+    """
 
     def __init__(self) -> None:
+        self.group: anyio.abc.TaskGroup | None = None
         self.sidecars: dict[str, Instance] = {}
         self.entries: dict[str, t.Any] = {}
         self.calls: list[tuple[str, t.Any]] = []
@@ -134,9 +140,23 @@
             'StopTask': supervisor.stop,
         }
         with contextlib.suppress(TimeoutError), anyio.fail_after(timeout):
-            return await calls[method](message)
+            if self.group is None:
+                return await calls[method](message)
+            return await self._call_apart(calls[method], message)
         raise exceptions.LinkLost(f'{method} {address}')
 
+    async def _call_apart(self, call, message):
+        replies = []
+        ended = anyio.Event()
+
+        async def run():
+            replies.append(await call(message))
+            ended.set()
+
+        self.group.start_soon(run)
+        await ended.wait()
+        return replies[0]
+
     async def _call_entry(self, address, method, message):
         promises = self.entries[address]
         if method == 'Consent':
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -379,3 +379,120 @@
 
             group.start_soon(ask)
             found.closing.set()
+
+    async def test_closing_holder_extends_no_lease(self):
+        """A watcher runs twice at a planned replacement.
+
+        The leaving holder's last commit takes long; its follower counts
+        silence from its own takeover, which may come before the end of
+        the leases that the leaving one still extends.
+        """
+        partition = Partition()
+        await partition.add('one')
+        found = partition.make_holder()
+        async with anyio.create_task_group() as group:
+            group.start_soon(found.run)
+            await wait_for(found, lambda: found.ready)
+            await found.submit(make_submit('w', 'watcher'))
+            await wait_for(
+                found,
+                lambda: any(
+                    m.tasks for n, m in partition.links.calls if n == 'Renew'
+                ),
+            )
+            partition.store.faults.delay = 0.4
+            found.closing.set()
+            await wait_for(found, lambda: not found.ready)
+            before = len(partition.links.calls)
+        self.assertEqual([], partition.links.calls[before:])
+
+
+class FollowerTest(base.TestCase):
+    """A holder is killed; the next one finds what it left."""
+
+    async def test_claim_whose_answer_was_lost_runs_once(self):
+        """A build is lost, or runs twice.
+
+        The claim was written and its holder killed before it heard so:
+        nothing was sent to the instance.
+        """
+        partition = Partition()
+        instance = await partition.add('one')
+        async with partition.hold() as found:
+            partition.fleet.find('one').leaving = True
+            await found.submit(make_submit('t'))
+        again = ledger.Ledger(partition.store, 0)
+        await again.load()
+        boot = instance.worker.boot
+        await again.append((records.Claimed('t', 1, 'one', boot),))
+        partition.announce('one')
+        async with partition.hold() as found:
+            await wait_for(found, lambda: is_running(instance, 't'))
+            self.assertEqual(2, instance.find_run('t').attempt)
+        self.assertEqual(1, len(instance.server._record))
+
+    async def test_start_under_way_at_a_kill_runs_once(self):
+        """A build runs twice.
+
+        The holder is killed while its start is on the way to the
+        worker; its follower asks, hears that the worker knows nothing,
+        and starts the next attempt; then the first start arrives.
+        """
+        partition = Partition()
+        instance = await partition.add('one')
+        async with anyio.create_task_group() as network:
+            partition.links.group = network
+            async with partition.hold() as found:
+                instance.transport.held = 'start'
+                await found.submit(make_submit('t'))
+                await wait_for(found, instance.transport.arrived.is_set)
+            async with partition.hold() as found:
+                await wait_for(found, lambda: is_running(instance, 't'))
+                self.assertEqual(2, instance.find_run('t').attempt)
+                instance.transport.released.set()
+                await wait_for(
+                    found, lambda: not instance.supervisor._unsettled
+                )
+                self.assertEqual(2, instance.find_run('t').attempt)
+        started = [
+            event
+            for event in instance.server._record
+            if event['event'] == 'started'
+        ]
+        self.assertEqual(1, len(started))
+
+    async def test_answer_told_to_a_killed_holder_is_told_again(self):
+        """A build's answer is lost, or it runs again.
+
+        The worker has told its outcome to a holder that was killed
+        before its commit.
+        """
+        partition = Partition()
+        instance = await partition.add('one')
+        async with partition.hold() as found:
+            await found.submit(make_submit('t'))
+            await wait_for(found, lambda: is_running(instance, 't'))
+            partition.store.faults.down = True
+            instance.find_run('t').answer = 'pin map'
+            instance.server._end(instance.find_run('t'), 'succeeded', 'done')
+            await wait_for(found, lambda: found._committer.stalled)
+        partition.store.faults.down = False
+        async with partition.hold() as found:
+            await wait_for(found, lambda: found.table.tasks['t'].is_final)
+            task = found.table.tasks['t']
+            self.assertEqual('pin map', task.answer)
+            self.assertEqual(1, task.attempt)
+
+    async def test_follower_keeps_what_runs(self):
+        """Every watcher restarts when an entry dies."""
+        partition = Partition()
+        instance = await partition.add('one')
+        async with partition.hold() as found:
+            await found.submit(make_submit('w', 'watcher'))
+            await wait_for(found, lambda: is_running(instance, 'w'))
+        deadline = instance.find_run('w').deadline
+        async with partition.hold() as found:
+            await wait_for(
+                found, lambda: instance.find_run('w').deadline > deadline
+            )
+            self.assertEqual(1, found.table.tasks['w'].attempt)
