--- a/src/persimmonsail/forwarding.py
+++ b/src/persimmonsail/forwarding.py
@@ -1,5 +1,6 @@
 """The way of callers' tasks to the holders of their partitions."""
 
+import re
 import time
 import typing as t
 
@@ -19,6 +20,7 @@
 _COMMIT_SECONDS = 3.5
 _RETRY_PERIOD = 0.1
 _RETRY_AFTER = 2.0
+_PARTITION = re.compile('[0-9]{3}')
 _Here = t.Callable[[t.Any], t.Awaitable[control_pb2.TaskReply]]
 
 
@@ -135,6 +137,11 @@
     async def _forward(
         self, method: str, request: t.Any, here: _Here, seconds: float
     ) -> control_pb2.TaskReply:
+        if request.partition >= self._entry.settings.entry.partitions:
+            # No entry will ever hold it: coming back does not help.
+            raise problems.Problem(
+                404, 'No such task', problems.NOT_RUN, request.task
+            )
         deadline = time.monotonic() + seconds
         reply = _not_held()
         uncertain = False
@@ -189,6 +196,13 @@
 ) -> control_pb2.TaskReply:
     try:
         return _describe_found(await call)
+    except exceptions.NotAccepted as error:
+        return control_pb2.TaskReply(
+            reason=str(error),
+            verdict=control_pb2.NOT_RUN,
+            status=error.status,
+            retry_after_seconds=error.retry_after,
+        )
     except (exceptions.NotCommitted, exceptions.NotHolder) as error:
         verdict, reason = control_pb2.NOT_RUN, str(error)
     except exceptions.CommitUnknown as error:
@@ -203,7 +217,7 @@
 
 def _read_partition(task: str) -> int:
     prefix, _, rest = task.partition('-')
-    if not prefix.isdigit() or not rest:
+    if not _PARTITION.fullmatch(prefix) or not rest:
         raise problems.Problem(404, 'No such task', problems.NOT_RUN, task)
     return int(prefix)
 
@@ -238,6 +252,14 @@
 def _check_reply(reply: control_pb2.TaskReply) -> control_pb2.TaskReply:
     if reply.accepted:
         return reply
+    if reply.verdict == control_pb2.NOT_RUN and reply.status:
+        raise problems.Problem(
+            reply.status,
+            'Not accepted',
+            problems.NOT_RUN,
+            reply.reason,
+            reply.retry_after_seconds,
+        )
     if reply.verdict == control_pb2.NOT_RUN:
         raise problems.Problem(
             503, 'Not accepted', problems.NOT_RUN, reply.reason, _RETRY_AFTER
--- a/src/persimmonsail/supervisor.py
+++ b/src/persimmonsail/supervisor.py
@@ -101,10 +101,13 @@
     ) -> control_pb2.StartTaskReply:
         until = request.ticket + request.lease_seconds
         tasklog.note_dispatch(self._own.incarnation, request)
+        if not request.suspect:
+            self._own.probation.note_start(request.task, request.attempt)
         try:
             await self._worker.start(self._describe_start(request), until)
         except (*_WORKER_REFUSED, exceptions.AttemptRefused) as error:
             self._own.commitments.release(holder)
+            self._own.probation.forget(request.task, request.attempt)
             self._bar((request.task, request.attempt), request.lease_seconds)
             return _refuse_start(str(error))
         except exceptions.WorkerUnavailable as error:
@@ -129,7 +132,9 @@
         self._own.note_revision(request.revision)
         if (request.task, request.attempt) in self._bars:
             return 'barred'
-        return 'leaving' if self._own.leaving else ''
+        if self._own.leaving:
+            return 'leaving'
+        return self._own.probation.find_refusal(request.canary)
 
     def _accept_epoch(self, partition: int, epoch: int) -> bool:
         """Refuse a holder that another one has followed.
@@ -293,6 +298,7 @@
                 continue
             if self._settled_at.get(name, asked_at) <= asked_at:
                 self._own.commitments.release(name)
+                tasklog.note_freed(self._own.incarnation, name)
         self._settled_at = {
             name: at
             for name, at in self._settled_at.items()
@@ -341,12 +347,13 @@
     ) -> control_pb2.TaskState:
         state = control_pb2.TaskState(task=key[0], attempt=key[1])
         state.phase = control_pb2.ABSENT
+        phase = task.phase if task else 'absent'
+        self._own.probation.note_phase(*key, phase)
         if task is not None:
             state.phase = _PHASES[task.phase]
             state.answer = task.answer
             state.checkpoint = task.checkpoint
         if state.phase != control_pb2.ACTIVE:
-            phase = task.phase if task else 'absent'
             tasklog.note_ended(
                 self._own.incarnation, key, phase, state.checkpoint
             )
