Settle lost answers and bound every silent link

Cause: an answer lost on a silent link was found only at the request's whole timeout; a settled attempt was barred only while 4096 later ones had not pushed it out; refused attempts were not barred at all, so that a second copy could run after the caller was told 'not run'; requests in flight counted themselves off on a replaced object, so that an entry's outstanding count grew for ever.

Links in use are now probed (standard gRPC health check), attempts carry the sidecar's clock and are refused once their record may be gone, unsent calls are told from lost ones, a server's drain waits for its calls.

--- /dev/null
+++ b/src/persimmonsail/addresses.py
@@ -0,0 +1,29 @@
+"""Network addresses written as ``host:port``, and listening sockets."""
+
+import socket
+
+_BACKLOG = 512
+
+
+def split(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
+def bind(address: str) -> socket.socket:
+    """Return a listening socket; port 0 picks a free one."""
+    host, port = split(address)
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    sock.listen(_BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+def name_of(sock: socket.socket) -> str:
+    """Return a bound socket's ``host:port``."""
+    host, port = sock.getsockname()[:2]
+    return f'{host}:{port}'
--- a/src/persimmonsail/announcer.py
+++ b/src/persimmonsail/announcer.py
@@ -5,6 +5,7 @@
 import anyio
 import grpclib.exceptions
 
+from persimmonsail import attempts
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import instance as instance_module
@@ -54,6 +55,8 @@
             address=self._address,
             service=limits.service,
             leaving=self._own.leaving,
+            backend_leaving=self._own.backend_leaving,
+            clock_ms=attempts.read_clock(),
             slots=limits.slots,
             max_connections=limits.connections,
             capacity=self._own.commitments.capacity.to_message(),
--- a/src/persimmonsail/backends.py
+++ b/src/persimmonsail/backends.py
@@ -1,10 +1,22 @@
-"""The sidecar's client of the backend server on its instance."""
+"""The sidecar's client of the backend server on its instance.
+
+Each request has a connection of its own. A kept connection can go
+silent for good while it is idle, or be closed by the backend server in
+the moment a request is sent; both leave a request of which nobody knows
+whether it ran. On the loopback of one instance a fresh connection costs
+little, and the caller's new work never meets an old silent connection.
+"""
 
 import dataclasses
 
+import anyio
 import httpx
 
+from persimmonsail import exceptions
+
 _JSON = 'application/json'
+_HEALTH_PATH = '/health'
+MAX_ANSWER_BYTES = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -19,11 +31,16 @@
 class Backend:
     """Use inside ``async with``; sends work to one backend server."""
 
-    def __init__(self, address: str, connections: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        connections: int,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
         limits = httpx.Limits(
-            max_connections=connections,
-            max_keepalive_connections=connections,
+            max_connections=connections, max_keepalive_connections=0
         )
+        self._max_answer_bytes = max_answer_bytes
         self._client = httpx.AsyncClient(
             base_url=f'http://{address}', limits=limits, trust_env=False
         )
@@ -52,20 +69,52 @@
 
         Raises
         ------
-        httpx.ConnectError, httpx.ConnectTimeout
+        persimmonsail.exceptions.BackendNotConnected
             If the request was not sent.
-        httpx.HTTPError
-            If the request may have run.
+        persimmonsail.exceptions.BackendAnswerLost
+            If the request may have run, but its whole answer is not to
+            be had.
         """
         headers = {
             'request-id': request,
             'content-type': content_type or _JSON,
         }
-        answer = await self._client.post(
-            '/work', content=body, headers=headers, timeout=timeout
-        )
+        try:
+            with anyio.fail_after(timeout):
+                return await self._exchange(body, headers, timeout)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise exceptions.BackendNotConnected(
+                'no connection to the backend server'
+            ) from error
+        except (httpx.HTTPError, TimeoutError) as error:
+            name = type(error).__name__
+            raise exceptions.BackendAnswerLost(
+                f'answer of the backend server lost: {name}'
+            ) from error
+
+    async def _exchange(
+        self, body: bytes, headers: dict[str, str], timeout: float
+    ) -> BackendAnswer:
+        async with self._client.stream(
+            'POST', '/work', content=body, headers=headers, timeout=timeout
+        ) as answer:
+            whole = bytearray()
+            async for chunk in answer.aiter_bytes():
+                whole += chunk
+                if len(whole) > self._max_answer_bytes:
+                    raise exceptions.BackendAnswerLost(
+                        'the answer of the backend server is too large'
+                    )
         return BackendAnswer(
             answer.status_code,
-            answer.content,
+            bytes(whole),
             answer.headers.get('content-type', _JSON),
         )
+
+    async def is_serving(self, timeout: float) -> bool:
+        """Whether the backend server says that it takes new work."""
+        try:
+            answer = await self._client.get(_HEALTH_PATH, timeout=timeout)
+        except httpx.HTTPError:
+            return False
+        return answer.status_code == httpx.codes.OK
--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -7,8 +7,11 @@
 import typing as t
 
 import anyio
+from grpclib.health import service as health_service
 import grpclib.server
 
+from persimmonsail import addresses
+from persimmonsail import claims
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import fleet as fleet_module
@@ -24,10 +27,12 @@
 from persimmonsail import quick
 from persimmonsail import revisions
 from persimmonsail import settings as settings_module
+from persimmonsail import shutdown
 from persimmonsail import store as store_module
 
 _RETRY_AFTER = 2.0
 _KEY_LENGTH = 24
+_LINK_SILENCES = 2
 
 
 class Entry(control_grpc.EntryBase):
@@ -37,8 +42,13 @@
         self.settings = settings
         self.view = revisions.View()
         self.fleet = fleet_module.Fleet(settings.links.silence)
-        self.links = links_module.Links()
+        self.links = links_module.Links(
+            links_module.describe_limits(settings.links)
+        )
         self.leaving = False
+        self.stop = shutdown.Stop()
+        self.last_stop = shutdown.Stop()
+        self.calls = shutdown.Calls()
         self.store = _open_store(settings.store)
         self.quick = quick.QuickPath(
             self.fleet,
@@ -46,6 +56,7 @@
             self.view,
             settings.process.zone,
             random.Random(settings.process.name),
+            claims.Claims(self.store),
         )
         self.partitions: partitions_module.Partitions
         self.tasks = forwarding.TaskForwarder(self)
@@ -54,6 +65,7 @@
         self._owned = contextlib.AsyncExitStack()
         self._owned.push_async_callback(self.store.close)
         self._owned.enter_context(self.links)
+        await self._owned.enter_async_context(self.quick)
         return self
 
     async def __aexit__(self, *exc_info: t.Any) -> bool | None:
@@ -71,9 +83,10 @@
         Raises
         ------
         persimmonsail.problems.Problem
-            If the entry is stopping or has no catalogue.
+            If the entry has no catalogue. A stopping entry still serves
+            what reaches it before its listener closes.
         """
-        reason = self.find_unready()
+        reason = self._find_unserving()
         if reason:
             raise problems.Problem(
                 503, 'Not ready', problems.NOT_RUN, reason, _RETRY_AFTER
@@ -83,6 +96,9 @@
         """Return why callers should go elsewhere; empty if ready."""
         if self.leaving:
             return 'the entry is stopping'
+        return self._find_unserving()
+
+    def _find_unserving(self) -> str:
         if not self.view.revision:
             return 'no catalogue is known'
         return ''
@@ -108,41 +124,70 @@
 
     async def Link(self, stream) -> None:
         """Take a sidecar's reports in, and answer each."""
-        async for report in stream:
-            known = self.fleet.find(report.instance)
-            self.fleet.note_report(report)
-            if known is None or known.incarnation != report.incarnation:
-                logs.write_event(
-                    'announced',
-                    instance=report.instance,
-                    incarnation=report.incarnation,
-                    service=report.service,
-                )
-            elif report.leaving and not known.leaving:
-                logs.write_event('leaving', instance=report.instance)
-            entries = [e.control for e in self.partitions.entries.values()]
-            await stream.send_message(
-                control_pb2.EntryNotice(
-                    revision=self.view.revision,
-                    entries=entries,
-                    sequence=report.sequence,
-                )
+        with self.calls.track():
+            await self.last_stop.run_until_begun(self._follow_link, stream)
+
+    async def _follow_link(self, stream) -> None:
+        # A sidecar's link can go silent for good; its sidecar connects
+        # anew, and this end must not be kept for ever.
+        silence = _LINK_SILENCES * self.settings.links.silence
+        while True:
+            with anyio.move_on_after(silence):
+                report = await stream.recv_message()
+                if report is None:
+                    return
+                await self._note_report(report, stream)
+                continue
+            logs.write_event('link-silent', address='a sidecar')
+            return
+
+    async def _note_report(self, report, stream) -> None:
+        known = self.fleet.find(report.instance)
+        incarnation = known.incarnation if known else ''
+        was_leaving = known is not None and _is_leaving(known)
+        found = self.fleet.note_report(report)
+        if incarnation != report.incarnation:
+            logs.write_event(
+                'announced',
+                instance=report.instance,
+                incarnation=report.incarnation,
+                service=report.service,
             )
+        if _is_leaving(found) != was_leaving:
+            event = 'serving' if was_leaving else 'leaving'
+            logs.write_event(event, instance=report.instance)
+        entries = [e.control for e in self.partitions.entries.values()]
+        await stream.send_message(
+            control_pb2.EntryNotice(
+                revision=self.view.revision,
+                entries=entries,
+                sequence=report.sequence,
+            )
+        )
 
     async def Submit(self, stream) -> None:
         """Accept a task of a partition held here."""
         request = await stream.recv_message()
-        await stream.send_message(await self.tasks.submit_here(request))
+        with self.calls.track():
+            await stream.send_message(await self.tasks.submit_here(request))
 
     async def Query(self, stream) -> None:
         """Return the state of a task of a partition held here."""
         request = await stream.recv_message()
-        await stream.send_message(await self.tasks.query_here(request))
+        with self.calls.track():
+            reply = await self.stop.wait_unless_begun(
+                lambda seconds: self.tasks.query_here(
+                    _limit(request, seconds)
+                ),
+                request.wait_seconds,
+            )
+            await stream.send_message(reply)
 
     async def Cancel(self, stream) -> None:
         """End a task of a partition held here."""
         request = await stream.recv_message()
-        await stream.send_message(await self.tasks.cancel_here(request))
+        with self.calls.track():
+            await stream.send_message(await self.tasks.cancel_here(request))
 
     async def Peer(self, stream) -> None:
         """Tell another entry the catalogue in force here."""
@@ -157,6 +202,18 @@
         await stream.send_message(reply)
 
 
+def _is_leaving(instance: fleet_module.Instance) -> bool:
+    return instance.leaving or instance.backend_leaving
+
+
+def _limit(
+    request: control_pb2.TaskQuery, seconds: float
+) -> control_pb2.TaskQuery:
+    return control_pb2.TaskQuery(
+        task=request.task, partition=request.partition, wait_seconds=seconds
+    )
+
+
 def _open_store(settings: settings_module.Store) -> store_module.Store:
     return store_module.KINDS[settings.kind](
         settings.address, settings.timeout
@@ -167,14 +224,16 @@
     """Run the role until SIGTERM, then stop gracefully."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with Entry(settings) as entry:
-            server = grpclib.server.Server([entry])
-            sock = httpserver.bind(settings.process.control)
-            control = httpserver.name_of(sock)
+            server = grpclib.server.Server([entry, health_service.Health()])
+            sock = addresses.bind(settings.process.control)
+            control = addresses.name_of(sock)
             entry.open_partitions(
                 settings.process.control_advertised or control
             )
             await server.start(sock=sock)
-            app = gateway.Gateway(entry).app
+            app = shutdown.CloseConnections(
+                gateway.Gateway(entry).app, lambda: entry.leaving
+            )
             drain = settings.entry.drain
             async with anyio.create_task_group() as group:
                 async with httpserver.HttpServer(
@@ -191,8 +250,12 @@
                     await anext(aiter(signals))
                     logs.write_event('stopping')
                     entry.leaving = True
-                    await anyio.sleep(settings.links.heartbeat)
+                    await anyio.sleep(settings.entry.notice)
+                    entry.stop.begun.set()
                 await entry.partitions.leave()
+                entry.last_stop.begun.set()
+                with anyio.move_on_after(drain):
+                    await entry.calls.wait_idle()
                 group.cancel_scope.cancel()
             server.close()
             await server.wait_closed()
--- a/src/persimmonsail/exceptions.py
+++ b/src/persimmonsail/exceptions.py
@@ -56,3 +56,15 @@
 
 class StaleIncarnation(PersimmonsailError):
     """A newer sidecar of the same instance has taken over."""
+
+
+class LinkRefused(LinkLost):
+    """No connection was made, so that the call was never sent."""
+
+
+class BackendNotConnected(PersimmonsailError):
+    """The backend server took no connection; nothing was sent."""
+
+
+class BackendAnswerLost(PersimmonsailError):
+    """The backend server may have done the work without an answer."""
--- a/src/persimmonsail/execution.py
+++ b/src/persimmonsail/execution.py
@@ -1,19 +1,21 @@
 """Quick requests on one instance: queue, slots and backend server."""
 
+import random
 import time
 
 import anyio
 import anyio.abc
-import httpx
 
 from persimmonsail import admission
 from persimmonsail import attempts
 from persimmonsail import backends
+from persimmonsail import backlog
 from persimmonsail import control_pb2
+from persimmonsail import exceptions
 from persimmonsail import instance as instance_module
 from persimmonsail import settings as settings_module
 
-_BUSY_RETRY_AFTER = 0.1
+_PROBE_CONNECTIONS = 1
 
 
 class Executor:
@@ -30,20 +32,28 @@
         self._backend = backend
         self._settings = settings
         self._group = group
-        self._slots = anyio.Semaphore(settings.slots)
-        self._attempts = attempts.AttemptTable()
+        slots = count_slots(settings)
+        self._slots = anyio.Semaphore(slots)
+        self._backlog = backlog.Backlog(slots, random.Random(own.incarnation))
+        self._attempts = attempts.AttemptTable(settings.attempt_window)
         self._changed = anyio.Event()
 
     async def execute(
         self, request: control_pb2.ExecuteRequest
     ) -> control_pb2.ExecuteReply:
         """Run an attempt, or return the outcome it already has."""
+        if request.incarnation != self._own.incarnation:
+            return _refuse_other(request, 'other incarnation')
         known = self._attempts.find(request.attempt)
         if known is not None:
             await known.ended.wait()
             return known.reply
+        if self._attempts.is_expired(request.issued_ms):
+            return _refuse_other(request, 'issued too long ago')
         if reason := self._find_refusal(request):
-            return _refuse(reason)
+            # Barred as well: a second copy that arrives once there is
+            # room would otherwise run after the caller was told no.
+            return self._refuse(request, reason)
         return await self._run_attempt(request)
 
     async def settle(
@@ -51,12 +61,15 @@
     ) -> control_pb2.ExecuteReply:
         """Tell what became of an attempt, or bar it for ever."""
         if request.incarnation != self._own.incarnation:
-            return control_pb2.ExecuteReply(
-                verdict=control_pb2.UNKNOWN, reason='other incarnation'
-            )
+            return _unknown('other incarnation')
         known = self._attempts.find(request.attempt)
         if known is None:
-            return self._attempts.bar(request.attempt)
+            if self._attempts.is_expired(request.issued_ms):
+                return _unknown('its record is no longer kept')
+            return self._attempts.bar(request.attempt, request.issued_ms)
+        if request.cancel:
+            known.cancelled = True
+            known.scope.cancel()
         with anyio.move_on_after(request.wait_seconds):
             await known.ended.wait()
         return known.reply or control_pb2.ExecuteReply(
@@ -69,24 +82,41 @@
             await self._changed.wait()
 
     def _find_refusal(self, request: control_pb2.ExecuteRequest) -> str:
-        if request.incarnation != self._own.incarnation:
-            return 'other incarnation'
         if request.revision < self._own.revision:
             return 'stale revision'
         self._own.note_revision(request.revision)
         if self._own.leaving:
             return 'leaving'
+        if self._own.backend_leaving:
+            return 'the backend server is leaving'
         if self._own.queued >= self._settings.queue:
             return 'queue full'
+        wait = self._backlog.estimate_wait(
+            self._own.busy_slots, self._own.queued
+        )
+        if wait > request.timeout_seconds:
+            return 'the queue takes longer than the deadline'
         return ''
 
+    def _refuse(
+        self, request: control_pb2.ExecuteRequest, reason: str
+    ) -> control_pb2.ExecuteReply:
+        reply = self._attempts.bar(request.attempt, request.issued_ms, reason)
+        reply.retry_after_seconds = self._suggest_return()
+        return reply
+
+    def _suggest_return(self) -> float:
+        return self._backlog.suggest_return(
+            self._own.busy_slots, self._own.queued
+        )
+
     async def _run_attempt(
         self, request: control_pb2.ExecuteRequest
     ) -> control_pb2.ExecuteReply:
         # The call's own task is cancelled when its link breaks. The work
         # runs in a task of the sidecar, so that its outcome is kept for
         # whoever settles the attempt over a fresh link.
-        attempt = self._attempts.begin(request.attempt)
+        attempt = self._attempts.begin(request.attempt, request.issued_ms)
         self._group.start_soon(self._finish_attempt, attempt, request)
         await attempt.ended.wait()
         return attempt.reply
@@ -96,24 +126,27 @@
         attempt: attempts.Attempt,
         request: control_pb2.ExecuteRequest,
     ) -> None:
-        reply = control_pb2.ExecuteReply(
-            verdict=control_pb2.UNKNOWN, reason='cut off'
-        )
+        reply = _unknown('cut off')
+        self._own.queued += 1
         try:
-            reply = await self._queue_and_send(request)
+            with attempt.scope:
+                reply = await self._queue_and_send(request)
         finally:
-            attempt.end(reply)
+            self._attempts.end(attempt, reply)
+            self._announce()
 
     async def _queue_and_send(
         self, request: control_pb2.ExecuteRequest
     ) -> control_pb2.ExecuteReply:
         deadline = time.monotonic() + request.timeout_seconds
-        self._own.queued += 1
         try:
             with anyio.fail_after(request.timeout_seconds):
                 await self._slots.acquire()
         except TimeoutError:
-            return _refuse('deadline passed in the queue')
+            return self._describe_refusal('deadline passed in the queue')
+        except anyio.get_cancelled_exc_class():
+            # Nothing was sent yet, so that a cancelled wait is certain.
+            return self._describe_refusal('cancelled in the queue')
         finally:
             self._own.queued -= 1
         self._own.busy_slots += 1
@@ -121,30 +154,31 @@
         size = admission.read_size(request.size)
         try:
             if not self._own.commitments.try_commit(holder, size):
-                return _refuse('no capacity')
+                return self._describe_refusal('no capacity')
             return await self._send(request, deadline)
         finally:
             self._own.commitments.release(holder)
             self._own.busy_slots -= 1
             self._slots.release()
-            self._announce()
 
     async def _send(
         self, request: control_pb2.ExecuteRequest, deadline: float
     ) -> control_pb2.ExecuteReply:
-        left = deadline - time.monotonic()
-        if left <= 0:
-            return _refuse('deadline passed in the queue')
+        began = time.monotonic()
+        if began >= deadline:
+            return self._describe_refusal('deadline passed in the queue')
         try:
             answer = await self._backend.send(
-                request.request, request.body, request.content_type, left
-            )
-        except (httpx.ConnectError, httpx.ConnectTimeout):
-            return _refuse('no connection to the backend server')
-        except httpx.HTTPError as error:
-            return control_pb2.ExecuteReply(
-                verdict=control_pb2.UNKNOWN, reason=type(error).__name__
+                request.request,
+                request.body,
+                request.content_type,
+                deadline - began,
             )
+        except exceptions.BackendNotConnected as error:
+            return self._describe_refusal(str(error))
+        except exceptions.BackendAnswerLost as error:
+            return _unknown(str(error))
+        self._backlog.note_service(time.monotonic() - began)
         return control_pb2.ExecuteReply(
             verdict=control_pb2.ANSWERED,
             status=answer.status,
@@ -152,14 +186,37 @@
             content_type=answer.content_type,
         )
 
+    def _describe_refusal(self, reason: str) -> control_pb2.ExecuteReply:
+        return control_pb2.ExecuteReply(
+            verdict=control_pb2.NOT_RUN,
+            reason=reason,
+            retry_after_seconds=self._suggest_return(),
+        )
+
     def _announce(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
 
 
-def _refuse(reason: str) -> control_pb2.ExecuteReply:
-    return control_pb2.ExecuteReply(
-        verdict=control_pb2.NOT_RUN,
-        reason=reason,
-        retry_after_seconds=_BUSY_RETRY_AFTER,
-    )
+def count_slots(settings: settings_module.Sidecar) -> int:
+    """Return how many requests may be at the backend server at once.
+
+    Each takes one slot and one connection; one connection is kept for
+    the health probe.
+    """
+    connections = max(settings.connections - _PROBE_CONNECTIONS, 1)
+    return min(settings.slots, connections)
+
+
+def _unknown(reason: str) -> control_pb2.ExecuteReply:
+    return control_pb2.ExecuteReply(verdict=control_pb2.UNKNOWN, reason=reason)
+
+
+def _refuse_other(
+    request: control_pb2.ExecuteRequest, reason: str
+) -> control_pb2.ExecuteReply:
+    # An earlier copy of a request that was sent before may have run
+    # under a record that is gone; only of a first one 'not run' is sure.
+    if request.resent:
+        return _unknown(reason)
+    return control_pb2.ExecuteReply(verdict=control_pb2.NOT_RUN, reason=reason)
--- a/src/persimmonsail/fleet.py
+++ b/src/persimmonsail/fleet.py
@@ -6,6 +6,8 @@
 from persimmonsail import admission
 from persimmonsail import control_pb2
 
+FORGET_SECONDS = 900.0
+
 
 @dataclasses.dataclass
 class Instance:
@@ -30,18 +32,32 @@
     connections: int
     reported_at: float
     outstanding: int = 0
+    backend_leaving: bool = False
+    clock_ms: int = 0
 
 
 class Fleet:
-    """Instances by name; a silent one ages out."""
+    """Instances by name; a silent one ages out.
+
+    Parameters
+    ----------
+    silence : float
+        Seconds of silence after which an instance gets no new work.
+    forget : float, optional
+        Seconds of silence after which an instance is forgotten.
+    """
 
-    def __init__(self, silence: float) -> None:
+    def __init__(self, silence: float, forget: float = FORGET_SECONDS) -> None:
         self._silence = silence
+        self._forget = forget
+        self._forgot_at = time.monotonic()
         self._instances: dict[str, Instance] = {}
 
     def note_report(self, report: control_pb2.SidecarReport) -> Instance:
         """Take a sidecar's announcement or change in."""
         before = self._instances.get(report.instance)
+        if before is not None and _is_late(report, before):
+            return before
         instance = Instance(
             name=report.instance,
             zone=report.zone,
@@ -58,10 +74,18 @@
             queued=report.load.queued,
             connections=report.load.connections,
             reported_at=time.monotonic(),
-            outstanding=before.outstanding if before else 0,
+            backend_leaving=report.backend_leaving,
+            clock_ms=report.clock_ms,
         )
-        self._instances[report.instance] = instance
-        return instance
+        self._forget_silent()
+        if before is None:
+            self._instances[report.instance] = instance
+            return instance
+        # Requests in flight hold on to the object and count themselves
+        # off on it; a new object would keep their count for ever.
+        instance.outstanding = before.outstanding
+        vars(before).update(vars(instance))
+        return before
 
     def note_load(self, name: str, load: control_pb2.Load) -> None:
         """Take in the load that came with a reply."""
@@ -73,6 +97,31 @@
         instance.queued = load.queued
         instance.connections = load.connections
 
+    def note_reply(
+        self, name: str, incarnation: str, reply: control_pb2.ExecuteReply
+    ) -> None:
+        """Take in load and clock of a reply, unless it came late.
+
+        A reply of a sidecar that was since replaced tells nothing about
+        the new one.
+        """
+        instance = self._instances.get(name)
+        if instance is None or instance.incarnation != incarnation:
+            return
+        if reply.clock_ms > instance.clock_ms:
+            instance.clock_ms = reply.clock_ms
+            self.note_load(name, reply.load)
+
+    def _forget_silent(self) -> None:
+        now = time.monotonic()
+        if now - self._forgot_at < self._forget / 10:
+            return
+        self._forgot_at = now
+        for name, instance in list(self._instances.items()):
+            silent = now - instance.reported_at > self._forget
+            if silent and not instance.outstanding:
+                del self._instances[name]
+
     def find(self, name: str) -> Instance | None:
         """Return an instance, also when it has gone silent."""
         return self._instances.get(name)
@@ -95,5 +144,14 @@
             for instance in self._instances.values()
             if instance.reported_at >= oldest
             and not instance.leaving
-            and (not service or instance.service == service)
+            and (not service or _serves(instance, service))
         ]
+
+
+def _is_late(report: control_pb2.SidecarReport, known: Instance) -> bool:
+    same = report.incarnation == known.incarnation
+    return same and report.clock_ms < known.clock_ms
+
+
+def _serves(instance: Instance, service: str) -> bool:
+    return instance.service == service and not instance.backend_leaving
--- a/src/persimmonsail/gateway.py
+++ b/src/persimmonsail/gateway.py
@@ -1,6 +1,7 @@
 """The callers' HTTP interface of an entry."""
 
 import json
+import math
 import time
 import typing as t
 import uuid
@@ -18,6 +19,7 @@
 from persimmonsail import quick as quick_module
 
 MAX_WAIT_SECONDS = 30.0
+MAX_BODY_BYTES = 1_000_000
 _Timeout = t.Annotated[float, pydantic.Field(gt=0, le=3600)]
 
 
@@ -86,11 +88,11 @@
             raise problems.Problem(
                 404, 'No such workload', problems.NOT_RUN, name
             )
-        body = await request.body()
+        body = await _read_body(request)
         timeout = headers.request_timeout or workload.timeout
         if workload.workload_class is catalogue.WorkloadClass.LATENCY_CRITICAL:
             return await self._run_quick(
-                request, name, workload, body, timeout
+                request, name, workload, headers, body, timeout
             )
         return await self._submit(request, name, headers, body, timeout)
 
@@ -99,6 +101,7 @@
         request: requests.Request,
         name: str,
         workload: catalogue.Workload,
+        headers: RequestHeaders,
         body: bytes,
         timeout: float,
     ) -> responses.Response:
@@ -109,6 +112,7 @@
             body,
             request.headers.get('content-type', ''),
             time.monotonic() + timeout,
+            headers.idempotency_key,
         )
         reply = await self._entry.quick.send(message)
         return responses.Response(
@@ -137,7 +141,9 @@
     async def _get_task(self, request: requests.Request) -> responses.Response:
         task = request.path_params['task']
         wait = _read_wait(request)
-        reply = await self._entry.tasks.query(task, wait)
+        reply = await self._entry.stop.wait_unless_begun(
+            lambda seconds: self._entry.tasks.query(task, seconds), wait
+        )
         return _respond_task(task, reply)
 
     async def _delete_task(
@@ -177,6 +183,20 @@
         ) from error
 
 
+async def _read_body(request: requests.Request) -> bytes:
+    body = bytearray()
+    async for chunk in request.stream():
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            raise problems.Problem(
+                413,
+                'Body too large',
+                problems.NOT_RUN,
+                f'at most {MAX_BODY_BYTES} bytes are allowed',
+            )
+    return bytes(body)
+
+
 def _check_payload(body: bytes) -> None:
     try:
         json.loads(body or b'{}')
@@ -190,6 +210,8 @@
     text = request.query_params.get('wait', '0')
     try:
         wait = float(text)
+        if not math.isfinite(wait):
+            raise ValueError(text)
     except ValueError as error:
         raise problems.Problem(
             400, 'Invalid wait', problems.NOT_RUN, f'wait={text}'
--- a/src/persimmonsail/httpserver.py
+++ b/src/persimmonsail/httpserver.py
@@ -1,6 +1,5 @@
 """Serving an ASGI application over HTTP, with a graceful end."""
 
-import socket
 import typing as t
 
 import anyio
@@ -8,31 +7,7 @@
 import hypercorn.asyncio
 import hypercorn.config
 
-_BACKLOG = 512
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``host:port``."""
-    host, _, port = address.rpartition(':')
-    return host.strip('[]'), int(port)
-
-
-def bind(address: str) -> socket.socket:
-    """Return a listening socket; port 0 picks a free one."""
-    host, port = split_address(address)
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, port))
-    sock.listen(_BACKLOG)
-    sock.setblocking(False)
-    return sock
-
-
-def name_of(sock: socket.socket) -> str:
-    """Return a bound socket's ``host:port``."""
-    host, port = sock.getsockname()[:2]
-    return f'{host}:{port}'
+from persimmonsail import addresses
 
 
 class HttpServer:
@@ -44,8 +19,8 @@
 
     def __init__(self, app: t.Any, address: str, drain: float) -> None:
         self._app = app
-        self._socket = bind(address)
-        self.address = name_of(self._socket)
+        self._socket = addresses.bind(address)
+        self.address = addresses.name_of(self._socket)
         self._drain = drain
         self._stop = anyio.Event()
         self._ended = anyio.Event()
--- a/src/persimmonsail/instance.py
+++ b/src/persimmonsail/instance.py
@@ -17,11 +17,13 @@
 
     ``incarnation`` tells an old and a new sidecar of one instance
     apart; ``revision`` is the highest catalogue revision seen.
+    ``backend_leaving`` concerns quick requests only, tasks go on.
     """
 
     incarnation: str = dataclasses.field(default_factory=_make_incarnation)
     revision: int = 0
     leaving: bool = False
+    backend_leaving: bool = False
     busy_slots: int = 0
     queued: int = 0
     commitments: admission.Commitments = dataclasses.field(
@@ -34,6 +36,7 @@
             committed=self.commitments.total.to_message(),
             busy_slots=self.busy_slots,
             queued=self.queued,
+            connections=self.busy_slots,
         )
 
     def note_revision(self, revision: int) -> None:
--- /dev/null
+++ b/src/persimmonsail/replays.py
@@ -0,0 +1,119 @@
+"""Answers kept for callers that repeat an idempotency key."""
+
+import collections
+import dataclasses
+import time
+import typing as t
+
+import anyio
+
+from persimmonsail import control_pb2
+from persimmonsail import problems
+
+_KEPT_SECONDS = 60.0
+_KEPT_ANSWERS = 1024
+_KEPT_BYTES = 4_000_000
+_REUSED = 'the key was used before with another body'
+
+
+@dataclasses.dataclass
+class _Replay:
+    fingerprint: str
+    began_at: float
+    ended: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    reply: control_pb2.ExecuteReply | None = None
+    problem: problems.Problem | None = None
+
+
+class Replays:
+    """Runs one request for each key; repetitions get its answer."""
+
+    def __init__(
+        self,
+        kept_seconds: float = _KEPT_SECONDS,
+        clock: t.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._kept_seconds = kept_seconds
+        self._clock = clock
+        self._bytes = 0
+        self._replays: collections.OrderedDict[str, _Replay] = (
+            collections.OrderedDict()
+        )
+
+    async def run(
+        self,
+        key: str,
+        fingerprint: str,
+        send: t.Callable[[], t.Awaitable[control_pb2.ExecuteReply]],
+        deadline: float,
+    ) -> control_pb2.ExecuteReply:
+        """Return the key's answer, sending its request if it is new.
+
+        Parameters
+        ----------
+        key : str
+            The idempotency key with owner and workload.
+        fingerprint : str
+            What tells this request's body from others'.
+        send : callable
+            Sends the request.
+        deadline : float
+            Monotonic seconds until which to wait for another's answer.
+
+        Raises
+        ------
+        persimmonsail.problems.Problem
+            If the request is refused, or its outcome is unknown.
+        """
+        self._forget_old()
+        found = self._replays.get(key)
+        if found is None:
+            return await self._run_first(key, fingerprint, send)
+        if found.fingerprint != fingerprint:
+            raise problems.Problem(
+                422, 'Key reused', problems.NOT_RUN, _REUSED
+            )
+        with anyio.move_on_after(max(deadline - time.monotonic(), 0)):
+            await found.ended.wait()
+        if found.reply is not None:
+            return found.reply
+        raise found.problem or _unknown('still running at the deadline')
+
+    async def _run_first(
+        self,
+        key: str,
+        fingerprint: str,
+        send: t.Callable[[], t.Awaitable[control_pb2.ExecuteReply]],
+    ) -> control_pb2.ExecuteReply:
+        replay = _Replay(fingerprint, self._clock())
+        self._replays[key] = replay
+        try:
+            replay.reply = await send()
+            self._bytes += len(replay.reply.body)
+            return replay.reply
+        except problems.Problem as problem:
+            replay.problem = problem
+            raise
+        finally:
+            replay.ended.set()
+            if replay.reply is None:
+                # Not run, or unknown to this entry only: a repetition
+                # may do better than the first.
+                self._replays.pop(key, None)
+
+    def _forget_old(self) -> None:
+        oldest = self._clock() - self._kept_seconds
+        for key, replay in list(self._replays.items()):
+            over = (
+                len(self._replays) > _KEPT_ANSWERS or self._bytes > _KEPT_BYTES
+            )
+            if replay.began_at >= oldest and not over:
+                return
+            if replay.reply is None:
+                continue
+            self._bytes -= len(replay.reply.body)
+            del self._replays[key]
+
+
+def _unknown(reason: str) -> problems.Problem:
+    return problems.Problem(504, 'Outcome unknown', problems.UNKNOWN, reason)
--- a/src/persimmonsail/settings.py
+++ b/src/persimmonsail/settings.py
@@ -63,6 +63,7 @@
     commit_interval: Seconds = 0.1
     freshness: Seconds = 3.0
     catalogue_poll: Seconds = 2.0
+    notice: Seconds = 1.0
     drain: Seconds = 10.0
 
 
@@ -77,6 +78,9 @@
     connections: t.Annotated[int, pydantic.Field(ge=1, le=65536)] = 64
     queue: t.Annotated[int, pydantic.Field(ge=0, le=65536)] = 16
     report_interval: Seconds = 0.5
+    attempt_window: Seconds = 15.0
+    health_interval: Seconds = 0.5
+    notice: Seconds = 1.0
     drain: Seconds = 10.0
 
 
@@ -84,6 +88,7 @@
     """Time limits of the links between processes."""
 
     heartbeat: Seconds = 0.5
+    probe: Seconds = 0.5
     silence: Seconds = 2.0
     connect: Seconds = 1.0
 
--- a/src/persimmonsail/sidecar.py
+++ b/src/persimmonsail/sidecar.py
@@ -5,18 +5,22 @@
 import typing as t
 
 import anyio
+from grpclib.health import service as health_service
 import grpclib.server
 
+from persimmonsail import addresses
 from persimmonsail import announcer as announcer_module
+from persimmonsail import attempts
 from persimmonsail import backends
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import execution
-from persimmonsail import httpserver
+from persimmonsail import healthchecks
 from persimmonsail import instance as instance_module
 from persimmonsail import links
 from persimmonsail import logs
 from persimmonsail import settings as settings_module
+from persimmonsail import shutdown
 from persimmonsail import supervisor
 from persimmonsail import workers
 
@@ -28,7 +32,8 @@
 
     def __init__(self, settings: settings_module.Settings) -> None:
         self.settings = settings
-        self.own = instance_module.OwnInstance()
+        self.own = instance_module.OwnInstance(backend_leaving=True)
+        self.calls = shutdown.Calls()
 
     async def __aenter__(self) -> 'Sidecar':
         self._owned = contextlib.AsyncExitStack()
@@ -36,14 +41,14 @@
         worker = await self._owned.enter_async_context(
             workers.Worker(limits.worker, _WORKER_TIMEOUT)
         )
-        backend = await self._owned.enter_async_context(
+        self.backend = await self._owned.enter_async_context(
             backends.Backend(limits.backend, limits.connections)
         )
         self._group = await self._owned.enter_async_context(
             anyio.create_task_group()
         )
         self.executor = execution.Executor(
-            self.own, backend, limits, self._group
+            self.own, self.backend, limits, self._group
         )
         self.supervisor = supervisor.Supervisor(self.own, worker)
         return self
@@ -55,9 +60,27 @@
     async def Execute(self, stream) -> None:
         """Run one quick request, at most once for each attempt."""
         request = await stream.recv_message()
-        reply = await self.executor.execute(request)
+        with self.calls.track():
+            reply = self._complete(await self.executor.execute(request))
+            self._log_admission(request, reply)
+            await stream.send_message(reply)
+
+    def _complete(
+        self, outcome: control_pb2.ExecuteReply
+    ) -> control_pb2.ExecuteReply:
+        # The outcome is kept for whoever settles the attempt later.
+        reply = control_pb2.ExecuteReply()
+        reply.CopyFrom(outcome)
         reply.load.CopyFrom(self.own.describe_load())
         reply.revision = self.own.revision
+        reply.clock_ms = attempts.read_clock()
+        return reply
+
+    def _log_admission(
+        self,
+        request: control_pb2.ExecuteRequest,
+        reply: control_pb2.ExecuteReply,
+    ) -> None:
         logs.write_event(
             'admission',
             attempt=request.attempt,
@@ -67,21 +90,32 @@
             revision=self.own.revision,
             verdict=_name(reply.verdict),
             reason=reply.reason,
+            busy_slots=self.own.busy_slots,
+            queued=self.own.queued,
+            retry_after=reply.retry_after_seconds,
         )
-        await stream.send_message(reply)
 
     async def Settle(self, stream) -> None:
         """Tell what became of an attempt, or bar it for ever."""
         request = await stream.recv_message()
-        reply = await self.executor.settle(request)
+        with self.calls.track():
+            reply = self._complete(await self.executor.settle(request))
+            self._log_settle(request, reply)
+            await stream.send_message(reply)
+
+    def _log_settle(
+        self,
+        request: control_pb2.SettleRequest,
+        reply: control_pb2.ExecuteReply,
+    ) -> None:
         logs.write_event(
             'settle',
             attempt=request.attempt,
             incarnation=self.own.incarnation,
             verdict=_name(reply.verdict),
             reason=reply.reason,
+            cancel=request.cancel,
         )
-        await stream.send_message(reply)
 
     async def StartTask(self, stream) -> None:
         """Start one attempt at a task on the worker."""
@@ -123,20 +157,28 @@
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with Sidecar(settings) as sidecar:
             await sidecar.supervisor.rebuild()
-            server = grpclib.server.Server([sidecar])
-            sock = httpserver.bind(settings.process.control)
-            address = httpserver.name_of(sock)
+            server = grpclib.server.Server([sidecar, health_service.Health()])
+            sock = addresses.bind(settings.process.control)
+            address = addresses.name_of(sock)
             await server.start(sock=sock)
             logs.write_event(
                 'listening',
                 control=address,
                 incarnation=sidecar.own.incarnation,
             )
-            with links.Links() as opened:
+            with links.Links(links.describe_limits(settings.links)) as opened:
                 async with anyio.create_task_group() as group:
                     announcer = announcer_module.Announcer(
                         sidecar.own, settings, address, opened
                     )
+                    probe = healthchecks.BackendProbe(
+                        sidecar.own,
+                        sidecar.backend,
+                        settings.sidecar.health_interval,
+                        announcer.announce_now,
+                    )
+                    await probe.probe_once()
+                    group.start_soon(probe.run)
                     group.start_soon(announcer.run)
                     await anext(aiter(signals))
                     await _stop(sidecar, announcer)
@@ -153,5 +195,6 @@
     sidecar.own.leaving = True
     announcer.announce_now()
     with anyio.move_on_after(sidecar.settings.sidecar.drain):
-        await anyio.sleep(sidecar.settings.links.heartbeat)
+        await anyio.sleep(sidecar.settings.sidecar.notice)
         await sidecar.executor.finish_requests()
+        await sidecar.calls.wait_idle()
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -15,7 +15,7 @@
 from starlette import responses
 from starlette import routing
 
-from persimmonsail import httpserver
+from persimmonsail import addresses
 from persimmonsail import logs
 from standins import serving
 
@@ -34,9 +34,9 @@
     """Forwards connections to a target, with faults."""
 
     def __init__(self, listen: str, target: str) -> None:
-        self._target = httpserver.split_address(target)
-        self._socket = httpserver.bind(listen)
-        self.address = httpserver.name_of(self._socket)
+        self._target = addresses.split(target)
+        self._socket = addresses.bind(listen)
+        self.address = addresses.name_of(self._socket)
         self._mode = 'pass'
         self._delay = 0.0
         self._thawed = anyio.Event()
