--- a/src/persimmonsail/addresses.py
+++ b/src/persimmonsail/addresses.py
@@ -15,7 +15,9 @@
     """Return a listening socket; port 0 picks a free one."""
     host, port = split(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    # Named, because the event loop turns Nagle's algorithm off only for
+    # sockets that say they are TCP; it held each reply back for 40 ms.
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((host, port))
     sock.listen(_BACKLOG)
--- a/src/persimmonsail/announcer.py
+++ b/src/persimmonsail/announcer.py
@@ -8,6 +8,7 @@
 from persimmonsail import attempts
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
+from persimmonsail import exceptions
 from persimmonsail import instance as instance_module
 from persimmonsail import links
 from persimmonsail import logs
@@ -29,6 +30,7 @@
         self._address = settings.process.control_advertised or address
         self._links = opened
         self._known: set[str] = set()
+        self._alive: frozenset[str] = frozenset()
         self.changed = anyio.Event()
 
     async def run(self) -> None:
@@ -81,12 +83,23 @@
                 TimeoutError,
                 grpclib.exceptions.GRPCError,
                 grpclib.exceptions.StreamTerminatedError,
+                exceptions.LinkLost,
             ) as error:
                 name = type(error).__name__
                 logs.write_event('link-lost', entry=address, error=name)
             self._links.drop(address)
+            if self._is_gone(address):
+                logs.write_event('entry-forgotten', entry=address)
+                self._known.discard(address)
+                return
             await anyio.sleep(limits.heartbeat)
 
+    def _is_gone(self, address: str) -> bool:
+        # An entry replaced at another address would be called for ever.
+        # The settings' addresses are kept: they may be reused.
+        listed = address in self._settings.sidecar.entries
+        return not listed and bool(self._alive) and address not in self._alive
+
     async def _run_link(self, address: str) -> None:
         settings = self._settings
         stub = control_grpc.EntryStub(self._links.open(address))
@@ -98,7 +111,9 @@
                     await stream.send_message(self.describe(sequence))
                     notice = await stream.recv_message()
                     if notice is None:
-                        return
+                        # Leaving the stream without an error would
+                        # finish it, which fails on an ended one.
+                        raise exceptions.LinkLost('ended by the entry')
                     self._note(notice)
                     scope.deadline = (
                         anyio.current_time() + settings.links.silence
@@ -108,4 +123,5 @@
 
     def _note(self, notice: control_pb2.EntryNotice) -> None:
         self._own.note_revision(notice.revision)
+        self._alive = frozenset(notice.entries)
         self._add(notice.entries)
--- a/src/persimmonsail/backends.py
+++ b/src/persimmonsail/backends.py
@@ -112,9 +112,17 @@
         )
 
     async def is_serving(self, timeout: float) -> bool:
-        """Whether the backend server says that it takes new work."""
+        """Whether the backend server says that it takes new work.
+
+        Raises
+        ------
+        persimmonsail.exceptions.BackendNotConnected
+            If it gave no answer.
+        """
         try:
             answer = await self._client.get(_HEALTH_PATH, timeout=timeout)
-        except httpx.HTTPError:
-            return False
+        except httpx.HTTPError as error:
+            raise exceptions.BackendNotConnected(
+                f'{_HEALTH_PATH}: {type(error).__name__}'
+            ) from error
         return answer.status_code == httpx.codes.OK
--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -4,6 +4,7 @@
 import hashlib
 import random
 import signal
+import time
 import typing as t
 
 import anyio
@@ -46,6 +47,7 @@
             links_module.describe_limits(settings.links)
         )
         self.leaving = False
+        self._warm_at = time.monotonic() + settings.entry.warmup
         self.stop = shutdown.Stop()
         self.last_stop = shutdown.Stop()
         self.calls = shutdown.Calls()
@@ -96,6 +98,10 @@
         """Return why callers should go elsewhere; empty if ready."""
         if self.leaving:
             return 'the entry is stopping'
+        if not self.fleet.list_live() and time.monotonic() < self._warm_at:
+            # Its sidecars learn of a fresh entry within a few reports;
+            # ready before that, it would refuse all quick requests.
+            return 'no backend server has announced itself yet'
         return self._find_unserving()
 
     def _find_unserving(self) -> str:
--- a/src/persimmonsail/execution.py
+++ b/src/persimmonsail/execution.py
@@ -13,6 +13,7 @@
 from persimmonsail import control_pb2
 from persimmonsail import exceptions
 from persimmonsail import instance as instance_module
+from persimmonsail import logs
 from persimmonsail import settings as settings_module
 
 _PROBE_CONNECTIONS = 1
@@ -30,9 +31,9 @@
     ) -> None:
         self._own = own
         self._backend = backend
-        self._settings = settings
         self._group = group
         slots = count_slots(settings)
+        self._most_admitted = slots + settings.queue
         self._slots = anyio.Semaphore(slots)
         self._backlog = backlog.Backlog(slots, random.Random(own.incarnation))
         self._attempts = attempts.AttemptTable(settings.attempt_window)
@@ -89,7 +90,8 @@
             return 'leaving'
         if self._own.backend_leaving:
             return 'the backend server is leaving'
-        if self._own.queued >= self._settings.queue:
+        admitted = self._own.busy_slots + self._own.queued
+        if admitted >= self._most_admitted:
             return 'queue full'
         wait = self._backlog.estimate_wait(
             self._own.busy_slots, self._own.queued
@@ -117,6 +119,9 @@
         # runs in a task of the sidecar, so that its outcome is kept for
         # whoever settles the attempt over a fresh link.
         attempt = self._attempts.begin(request.attempt, request.issued_ms)
+        # Counted before its task begins: a wave that arrives at once
+        # would else pass the check of the queue's length as a whole.
+        self._own.queued += 1
         self._group.start_soon(self._finish_attempt, attempt, request)
         await attempt.ended.wait()
         return attempt.reply
@@ -127,14 +132,33 @@
         request: control_pb2.ExecuteRequest,
     ) -> None:
         reply = _unknown('cut off')
-        self._own.queued += 1
         try:
             with attempt.scope:
                 reply = await self._queue_and_send(request)
         finally:
             self._attempts.end(attempt, reply)
+            self._log_end(request, reply)
             self._announce()
 
+    def _log_end(
+        self,
+        request: control_pb2.ExecuteRequest,
+        reply: control_pb2.ExecuteReply,
+    ) -> None:
+        # The evidence of what ran, also when nobody waits for it.
+        logs.write_event(
+            'attempt-ended',
+            attempt=request.attempt,
+            request=request.request,
+            workload=request.workload,
+            incarnation=self._own.incarnation,
+            verdict=control_pb2.Verdict.Name(reply.verdict).lower(),
+            reason=reply.reason,
+            busy_slots=self._own.busy_slots,
+            queued=self._own.queued,
+            cores=self._own.commitments.total.cores,
+        )
+
     async def _queue_and_send(
         self, request: control_pb2.ExecuteRequest
     ) -> control_pb2.ExecuteReply:
--- a/src/persimmonsail/healthchecks.py
+++ b/src/persimmonsail/healthchecks.py
@@ -12,9 +12,12 @@
 import anyio
 
 from persimmonsail import backends
+from persimmonsail import exceptions
 from persimmonsail import instance as instance_module
 from persimmonsail import logs
 
+_MAX_FAILURES = 2
+
 
 class BackendProbe:
     """Keeps an instance's ``backend_leaving`` up to date."""
@@ -30,6 +33,7 @@
         self._backend = backend
         self._interval = interval
         self._announce = announce
+        self._failures = 0
 
     async def run(self) -> None:
         """Probe until cancelled."""
@@ -37,13 +41,24 @@
             await self.probe_once()
             await anyio.sleep(self._interval)
 
+    async def _ask(self) -> bool | None:
+        # A connection that goes silent gives no error; the time limit
+        # turns it into a failed probe, the next one connects anew. One
+        # failure says little: this process itself may have been paused.
+        try:
+            with anyio.fail_after(self._interval):
+                serving = await self._backend.is_serving(self._interval)
+        except (exceptions.BackendNotConnected, TimeoutError):
+            self._failures += 1
+            return False if self._failures >= _MAX_FAILURES else None
+        self._failures = 0
+        return serving
+
     async def probe_once(self) -> None:
         """Probe, and announce a change at once."""
-        serving = False
-        # A connection that goes silent gives no error; the time limit
-        # turns it into a failed probe, the next one connects anew.
-        with anyio.move_on_after(self._interval):
-            serving = await self._backend.is_serving(self._interval)
+        serving = await self._ask()
+        if serving is None:
+            return
         if serving is not self._own.backend_leaving:
             return
         self._own.backend_leaving = not serving
--- a/src/persimmonsail/settings.py
+++ b/src/persimmonsail/settings.py
@@ -63,6 +63,7 @@
     commit_interval: Seconds = 0.1
     freshness: Seconds = 3.0
     catalogue_poll: Seconds = 2.0
+    warmup: Seconds = 5.0
     notice: Seconds = 1.0
     drain: Seconds = 10.0
 
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -2,7 +2,10 @@
 
 Answers ``POST /work`` with the request's own number and body. It has 8
 slots; work beyond them waits. ``GET /record`` returns all requests that
-ran, in order. A request's JSON may name ``seconds`` that it takes.
+ran, in order. A request's JSON may name ``seconds`` that it takes,
+``truncate`` for an answer cut off in its middle, and ``padding``, bytes
+that are added to the answer. ``POST /leave`` makes it leave: its
+``/health`` then answers 503; ``POST /return`` brings it back.
 """
 
 import json
@@ -26,11 +29,14 @@
         self._slots = slots
         self._limiter: anyio.Semaphore | None = None
         self._record: list[dict] = []
+        self._leaving = False
         self.app = applications.Starlette(
             routes=[
                 routing.Route('/work', self._work, methods=['POST']),
                 routing.Route('/health', self._health),
                 routing.Route('/record', self._show_record),
+                routing.Route('/leave', self._leave, methods=['POST']),
+                routing.Route('/return', self._return, methods=['POST']),
             ]
         )
 
@@ -41,12 +47,30 @@
         if self._limiter is None:
             self._limiter = anyio.Semaphore(self._slots)
         async with self._limiter:
-            self._record.append({'request': number, 'body': wanted})
+            run = {'request': number, 'body': wanted, 'ended': False}
+            self._record.append(run)
+            logs.write_event('work', request=number)
             await anyio.sleep(wanted.get('seconds', 0))
+            run['ended'] = True
         answer = {'request': number, 'echo': wanted}
-        return responses.JSONResponse(answer)
+        if 'padding' in wanted:
+            answer['padding'] = 'x' * wanted['padding']
+        response = responses.JSONResponse(answer)
+        if wanted.get('truncate'):
+            response.headers['content-length'] = str(len(response.body) + 100)
+        return response
 
     async def _health(self, request: requests.Request):
+        if self._leaving:
+            return responses.PlainTextResponse('leaving', 503)
+        return responses.PlainTextResponse('ok')
+
+    async def _leave(self, request: requests.Request):
+        self._leaving = True
+        return responses.PlainTextResponse('leaving')
+
+    async def _return(self, request: requests.Request):
+        self._leaving = False
         return responses.PlainTextResponse('ok')
 
     async def _show_record(self, request: requests.Request):
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -3,7 +3,8 @@
 ``--target host:port`` is where bytes go. ``POST /faults`` on the
 control address takes JSON: ``mode`` is one of pass, cut (close all and
 refuse), freeze (hold bytes of all connections), silent (drop bytes of
-the connections open now; new ones work), and ``delay`` in seconds.
+the connections open now; new ones work), ``delay`` in seconds, and
+``target`` for where new connections go.
 """
 
 import collections.abc
@@ -105,7 +106,9 @@
 
     async def _set_faults(self, request: requests.Request):
         body = await request.json()
-        self.set_mode(body['mode'], body.get('delay', 0.0))
+        if 'target' in body:
+            self._target = addresses.split(body['target'])
+        self.set_mode(body.get('mode', self._mode), body.get('delay', 0.0))
         return responses.JSONResponse({})
 
 
--- /dev/null
+++ b/tests/test_execution.py
@@ -0,0 +1,202 @@
+import contextlib
+
+import anyio
+
+from persimmonsail import admission
+from persimmonsail import attempts
+from persimmonsail import backends
+from persimmonsail import control_pb2
+from persimmonsail import exceptions
+from persimmonsail import execution
+from persimmonsail import instance
+from persimmonsail import settings
+from tests import base
+
+
+class FakeBackend:
+    """Answers once it is let; counts what is in flight."""
+
+    def __init__(self) -> None:
+        self.ran: list[str] = []
+        self.most = 0
+        self.now = 0
+        self.free = anyio.Event()
+        self.started = anyio.Event()
+        self.error: Exception | None = None
+
+    async def send(self, request, body, content_type, timeout):
+        self.now += 1
+        self.most = max(self.most, self.now)
+        self.started.set()
+        try:
+            if self.error:
+                raise self.error
+            self.ran.append(request)
+            await self.free.wait()
+        finally:
+            self.now -= 1
+        return backends.BackendAnswer(200, b'{}', 'application/json')
+
+
+@contextlib.asynccontextmanager
+async def open_executor(**options):
+    section = settings.Sidecar.model_validate(
+        {
+            'entries': '127.0.0.1:1',
+            'worker': '127.0.0.1:1',
+            'backend': '127.0.0.1:1',
+            'service': 'planning',
+            **options,
+        }
+    )
+    own = instance.OwnInstance(
+        commitments=admission.Commitments(admission.Size(64, 64, 0))
+    )
+    backend = FakeBackend()
+    async with anyio.create_task_group() as group:
+        yield execution.Executor(own, backend, section, group), own, backend
+        group.cancel_scope.cancel()
+
+
+def make_request(own, attempt: str, **fields) -> control_pb2.ExecuteRequest:
+    values = {
+        'attempt': attempt,
+        'request': attempt,
+        'incarnation': own.incarnation,
+        'issued_ms': attempts.read_clock(),
+        'timeout_seconds': 30.0,
+        **fields,
+    }
+    return control_pb2.ExecuteRequest(**values)
+
+
+def make_settle(own, attempt: str, **fields) -> control_pb2.SettleRequest:
+    values = {
+        'attempt': attempt,
+        'incarnation': own.incarnation,
+        'issued_ms': attempts.read_clock(),
+        **fields,
+    }
+    return control_pb2.SettleRequest(**values)
+
+
+class ExecutorTest(base.TestCase):
+    async def test_refused_attempt_never_runs_later(self):
+        """A caller was told 'not run', and a second copy then ran.
+
+        The first copy met a full queue. The second one arrives when
+        there is room.
+        """
+        async with open_executor(queue='0') as (executor, own, backend):
+            request = make_request(own, 'a')
+            own.backend_leaving = True
+            first = await executor.execute(request)
+            own.backend_leaving = False
+            backend.free.set()
+            second = await executor.execute(request)
+            self.assertEqual(control_pb2.NOT_RUN, first.verdict)
+            self.assertEqual(control_pb2.NOT_RUN, second.verdict)
+            self.assertEqual([], backend.ran)
+
+    async def test_old_request_is_refused_and_a_resent_one_unknown(self):
+        async with open_executor() as (executor, own, backend):
+            old = attempts.read_clock() - 60_000
+            request = make_request(own, 'a', issued_ms=old)
+            reply = await executor.execute(request)
+            self.assertEqual(control_pb2.NOT_RUN, reply.verdict)
+            request = make_request(own, 'a', issued_ms=old, resent=True)
+            reply = await executor.execute(request)
+            self.assertEqual(control_pb2.UNKNOWN, reply.verdict)
+            request = make_request(own, 'a', incarnation='x', resent=True)
+            reply = await executor.execute(request)
+            self.assertEqual(control_pb2.UNKNOWN, reply.verdict)
+            settle = make_settle(own, 'a', issued_ms=old)
+            reply = await executor.settle(settle)
+            self.assertEqual(control_pb2.UNKNOWN, reply.verdict)
+            self.assertEqual([], backend.ran)
+
+    async def test_never_more_requests_than_slots_or_connections(self):
+        for options, most in (
+            ({'slots': '3'}, 3),
+            ({'slots': '8', 'connections': '5'}, 4),
+        ):
+            async with open_executor(**options) as (executor, own, backend):
+                async with anyio.create_task_group() as group:
+                    for number in range(12):
+                        group.start_soon(
+                            executor.execute, make_request(own, f'{number}')
+                        )
+                    await anyio.wait_all_tasks_blocked()
+                    self.assertEqual(most, backend.now)
+                    self.assertEqual(most, own.busy_slots)
+                    backend.free.set()
+                self.assertEqual(most, backend.most)
+                self.assertEqual(0, own.busy_slots)
+                self.assertEqual(0, own.queued)
+                self.assertEqual(admission.Size(), own.commitments.total)
+
+    async def test_work_goes_on_when_its_caller_is_gone(self):
+        """A slot stays taken for ever after a link broke.
+
+        The library cancels the handler of a broken call. The work goes
+        on in the sidecar; its outcome is kept, its slot given back.
+        """
+        async with open_executor() as (executor, own, backend):
+            async with anyio.create_task_group() as group:
+                group.start_soon(executor.execute, make_request(own, 'a'))
+                await backend.started.wait()
+                group.cancel_scope.cancel()
+            self.assertEqual(1, own.busy_slots)
+            backend.free.set()
+            reply = await executor.settle(
+                make_settle(own, 'a', wait_seconds=30)
+            )
+            self.assertEqual(control_pb2.ANSWERED, reply.verdict)
+            self.assertEqual(0, own.busy_slots)
+            self.assertEqual(admission.Size(), own.commitments.total)
+
+    async def test_cancelled_attempt_gives_its_slot_back(self):
+        async with open_executor(slots='1') as (executor, own, backend):
+            async with anyio.create_task_group() as group:
+                group.start_soon(executor.execute, make_request(own, 'a'))
+                await backend.started.wait()
+                group.start_soon(executor.execute, make_request(own, 'b'))
+                await anyio.wait_all_tasks_blocked()
+                for name, verdict in (
+                    ('b', control_pb2.NOT_RUN),
+                    ('a', control_pb2.UNKNOWN),
+                ):
+                    settle = make_settle(
+                        own, name, cancel=True, wait_seconds=30
+                    )
+                    reply = await executor.settle(settle)
+                    self.assertEqual(verdict, reply.verdict)
+            self.assertEqual(['a'], backend.ran)
+            self.assertEqual(0, own.busy_slots)
+            self.assertEqual(0, own.queued)
+
+    async def test_lost_answer_is_unknown_and_no_connection_not_run(self):
+        async with open_executor() as (executor, own, backend):
+            backend.error = exceptions.BackendAnswerLost('lost')
+            reply = await executor.execute(make_request(own, 'a'))
+            self.assertEqual(control_pb2.UNKNOWN, reply.verdict)
+            backend.error = exceptions.BackendNotConnected('refused')
+            reply = await executor.execute(make_request(own, 'b'))
+            self.assertEqual(control_pb2.NOT_RUN, reply.verdict)
+
+    async def test_backlog_longer_than_the_deadline_refuses_at_once(self):
+        """A caller waits out its deadline in a queue to be refused.
+
+        Observed service times tell that its turn comes too late.
+        """
+        async with open_executor(slots='1') as (executor, own, backend):
+            async with anyio.create_task_group() as group:
+                group.start_soon(executor.execute, make_request(own, 'a'))
+                await backend.started.wait()
+                executor._backlog.note_service(5.0)
+                request = make_request(own, 'b', timeout_seconds=2.0)
+                reply = await executor.execute(request)
+                self.assertEqual(control_pb2.NOT_RUN, reply.verdict)
+                self.assertGreater(reply.retry_after_seconds, 2.0)
+                backend.free.set()
+            self.assertEqual(['a'], backend.ran)
--- /dev/null
+++ b/tests/test_quick.py
@@ -0,0 +1,137 @@
+import random
+
+import anyio
+
+from persimmonsail import backlog
+from persimmonsail import claims
+from persimmonsail import control_pb2
+from persimmonsail import exceptions
+from persimmonsail import hedging
+from persimmonsail import problems
+from persimmonsail import replays
+from persimmonsail import retries
+from standins import memory
+from tests import base
+
+
+class BudgetTest(base.TestCase):
+    def test_retries_stay_below_a_fraction_of_successes(self):
+        """Refused requests come back four times while servers are full.
+
+        With nothing answered, the budget runs dry and stays so.
+        """
+        budget = retries.FractionBudget(trickle=0, clock=lambda: 0.0)
+        allowed = sum(budget.spend() for _ in range(1000))
+        self.assertEqual(10, allowed)
+        for _ in range(200):
+            budget.note_success()
+        self.assertEqual(20, sum(budget.spend() for _ in range(1000)))
+
+
+class HedgingTest(base.TestCase):
+    def test_delay_is_a_high_percentile_once_enough_is_known(self):
+        policy = hedging.PercentileHedging()
+        self.assertIsNone(policy.find_delay('check'))
+        for number in range(100):
+            slow = number % 20 == 0
+            policy.note_latency('check', 1.0 if slow else 0.01)
+        self.assertLessEqual(policy.find_delay('check'), 0.02)
+        self.assertIsNone(policy.find_delay('other'))
+
+
+class BacklogTest(base.TestCase):
+    def test_time_to_return_follows_the_backlog_with_jitter(self):
+        estimate = backlog.Backlog(8, random.Random(1))
+        estimate.note_service(0.8)
+        for queued in (8, 80):
+            times = {estimate.suggest_return(8, queued) for _ in range(50)}
+            expected = (8 + queued) * 0.8 / 8
+            self.assertGreater(len(times), 40)
+            self.assertGreaterEqual(min(times), expected * 0.75)
+            self.assertLessEqual(max(times), expected * 1.25)
+
+
+def make_claim(attempt: str) -> claims.Claim:
+    return claims.Claim(attempt, 'one', 'first', 'one:1', 5, 'print')
+
+
+class ClaimsTest(base.TestCase):
+    async def test_second_entry_joins_the_standing_claim(self):
+        store = memory.MemoryStore()
+        first = await claims.Claims(store).take('k', make_claim('a'))
+        second = await claims.Claims(store).take('k', make_claim('b'))
+        self.assertEqual('a', first.claim.attempt)
+        self.assertFalse(first.claim.joined)
+        self.assertEqual('a', second.claim.attempt)
+        self.assertTrue(second.claim.joined)
+
+    async def test_claim_moves_only_while_nobody_joined_it(self):
+        """An order runs on two instances.
+
+        One entry can't connect to the claimed instance and moves the
+        claim, while another entry has just joined the old one.
+        """
+        store = memory.MemoryStore()
+        mine = claims.Claims(store)
+        held = await mine.take('k', make_claim('a'))
+        await claims.Claims(store).take('k', make_claim('b'))
+        moved = await mine.take('k', make_claim('c'), held)
+        self.assertEqual('a', moved.claim.attempt)
+        self.assertTrue(moved.claim.joined)
+
+    async def test_lost_answer_of_the_store_leaves_one_claim(self):
+        store = memory.MemoryStore()
+        mine = claims.Claims(store)
+        await mine.take('other', make_claim('x'))
+        store.faults.lose_answers = 1
+        held = await mine.take('k', make_claim('a'))
+        self.assertEqual('a', held.claim.attempt)
+        self.assertFalse(held.claim.joined)
+
+    async def test_store_outage_raises(self):
+        store = memory.MemoryStore()
+        store.faults.down = True
+        with self.assertRaises(exceptions.StoreUnavailable):
+            await claims.Claims(store).take('k', make_claim('a'))
+
+
+class ReplaysTest(base.TestCase):
+    async def test_one_key_is_sent_once_and_answers_all(self):
+        kept = replays.Replays(clock=lambda: 0.0)
+        free = anyio.Event()
+        sent = []
+        results = []
+
+        async def send():
+            sent.append(1)
+            await free.wait()
+            return control_pb2.ExecuteReply(body=b'answer')
+
+        async def run():
+            deadline = anyio.current_time() + 30
+            results.append(await kept.run('k', 'f', send, deadline))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(3):
+                group.start_soon(run)
+            await anyio.wait_all_tasks_blocked()
+            free.set()
+        await run()
+        self.assertEqual(1, len(sent))
+        self.assertEqual([b'answer'] * 4, [r.body for r in results])
+        with self.assertRaises(problems.Problem) as caught:
+            await kept.run('k', 'other', send, 0)
+        self.assertEqual(422, caught.exception.status)
+
+    async def test_refused_key_may_be_sent_again(self):
+        kept = replays.Replays()
+        sent = []
+
+        async def send():
+            sent.append(1)
+            raise problems.Problem(503, 'Not run', problems.NOT_RUN)
+
+        for _ in range(2):
+            with self.assertRaises(problems.Problem):
+                await kept.run('k', 'f', send, 0)
+        self.assertEqual(2, len(sent))
--- /dev/null
+++ b/tests/test_quick_processes.py
@@ -0,0 +1,401 @@
+import signal
+
+import anyio
+import httpx
+import pytest
+
+from persimmonsail import control_grpc
+from persimmonsail import control_pb2
+from persimmonsail import links
+from tests import base
+from tests import quickcase
+
+pytestmark = pytest.mark.processes
+
+
+class SilentLinkTest(base.TestCase):
+    async def test_request_lost_on_a_silent_link_runs_elsewhere(self):
+        """An order waits for its whole timeout and then fails.
+
+        The link to its sidecar loses all bytes from now on and raises
+        no error. The request never arrives; the entry settles it over a
+        fresh connection, where it is barred, and sends it elsewhere.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            await site.add_sidecar('one', proxied=True)
+            await site.wait_ready('one')
+            answer = await site.post('order', {'n': 0})
+            self.assertEqual(200, answer.status_code)
+            await site.running.set_faults(site.proxies['one'], mode='silent')
+            answer = await site.post(
+                'order', {'n': 1}, headers={'request-timeout': '300'}
+            )
+            self.assertEqual(503, answer.status_code)
+            self.assertEqual('not-run', answer.json()['work'])
+            number = answer.json()['request']
+            ran = [run['request'] for run in await site.read_all()]
+            self.assertNotIn(number, ran)
+            entry = site.entries[0]
+            await entry.wait_event('settled', request=number)
+            await site.running.processes['one'].wait_event(
+                'settle', reason='barred'
+            )
+            answer = await site.post('order', {'n': 2})
+            self.assertEqual(200, answer.status_code)
+
+    async def test_answer_lost_on_a_silent_link_reaches_its_caller(self):
+        """An order ran, yet its caller waits and is told nothing.
+
+        The link goes silent while the backend server works, so that the
+        answer is lost. The entry settles over a fresh connection and
+        gets the outcome that the sidecar kept; nothing runs twice.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            await site.add_sidecar('one', proxied=True)
+            await site.wait_ready('one')
+
+            async def cut_when_running() -> None:
+                backend = site.running.processes['backend-one']
+                await backend.wait_event('work')
+                await site.running.set_faults(
+                    site.proxies['one'], mode='silent'
+                )
+
+            answer, _ = await quickcase.gather(
+                site.post(
+                    'order',
+                    {'n': 1, 'seconds': 1},
+                    headers={'request-timeout': '300'},
+                ),
+                cut_when_running(),
+            )
+            self.assertEqual(200, answer.status_code)
+            self.assertEqual(1, answer.json()['echo']['n'])
+            self.assertEqual(1, len(await site.read_all()))
+
+    async def test_silent_backend_connections_delay_no_new_request(self):
+        """All orders of one instance time out, one after the other.
+
+        The connections to the backend server go silent for good, those
+        that wait for an answer and those that are kept. A request that
+        waits has an unknown outcome at its deadline; new work goes over
+        fresh connections.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            await site.add_sidecar('one', proxied_backend=True)
+            await site.wait_ready('one')
+            warm = [
+                site.post('order', {'n': n, 'seconds': 0.2}) for n in range(4)
+            ]
+            await quickcase.gather(*warm)
+            proxy = site.proxies['backend-one']
+            backend = site.running.processes['backend-one']
+            patience = {'request-timeout': '3'}
+
+            async def cut_when_running() -> httpx.Response:
+                await backend.wait_event('work', count=5)
+                await site.running.set_faults(proxy, mode='silent')
+                return await site.post('order', {'n': 5}, headers=patience)
+
+            lost, answer = await quickcase.gather(
+                site.post('order', {'n': 4, 'seconds': 0.5}, headers=patience),
+                cut_when_running(),
+            )
+            self.assertEqual(504, lost.status_code)
+            self.assertEqual('unknown', lost.json()['work'])
+            self.assertEqual(200, answer.status_code)
+
+
+class LostProcessTest(base.TestCase):
+    async def test_killed_sidecar_leaves_the_outcome_unknown_at_once(self):
+        """A caller waits for minutes for an order that may have run.
+
+        The sidecar dies while the backend server works. Its record is
+        gone, so that nobody can say whether the order ran: the answer
+        'unknown' comes now, and the order is never sent again. A check
+        is idempotent and is answered by another instance.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            one = await site.add_sidecar('one')
+            await site.wait_ready('one')
+
+            async def kill_when_running() -> None:
+                backend = site.running.processes['backend-one']
+                await backend.wait_event('work', count=2)
+                await site.add_sidecar('two')
+                await site.wait_ready('two')
+                one.send_signal(signal.SIGKILL)
+
+            order, check, _ = await quickcase.gather(
+                site.post('order', {'n': 1, 'seconds': 8}),
+                site.post('check', {'n': 2, 'seconds': 8}),
+                kill_when_running(),
+            )
+            self.assertEqual(504, order.status_code)
+            self.assertEqual('unknown', order.json()['work'])
+            self.assertEqual(200, check.status_code)
+            ran = [run['body']['n'] for run in await site.read_all()]
+            self.assertEqual(1, ran.count(1))
+
+    async def test_frozen_sidecar_never_runs_an_order_twice(self):
+        """An order is answered by one instance and runs on another too.
+
+        The sidecar is frozen before the order arrives, so that it waits
+        in a buffer. The entry can't settle it and says 'unknown' at the
+        deadline; the thawed sidecar may run it, at most once.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            one = await site.add_sidecar('one')
+            await site.wait_ready('one')
+            one.send_signal(signal.SIGSTOP)
+            answer = await site.post(
+                'order', {'n': 1}, headers={'request-timeout': '2'}
+            )
+            self.assertEqual(504, answer.status_code)
+            self.assertEqual('unknown', answer.json()['work'])
+            one.send_signal(signal.SIGCONT)
+            # The entry knows the instance again with its next report.
+            for _ in range(200):
+                answer = await site.post('order', {'n': 2})
+                if answer.status_code == 200:
+                    break
+                await anyio.sleep(0.05)
+            self.assertEqual(200, answer.status_code)
+            ran = [run['body']['n'] for run in await site.read_all()]
+            self.assertLessEqual(ran.count(1), 1)
+
+
+class HedgeTest(base.TestCase):
+    async def test_late_check_is_hedged_and_its_loser_cancelled(self):
+        """A crew stands idle behind one slow machine.
+
+        A backend server stops answering. Checks that take longer than
+        most did are sent to another one as well; the first attempt is
+        cancelled, so that it holds no slot. Orders are never hedged.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            one = await site.add_sidecar('one', **{'health-interval': '60'})
+            await site.add_sidecar('two')
+            await site.wait_ready('one', 'two')
+            for number in range(60):
+                answer = await site.post('check', {'n': number})
+                self.assertEqual(200, answer.status_code)
+            backend = site.running.processes['backend-one']
+            backend.send_signal(signal.SIGSTOP)
+            entry = site.entries[0]
+            for number in range(100, 140):
+                answer = await site.post('check', {'n': number})
+                self.assertEqual(200, answer.status_code)
+                if entry.find('hedge'):
+                    break
+            await one.wait_event('settle', cancel='yes')
+            # The slot of the cancelled attempt is free again.
+            await one.wait_event('attempt-ended', verdict='unknown')
+            self.assertEqual('0', one.find('attempt-ended')[-1]['busy_slots'])
+            answer = await site.post(
+                'order', {'n': 200}, headers={'request-timeout': '1'}
+            )
+            hedged = {event['request'] for event in entry.find('hedge')}
+            number = entry.find('routing', workload='order')[-1]['request']
+            self.assertNotIn(number, hedged)
+
+
+class OutOfOrderTest(base.TestCase):
+    async def test_request_later_than_its_settlement_does_not_run(self):
+        """A caller was told 'not run', and then the order ran.
+
+        The request was delayed on the way; the entry asked what became
+        of it first, and passed on that it did not run.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            one = await site.add_sidecar('one')
+            await site.wait_ready('one')
+            listening = one.find('listening')[0]
+            with links.Links() as opened:
+
+                async def call(method, message):
+                    return await opened.call(
+                        listening['control'],
+                        control_grpc.SidecarStub,
+                        method,
+                        message,
+                        10,
+                    )
+
+                clock = (await call('Settle', make_settle('x', ''))).clock_ms
+                incarnation = listening['incarnation']
+                request = control_pb2.ExecuteRequest(
+                    attempt='late',
+                    incarnation=incarnation,
+                    request='late',
+                    issued_ms=clock,
+                    revision=100,
+                    timeout_seconds=5,
+                )
+                settled = await call(
+                    'Settle', make_settle('late', incarnation, clock)
+                )
+                self.assertEqual(control_pb2.NOT_RUN, settled.verdict)
+                late = await call('Execute', request)
+                self.assertEqual(control_pb2.NOT_RUN, late.verdict)
+                self.assertEqual([], await site.read_all())
+
+                request.attempt = 'twice'
+                request.body = b'{"seconds": 0.3}'
+                first, second = await quickcase.gather(
+                    call('Execute', request), call('Execute', request)
+                )
+                third = await call(
+                    'Settle', make_settle('twice', incarnation, clock)
+                )
+                self.assertEqual(control_pb2.ANSWERED, first.verdict)
+                self.assertEqual(first.body, second.body)
+                self.assertEqual(first.body, third.body)
+                self.assertEqual(1, len(await site.read_all()))
+
+    async def test_caller_gone_before_its_answer_leaves_nothing_behind(self):
+        """An instance takes less and less work until it takes none.
+
+        Callers hang up before their answers come. The work goes on and
+        is recorded; its slot and commitment are given back, and the
+        entry no longer counts it as outstanding.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            one = await site.add_sidecar('one', slots=2)
+            await site.wait_ready('one')
+
+            async def hang_up(number: int) -> None:
+                async with httpx.AsyncClient(trust_env=False) as client:
+                    try:
+                        await client.post(
+                            f'{site.url()}/v1/workloads/order/requests',
+                            json={'n': number, 'seconds': 1.5},
+                            timeout=0.7,
+                        )
+                    except httpx.ReadTimeout:
+                        return
+                self.fail('an answer came')
+
+            await quickcase.gather(*(hang_up(n) for n in range(2)))
+            await one.wait_event('admission', count=2, verdict='answered')
+            answer = await site.post('order', {'n': 9})
+            self.assertEqual(200, answer.status_code)
+            last = site.entries[0].find('routing')[-1]
+            self.assertEqual('0', last['score'])
+            self.assertEqual('0', one.find('admission')[-1]['busy_slots'])
+            record = await site.read_all()
+            self.assertEqual([True] * 3, [run['ended'] for run in record])
+
+    async def test_truncated_or_oversized_answer_is_never_passed_on(self):
+        """A caller reads half an answer and takes it for the whole.
+
+        The backend server's connection breaks inside the answer, or the
+        answer is larger than what is passed on.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            await site.add_sidecar('one')
+            await site.wait_ready('one')
+            for body in ({'truncate': True}, {'padding': 1_500_000}):
+                answer = await site.post('order', body)
+                self.assertEqual(504, answer.status_code)
+                self.assertEqual('unknown', answer.json()['work'])
+            answer = await site.running.client.post(
+                f'{site.url()}/v1/workloads/order/requests',
+                content=b'x' * 1_500_000,
+            )
+            self.assertEqual(413, answer.status_code)
+            self.assertEqual('not-run', answer.json()['work'])
+            self.assertEqual(2, len(await site.read_all()))
+
+
+class SameKeyTest(base.TestCase):
+    async def test_one_key_at_two_entries_at_once_runs_once(self):
+        """A buyer's order is placed twice.
+
+        The caller's client gives up on one entry and sends the same key
+        to another while the first request is on its way. Both reach the
+        claim in the store; the loser joins the winner's attempt.
+        """
+        async with quickcase.open_site(
+            self.make_directory(), entries=2
+        ) as site:
+            await site.add_sidecar('one')
+            await site.add_sidecar('two')
+            await site.wait_ready('one', 'two')
+            for number in range(10):
+                headers = {'idempotency-key': f'order-{number}'}
+                body = {'n': number, 'seconds': 0.2}
+                first, second = await quickcase.gather(
+                    site.post('order', body, 0, headers),
+                    site.post('order', body, 1, headers),
+                )
+                self.assertEqual(200, first.status_code, first.text)
+                self.assertEqual(200, second.status_code, second.text)
+                self.assertEqual(first.json(), second.json())
+            self.assertEqual(10, len(await site.read_all()))
+
+            headers = {'idempotency-key': 'order-3'}
+            again = await site.post('order', {'n': 4}, 0, headers)
+            self.assertEqual(422, again.status_code)
+            self.assertEqual(10, len(await site.read_all()))
+
+    async def test_claim_needs_the_store_and_says_not_run_without(self):
+        """An order runs twice because the store was down.
+
+        Without the store no entry can know whether another has the key:
+        the order is refused at once, as not run, with a time to return.
+        Orders without a key and checks are served on.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            await site.add_sidecar('one')
+            await site.wait_ready('one')
+            await site.running.set_faults(site.running.store, down=True)
+            answer = await site.post(
+                'order', {'n': 1}, headers={'idempotency-key': 'a'}
+            )
+            self.assertEqual(503, answer.status_code)
+            self.assertEqual('not-run', answer.json()['work'])
+            self.assertIn('retry-after', answer.headers)
+            self.assertEqual([], await site.read_all())
+            answer = await site.post(
+                'check', {'n': 2}, headers={'idempotency-key': 'b'}
+            )
+            self.assertEqual(200, answer.status_code)
+
+
+class OverloadTest(base.TestCase):
+    async def test_refusals_are_immediate_true_and_say_when_to_return(self):
+        """Callers wait for their whole deadline only to be refused.
+
+        More requests come than slots and queue hold. Each one given up
+        on gets its answer before the work in front of it ends.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            await site.add_sidecar('one', slots=2, queue=4)
+            await site.wait_ready('one')
+            order: list[int] = []
+
+            async def post(number: int) -> httpx.Response:
+                answer = await site.post('order', {'n': number, 'seconds': 3})
+                order.append(answer.status_code)
+                return answer
+
+            answers = await quickcase.gather(*(post(n) for n in range(40)))
+            codes = [answer.status_code for answer in answers]
+            self.assertEqual(6, codes.count(200), codes)
+            self.assertEqual(34, codes.count(503), codes)
+            self.assertEqual([503] * 34 + [200] * 6, order)
+            ran = {run['request'] for run in await site.read_all()}
+            for answer in answers:
+                if answer.status_code == 503:
+                    self.assertEqual('not-run', answer.json()['work'])
+                    self.assertGreater(answer.json()['retry_after_seconds'], 0)
+                    self.assertNotIn(answer.json()['request'], ran)
+
+
+def make_settle(
+    attempt: str, incarnation: str, issued_ms: int = 0
+) -> control_pb2.SettleRequest:
+    return control_pb2.SettleRequest(
+        attempt=attempt, incarnation=incarnation, issued_ms=issued_ms
+    )
