--- a/src/persimmonsail/backends.py
+++ b/src/persimmonsail/backends.py
@@ -17,6 +17,7 @@
 _JSON = 'application/json'
 _HEALTH_PATH = '/health'
 MAX_ANSWER_BYTES = 1_000_000
+NO_CONNECTION = 'no connection to the backend server'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,9 +84,7 @@
             with anyio.fail_after(timeout):
                 return await self._exchange(body, headers, timeout)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-            raise exceptions.BackendNotConnected(
-                'no connection to the backend server'
-            ) from error
+            raise exceptions.BackendNotConnected(NO_CONNECTION) from error
         except (httpx.HTTPError, TimeoutError) as error:
             name = type(error).__name__
             raise exceptions.BackendAnswerLost(
--- a/src/persimmonsail/execution.py
+++ b/src/persimmonsail/execution.py
@@ -14,6 +14,7 @@
 from persimmonsail import exceptions
 from persimmonsail import instance as instance_module
 from persimmonsail import logs
+from persimmonsail import metrics
 from persimmonsail import settings as settings_module
 
 _PROBE_CONNECTIONS = 1
@@ -83,6 +84,8 @@
             await self._changed.wait()
 
     def _find_refusal(self, request: control_pb2.ExecuteRequest) -> str:
+        if reason := self._own.find_staleness():
+            return reason
         if request.revision < self._own.revision:
             return 'stale revision'
         self._own.note_revision(request.revision)
@@ -137,32 +140,46 @@
                 reply = await self._queue_and_send(request)
         finally:
             self._attempts.end(attempt, reply)
-            self._log_end(request, reply)
+            self._note_outcome(request, reply)
             self._announce()
 
-    def _log_end(
+    def _note_dispatch(self, request: control_pb2.ExecuteRequest) -> None:
+        logs.write_event(
+            'dispatch',
+            request=request.request,
+            attempt=request.attempt,
+            incarnation=self._own.incarnation,
+            idempotent=request.idempotent,
+            revision=request.revision,
+            cores=request.size.cores,
+            memory_gb=request.size.memory_gb,
+            accelerators=request.size.accelerators,
+        )
+
+    def _note_outcome(
         self,
         request: control_pb2.ExecuteRequest,
         reply: control_pb2.ExecuteReply,
     ) -> None:
         # The evidence of what ran, also when nobody waits for it.
         logs.write_event(
-            'attempt-ended',
-            attempt=request.attempt,
+            'outcome',
             request=request.request,
-            workload=request.workload,
+            attempt=request.attempt,
             incarnation=self._own.incarnation,
-            verdict=control_pb2.Verdict.Name(reply.verdict).lower(),
+            verdict=instance_module.name_verdict(reply.verdict),
+            status=reply.status,
+            answer=logs.digest(reply.body),
             reason=reply.reason,
             busy_slots=self._own.busy_slots,
             queued=self._own.queued,
-            cores=self._own.commitments.total.cores,
         )
 
     async def _queue_and_send(
         self, request: control_pb2.ExecuteRequest
     ) -> control_pb2.ExecuteReply:
-        deadline = time.monotonic() + request.timeout_seconds
+        begun = time.monotonic()
+        deadline = begun + request.timeout_seconds
         try:
             with anyio.fail_after(request.timeout_seconds):
                 await self._slots.acquire()
@@ -173,6 +190,9 @@
             return self._describe_refusal('cancelled in the queue')
         finally:
             self._own.queued -= 1
+            metrics.QUEUE_SECONDS.record(
+                time.monotonic() - begun, request.workload
+            )
         self._own.busy_slots += 1
         holder = f'request/{request.attempt}'
         size = admission.read_size(request.size)
@@ -191,6 +211,7 @@
         began = time.monotonic()
         if began >= deadline:
             return self._describe_refusal('deadline passed in the queue')
+        self._note_dispatch(request)
         try:
             answer = await self._backend.send(
                 request.request,
@@ -208,6 +229,7 @@
             status=answer.status,
             body=answer.body,
             content_type=answer.content_type,
+            ran_as=request.request,
         )
 
     def _describe_refusal(self, reason: str) -> control_pb2.ExecuteReply:
--- a/src/persimmonsail/fleet.py
+++ b/src/persimmonsail/fleet.py
@@ -13,7 +13,9 @@
 class Instance:
     """One announced instance; times are monotonic seconds.
 
-    ``outstanding`` counts this entry's own requests there.
+    ``outstanding`` counts this entry's own requests there. ``shares``
+    has the part of the cores that each batch class uses, ``demand`` the
+    part of the slots that each latency-critical class keeps busy.
     """
 
     name: str
@@ -34,6 +36,9 @@
     outstanding: int = 0
     backend_leaving: bool = False
     clock_ms: int = 0
+    revision: int = 0
+    shares: dict[str, float] = dataclasses.field(default_factory=dict)
+    demand: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 class Fleet:
@@ -76,6 +81,7 @@
             reported_at=time.monotonic(),
             backend_leaving=report.backend_leaving,
             clock_ms=report.clock_ms,
+            revision=report.revision,
         )
         self._forget_silent()
         if before is None:
--- /dev/null
+++ b/src/persimmonsail/holders.py
@@ -0,0 +1,21 @@
+"""What entries ask each other about who may hold a partition."""
+
+from persimmonsail import control_grpc
+from persimmonsail import partitions as partitions_module
+
+
+class Holders(control_grpc.HoldersBase):
+    """Answers for an entry's partitions; see ``consents``."""
+
+    def __init__(self, partitions: partitions_module.Partitions) -> None:
+        self._partitions = partitions
+
+    async def Consent(self, stream) -> None:
+        """Promise a holder without store contact not to follow it."""
+        request = await stream.recv_message()
+        await stream.send_message(self._partitions.promises.consent(request))
+
+    async def Fence(self, stream) -> None:
+        """Refuse consent to a partition's earlier holders."""
+        request = await stream.recv_message()
+        await stream.send_message(self._partitions.fence(request))
--- a/src/persimmonsail/links.py
+++ b/src/persimmonsail/links.py
@@ -20,6 +20,7 @@
 from persimmonsail import addresses
 from persimmonsail import exceptions
 from persimmonsail import logs
+from persimmonsail import metrics
 from persimmonsail import settings as settings_module
 
 _LOST = (
@@ -160,6 +161,7 @@
                 return await self._watch_call(link, call, message)
         except _LOST as error:
             self._note_failure(link, error)
+            metrics.LINKS_LOST.increase(method)
             name = type(error).__name__
             raise exceptions.LinkLost(f'{method} {address}: {name}') from error
 
--- a/src/persimmonsail/quick.py
+++ b/src/persimmonsail/quick.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from persimmonsail import backends
 from persimmonsail import catalogue
 from persimmonsail import claims as claims_module
 from persimmonsail import control_grpc
@@ -18,6 +19,7 @@
 from persimmonsail import hedging
 from persimmonsail import links as links_module
 from persimmonsail import logs
+from persimmonsail import metrics
 from persimmonsail import problems
 from persimmonsail import replays as replays_module
 from persimmonsail import retries
@@ -36,7 +38,7 @@
     (
         'leaving',
         'the backend server is leaving',
-        'no connection to the backend server',
+        backends.NO_CONNECTION,
         'other incarnation',
         'issued too long ago',
         'stale revision',
@@ -134,7 +136,12 @@
             instance = self._choose(request, tried)
             if instance is None or request.left <= 0:
                 break
+            if tried:
+                metrics.RETRIES.increase(request.workload)
             tried.add(instance.name)
+            if reason := self._view.find_staleness():
+                refusals.append(_describe_stale(reason))
+                break
             reply = await self._race(request, instance, tried)
             if reply.verdict == control_pb2.ANSWERED:
                 self._budget.note_success()
@@ -168,6 +175,9 @@
                 break
             tried.add(instance.name)
             wanted = _make_claim(instance, fingerprint)
+            if reason := self._view.find_staleness():
+                refusals.append(_describe_stale(reason))
+                break
             held = await self._take_claim(key, wanted, replaced)
             if held.claim.fingerprint != fingerprint:
                 raise problems.Problem(
@@ -218,6 +228,7 @@
             request=request.id,
             workload=request.workload,
             chosen=chosen.name,
+            incarnation=chosen.incarnation,
             score=routing.score(chosen, self._zone),
             outstanding=chosen.outstanding,
             queued=chosen.queued,
@@ -301,6 +312,7 @@
         finally:
             if instance is not None:
                 instance.outstanding -= 1
+        metrics.ATTEMPTS.increase(control_pb2.Verdict.Name(reply.verdict))
         if reply.verdict == control_pb2.ANSWERED:
             seconds = time.monotonic() - began
             self._hedging.note_latency(request.workload, seconds)
@@ -382,6 +394,10 @@
     return problems.Problem(504, 'Outcome unknown', problems.UNKNOWN, reason)
 
 
+def _describe_stale(reason: str) -> control_pb2.ExecuteReply:
+    return control_pb2.ExecuteReply(verdict=control_pb2.NOT_RUN, reason=reason)
+
+
 def _not_run(refusals: list[control_pb2.ExecuteReply]) -> problems.Problem:
     if not refusals:
         reason = 'no backend server is known'
--- a/src/persimmonsail/settings.py
+++ b/src/persimmonsail/settings.py
@@ -6,10 +6,12 @@
 import pydantic
 
 from persimmonsail import findings
+from persimmonsail import store as store_module
 
 _ADDRESS_PATTERN = r'^[0-9A-Za-z.\-\[\]:]+:\d{1,5}$'
 Address = t.Annotated[str, pydantic.Field(pattern=_ADDRESS_PATTERN)]
 Name = t.Annotated[str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9.-]*$')]
+LongSeconds = t.Annotated[float, pydantic.Field(gt=0, le=30 * 86400)]
 Seconds = t.Annotated[float, pydantic.Field(gt=0, le=3600)]
 
 
@@ -58,11 +60,15 @@
     """Options of the entry role."""
 
     partitions: t.Annotated[int, pydantic.Field(ge=1, le=256)] = 8
-    partition_lease: Seconds = 6.0
-    task_lease: Seconds = 6.0
+    # A killed holder's tasks have to outlast its own lease and the
+    # takeover, or its end evicts them all.
+    partition_lease: Seconds = 4.0
+    task_lease: Seconds = 12.0
+    outage_limit: Seconds = 3600.0
+    retention: LongSeconds = 86400.0
     commit_interval: Seconds = 0.1
     freshness: Seconds = 3.0
-    catalogue_poll: Seconds = 2.0
+    catalogue_poll: Seconds = 1.0
     warmup: Seconds = 5.0
     notice: Seconds = 1.0
     drain: Seconds = 10.0
@@ -139,7 +145,7 @@
     OSError
         If the file can't be read.
     """
-    return parse(str(path), path.read_text(encoding='utf-8'), role)
+    return parse(str(path), findings.read_text(path), role)
 
 
 def parse(file: str, text: str, role: str) -> Settings:
@@ -159,12 +165,26 @@
         try:
             sections[name] = model.model_validate(dict(parser[name]))
         except pydantic.ValidationError as error:
-            collector.add_validation(places, name, error)
+            collector.add_validation(places, name, error, model)
     for name in _NEEDED[role]:
         if name not in parser.sections():
             collector.add(
                 findings.Place(file, section=name),
                 f'section is missing; the {role} role needs it',
             )
+    _check_store_kind(sections.get('store'), places, collector)
     collector.raise_if_any()
     return Settings.model_validate(sections)
+
+
+def _check_store_kind(section, places, collector) -> None:
+    # Only a process that has this section pays for loading the kinds.
+    if section is None:
+        return
+    kinds = store_module.load_kinds()
+    if section.kind not in kinds:
+        allowed = ', '.join(sorted(kinds))
+        collector.add(
+            places.find('store', 'kind'),
+            f'unknown kind {section.kind!r}; allowed: {allowed}',
+        )
--- a/src/persimmonsail/sidecar.py
+++ b/src/persimmonsail/sidecar.py
@@ -32,7 +32,9 @@
 
     def __init__(self, settings: settings_module.Settings) -> None:
         self.settings = settings
-        self.own = instance_module.OwnInstance(backend_leaving=True)
+        self.own = instance_module.OwnInstance(
+            notice_limit=settings.links.silence, backend_leaving=True
+        )
         self.calls = shutdown.Calls()
 
     async def __aenter__(self) -> 'Sidecar':
@@ -88,7 +90,7 @@
             workload=request.workload,
             incarnation=self.own.incarnation,
             revision=self.own.revision,
-            verdict=_name(reply.verdict),
+            verdict=instance_module.name_verdict(reply.verdict),
             reason=reply.reason,
             busy_slots=self.own.busy_slots,
             queued=self.own.queued,
@@ -112,7 +114,7 @@
             'settle',
             attempt=request.attempt,
             incarnation=self.own.incarnation,
-            verdict=_name(reply.verdict),
+            verdict=instance_module.name_verdict(reply.verdict),
             reason=reply.reason,
             cancel=request.cancel,
         )
@@ -129,8 +131,9 @@
             attempt=request.attempt,
             partition=request.partition,
             epoch=request.epoch,
+            revision=request.revision,
             incarnation=self.own.incarnation,
-            verdict=_name(reply.verdict),
+            verdict=instance_module.name_verdict(reply.verdict),
             reason=reply.reason,
         )
         await stream.send_message(reply)
@@ -148,10 +151,6 @@
         await stream.send_message(await self.supervisor.stop(request))
 
 
-def _name(verdict: int) -> str:
-    return control_pb2.Verdict.Name(verdict).lower().replace('_', '-')
-
-
 async def run(settings: settings_module.Settings) -> None:
     """Run the role until SIGTERM, then stop gracefully."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -185,13 +184,13 @@
                     group.cancel_scope.cancel()
             server.close()
             await server.wait_closed()
-    logs.write_event('stopped')
+    logs.write_event('stopped', incarnation=sidecar.own.incarnation)
 
 
 async def _stop(
     sidecar: Sidecar, announcer: announcer_module.Announcer
 ) -> None:
-    logs.write_event('stopping')
+    logs.write_event('stopping', incarnation=sidecar.own.incarnation)
     sidecar.own.leaving = True
     announcer.announce_now()
     with anyio.move_on_after(sidecar.settings.sidecar.drain):
--- a/tests/test_quick_processes.py
+++ b/tests/test_quick_processes.py
@@ -190,8 +190,8 @@
                     break
             await one.wait_event('settle', cancel='yes')
             # The slot of the cancelled attempt is free again.
-            await one.wait_event('attempt-ended', verdict='unknown')
-            self.assertEqual('0', one.find('attempt-ended')[-1]['busy_slots'])
+            await one.wait_event('outcome', verdict='unknown')
+            self.assertEqual('0', one.find('outcome')[-1]['busy_slots'])
             answer = await site.post(
                 'order', {'n': 200}, headers={'request-timeout': '1'}
             )
