Test keys after crashes, overload with a crash, meeting stops

Cause: the proofs lacked the entry killed with a key in flight, a key whose sidecar died, overload while a sidecar dies, answers of many callers through a slow link that is cut, and an entry and a sidecar that stop together.

--- a/tests/quickcase.py
+++ b/tests/quickcase.py
@@ -145,6 +145,20 @@
         records = [await self.read_record(name) for name in self.backends]
         return [run for record in records for run in record]
 
+    async def wait_work(self) -> str:
+        """Return the name of the first backend server to begin work."""
+        names: list[str] = []
+
+        async def wait(name: str) -> None:
+            await self.running.processes[f'backend-{name}'].wait_event('work')
+            names.append(name)
+            group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            for name in self.backends:
+                group.start_soon(wait, name)
+        return names[0]
+
     async def tell_backend(self, name: str, action: str) -> None:
         """Make a backend server ``leave`` or ``return``."""
         await self.running.client.post(
--- a/tests/test_quick_processes.py
+++ b/tests/test_quick_processes.py
@@ -253,6 +253,36 @@
                 self.assertEqual(first.body, third.body)
                 self.assertEqual(1, len(await site.read_all()))
 
+    async def test_each_caller_gets_its_own_answer_through_delays(self):
+        """A seller sees the tags of another seller's horse.
+
+        Answers of many requests come late and in another order, over
+        one slow link that is cut in between.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            await site.add_sidecar('one', proxied=True)
+            await site.add_sidecar('two')
+            await site.wait_ready('one', 'two')
+            proxy = site.proxies['one']
+            await site.running.set_faults(proxy, mode='pass', delay=0.02)
+
+            async def cut_once() -> None:
+                backend = site.running.processes['backend-one']
+                await backend.wait_event('work')
+                await site.running.set_faults(proxy, mode='cut')
+                await site.running.set_faults(proxy, mode='pass')
+
+            *answers, _ = await quickcase.gather(
+                *(
+                    site.post('check', {'n': n, 'seconds': 0.05 * (n % 5)})
+                    for n in range(16)
+                ),
+                cut_once(),
+            )
+            for number, answer in enumerate(answers):
+                self.assertEqual(200, answer.status_code, answer.text)
+                self.assertEqual(number, answer.json()['echo']['n'])
+
     async def test_caller_gone_before_its_answer_leaves_nothing_behind(self):
         """An instance takes less and less work until it takes none.
 
@@ -362,8 +392,109 @@
             )
             self.assertEqual(200, answer.status_code)
 
+    async def test_key_repeated_elsewhere_after_its_entry_died(self):
+        """A buyer sends an order again and it is placed twice.
+
+        The entry is killed while the backend server works. The caller
+        repeats its key at another entry, which joins the claim: it gets
+        the answer of the first attempt.
+        """
+        async with quickcase.open_site(
+            self.make_directory(), entries=2
+        ) as site:
+            await site.add_sidecar('one')
+            await site.add_sidecar('two')
+            await site.wait_ready('one', 'two')
+            headers = {'idempotency-key': 'order-1'}
+            body = {'n': 1, 'seconds': 2}
+
+            async def lose_answer() -> None:
+                try:
+                    await site.post('order', body, 0, headers)
+                except httpx.HTTPError:
+                    return
+                self.fail('the killed entry answered')
+
+            async def kill_when_running() -> None:
+                await site.wait_work()
+                site.entries[0].send_signal(signal.SIGKILL)
+
+            await quickcase.gather(lose_answer(), kill_when_running())
+            answer = await site.post('order', body, 1, headers)
+            self.assertEqual(200, answer.status_code, answer.text)
+            self.assertEqual(1, answer.json()['echo']['n'])
+            self.assertEqual(1, len(await site.read_all()))
+
+    async def test_key_of_a_killed_sidecar_never_runs_again(self):
+        """A build order with a key runs on a second instance.
+
+        The claimed instance's sidecar dies while the order runs; the
+        caller repeats the key at both entries. Nobody can know whether
+        it ran, so that all of them say 'unknown'.
+        """
+        async with quickcase.open_site(
+            self.make_directory(), entries=2
+        ) as site:
+            await site.add_sidecar('one')
+            await site.add_sidecar('two')
+            await site.wait_ready('one', 'two')
+            headers = {'idempotency-key': 'order-1'}
+            body = {'n': 1, 'seconds': 2}
+
+            async def kill_when_running() -> None:
+                name = await site.wait_work()
+                site.running.processes[name].send_signal(signal.SIGKILL)
+
+            first, _ = await quickcase.gather(
+                site.post('order', body, 0, headers), kill_when_running()
+            )
+            self.assertEqual('unknown', first.json()['work'])
+            for entry in (0, 1):
+                again = await site.post('order', body, entry, headers)
+                self.assertEqual(504, again.status_code)
+                self.assertEqual('unknown', again.json()['work'])
+            self.assertEqual(1, len(await site.read_all()))
+
 
 class OverloadTest(base.TestCase):
+    async def test_overload_while_a_sidecar_dies_leaves_no_caller_waiting(
+        self,
+    ):
+        """Callers hang after a crash in a busy hour.
+
+        One of two sidecars is killed under more load than both take.
+        Each caller gets a final answer; what is 'not run' did not run,
+        and nothing runs twice.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            one = await site.add_sidecar('one', slots=2, queue=4)
+            await site.add_sidecar('two', slots=2, queue=4)
+            await site.wait_ready('one', 'two')
+
+            async def kill_when_busy() -> None:
+                backend = site.running.processes['backend-one']
+                await backend.wait_event('work')
+                one.send_signal(signal.SIGKILL)
+
+            *answers, _ = await quickcase.gather(
+                *(
+                    site.post('order', {'n': n, 'seconds': 0.5})
+                    for n in range(40)
+                ),
+                kill_when_busy(),
+            )
+            ran = [run['request'] for run in await site.read_all()]
+            self.assertEqual(len(set(ran)), len(ran))
+            for answer in answers:
+                if answer.status_code == 200:
+                    self.assertIn(answer.headers['request-id'], ran)
+                    continue
+                problem = answer.json()
+                self.assertIn(problem['work'], ('not-run', 'unknown'))
+                if problem['work'] == 'not-run':
+                    self.assertNotIn(problem['request'], ran)
+                    self.assertGreater(problem['retry_after_seconds'], 0)
+
     async def test_refusals_are_immediate_true_and_say_when_to_return(self):
         """Callers wait for their whole deadline only to be refused.
 
--- a/tests/test_quick_stops.py
+++ b/tests/test_quick_stops.py
@@ -178,3 +178,33 @@
             await fresh.wait_event('catalogue')
             for name in names:
                 await fresh.wait_event('announced', instance=name)
+
+
+class StopInFlightTest(base.TestCase):
+    async def test_entry_and_sidecar_stop_together_around_a_request(self):
+        """An order is cut off because two releases met.
+
+        Its entry and its sidecar are both told to stop while the
+        backend server works. The caller gets the whole answer, then
+        both exit with code 0.
+        """
+        async with quickcase.open_site(self.make_directory()) as site:
+            one = await site.add_sidecar('one')
+            await site.wait_ready('one')
+
+            async def stop(process) -> int:
+                backend = site.running.processes['backend-one']
+                await backend.wait_event('work')
+                return await process.stop()
+
+            answer, entry_code, sidecar_code = await quickcase.gather(
+                site.post('order', {'n': 1, 'seconds': 4}),
+                stop(site.entries[0]),
+                stop(one),
+            )
+            self.assertEqual(200, answer.status_code)
+            self.assertEqual(1, answer.json()['echo']['n'])
+            self.assertEqual('close', answer.headers['connection'])
+            self.assertEqual((0, 0), (entry_code, sidecar_code))
+            record = await site.read_all()
+            self.assertEqual([True], [run['ended'] for run in record])
