--- a/src/persimmonsail/gateway.py
+++ b/src/persimmonsail/gateway.py
@@ -2,6 +2,7 @@
 
 import functools
 import json
+import math
 import time
 import typing as t
 import uuid
@@ -23,6 +24,7 @@
 from persimmonsail import tracebacks
 
 MAX_WAIT_SECONDS = 30.0
+MAX_BODY_BYTES = 1_000_000
 _EXPOSITION = 'text/plain; version=0.0.4'
 _UNKNOWN_WORKLOAD = 'none'
 _Timeout = t.Annotated[float, pydantic.Field(gt=0, le=3600)]
@@ -177,11 +179,11 @@
             raise problems.Problem(
                 404, 'No such workload', problems.NOT_RUN, name
             )
-        body = await request.body()
+        body = await _read_body(request)
         timeout = headers.request_timeout or workload.timeout
         if workload.workload_class is catalogue.WorkloadClass.LATENCY_CRITICAL:
             return await self._run_quick(
-                request, name, workload, body, timeout
+                request, name, workload, headers, body, timeout
             )
         return await self._submit(request, name, headers, body, timeout)
 
@@ -190,6 +192,7 @@
         request: requests.Request,
         name: str,
         workload: catalogue.Workload,
+        headers: RequestHeaders,
         body: bytes,
         timeout: float,
     ) -> responses.Response:
@@ -200,6 +203,7 @@
             body,
             request.headers.get('content-type', ''),
             time.monotonic() + timeout,
+            headers.idempotency_key,
         )
         reply = await self._entry.quick.send(message)
         logs.write_event(
@@ -207,6 +211,7 @@
             request=message.id,
             status=reply.status,
             answer=logs.digest(reply.body),
+            ran_as=reply.ran_as,
         )
         return responses.Response(
             reply.body,
@@ -252,7 +257,9 @@
     async def _wait_task(
         self, task: str, seconds: float
     ) -> control_pb2.TaskReply:
-        return await self._entry.tasks.query(task, seconds)
+        return await self._entry.stop.wait_unless_begun(
+            lambda left: self._entry.tasks.query(task, left), seconds
+        )
 
     async def _get_task(self, request: requests.Request) -> responses.Response:
         task = request.path_params['task']
@@ -330,6 +337,20 @@
         ) from error
 
 
+async def _read_body(request: requests.Request) -> bytes:
+    body = bytearray()
+    async for chunk in request.stream():
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            raise problems.Problem(
+                413,
+                'Body too large',
+                problems.NOT_RUN,
+                f'at most {MAX_BODY_BYTES} bytes are allowed',
+            )
+    return bytes(body)
+
+
 def _check_payload(body: bytes) -> None:
     try:
         # The ledger keeps the payload as text.
@@ -344,6 +365,8 @@
     text = request.query_params.get('wait', '0')
     try:
         wait = float(text)
+        if not math.isfinite(wait):
+            raise ValueError(text)
     except ValueError as error:
         raise problems.Problem(
             400, 'Invalid wait', problems.NOT_RUN, f'wait={text}'
--- a/tools/slope_fakes.py
+++ b/tools/slope_fakes.py
@@ -13,11 +13,11 @@
 import grpclib.const
 import grpclib.server
 
+from persimmonsail import addresses
 from persimmonsail import admission
 from persimmonsail import announcer as announcer_module
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
-from persimmonsail import httpserver
 from persimmonsail import instance as instance_module
 from persimmonsail import links
 from persimmonsail import refsets
@@ -71,8 +71,8 @@
     async def listen(self) -> grpclib.server.Server:
         """Serve the control protocol behind the counting proxy."""
         server = grpclib.server.Server([self])
-        sock = httpserver.bind('127.0.0.1:0')
-        self.proxy.target = httpserver.name_of(sock)
+        sock = addresses.bind('127.0.0.1:0')
+        self.proxy.target = addresses.name_of(sock)
         await server.start(sock=sock)
         return server
 
@@ -284,8 +284,8 @@
     """Run a fake entry behind a counting proxy."""
     entry = FakeEntry()
     server = grpclib.server.Server([entry])
-    sock = httpserver.bind('127.0.0.1:0')
-    target = httpserver.name_of(sock)
+    sock = addresses.bind('127.0.0.1:0')
+    target = addresses.name_of(sock)
     await server.start(sock=sock)
     async with slope_meter.CountingProxy(target) as proxy:
         try:
