--- a/src/persimmonsail/audit_requests.py
+++ b/src/persimmonsail/audit_requests.py
@@ -19,7 +19,9 @@
     """Hold each final answer against what the work itself gave."""
     outcomes = case.logs.group('outcome', 'request')
     for event in case.logs.select('answer'):
-        _check_answer(report, event, outcomes.get(event.get('request'), []))
+        # A repeated idempotency key gets the answer of the first request.
+        ran_as = event.get('ran_as') or event.get('request')
+        _check_answer(report, event, outcomes.get(ran_as, []))
     for event in case.logs.select('task-answer'):
         _check_task_answer(case, report, event)
     _check_one_final(case, report)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,9 +4,9 @@
 import anyio
 import grpclib.server
 
+from persimmonsail import addresses
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
-from persimmonsail import httpserver
 from persimmonsail import instance
 from persimmonsail import links
 from persimmonsail import partitions
@@ -53,8 +53,8 @@
         """Follow one listed peer that answers so, then run a check."""
         stub = StubPeer(reply)
         server = grpclib.server.Server([stub])
-        sock = httpserver.bind('127.0.0.1:0')
-        address = httpserver.name_of(sock)
+        sock = addresses.bind('127.0.0.1:0')
+        address = addresses.name_of(sock)
         await server.start(sock=sock)
         listed = {
             'one': partitions.LiveEntry('one', '127.0.0.1:1', 'a'),
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -3,11 +3,13 @@
 from tools import guards_catalogue
 from tools import guards_holders
 from tools import guards_ledger
+from tools import guards_requests
 from tools import guards_tasks
 
 GUARDS = [
     *guards_ledger.GUARDS,
     *guards_tasks.GUARDS,
     *guards_holders.GUARDS,
+    *guards_requests.GUARDS,
     *guards_catalogue.GUARDS,
 ]
--- a/tools/slope_fakes.py
+++ b/tools/slope_fakes.py
@@ -10,15 +10,17 @@
 import typing as t
 
 import anyio
+import grpclib.const
 import grpclib.server
 
+from persimmonsail import addresses
 from persimmonsail import admission
 from persimmonsail import announcer as announcer_module
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
-from persimmonsail import httpserver
 from persimmonsail import instance as instance_module
 from persimmonsail import links
+from persimmonsail import refsets
 from persimmonsail import settings as settings_module
 from tools import slope_meter
 
@@ -44,6 +46,7 @@
     attempt: int
     ends_at: float
     size: admission.Size
+    renewed_at: float
 
 
 class FakeSidecar(control_grpc.SidecarBase):
@@ -59,13 +62,17 @@
             admission.Size(CORES, MEMORY_GB, 2)
         )
         self.tasks: dict[str, _Running] = {}
+        self._ref_sets = refsets.RefSetReader()
         self.announcer: announcer_module.Announcer
+        self.scope = anyio.CancelScope()
+        self.renewed = anyio.Event()
+        self.note_start: t.Callable[[], None] = lambda: None
 
     async def listen(self) -> grpclib.server.Server:
         """Serve the control protocol behind the counting proxy."""
         server = grpclib.server.Server([self])
-        sock = httpserver.bind('127.0.0.1:0')
-        self.proxy.target = httpserver.name_of(sock)
+        sock = addresses.bind('127.0.0.1:0')
+        self.proxy.target = addresses.name_of(sock)
         await server.start(sock=sock)
         return server
 
@@ -97,13 +104,20 @@
         size = admission.read_size(request.size)
         self.own.commitments.try_commit(f'task/{request.task}', size)
         self.tasks[request.task] = _Running(
-            request.attempt, time.monotonic() + self.task_seconds, size
+            request.attempt,
+            time.monotonic() + self.task_seconds,
+            size,
+            time.monotonic(),
         )
+        self.note_start()
         await stream.send_message(
             control_pb2.StartTaskReply(
                 verdict=control_pb2.RUNNING,
                 load=self.own.describe_load(),
                 revision=self.own.revision,
+                ticket=time.monotonic(),
+                boot=self.name,
+                incarnation=self.own.incarnation,
             )
         )
 
@@ -111,10 +125,18 @@
         """Tell how the tasks stand."""
         request = await stream.recv_message()
         reply = control_pb2.RenewReply(
-            accepted=True, incarnation=self.own.incarnation
+            incarnation=self.own.incarnation,
+            ticket=time.monotonic(),
+            boot=self.name,
         )
+        reply.resend = not self._ref_sets.restore(request)
+        reply.accepted = not reply.resend
+        for ref in request.acknowledged:
+            self.tasks.pop(ref.task, None)
         for ref in request.tasks:
             reply.states.append(self._describe_state(ref))
+        refsets.drop_active(reply)
+        self.renewed.set()
         reply.load.CopyFrom(self.own.describe_load())
         await stream.send_message(reply)
 
@@ -125,6 +147,7 @@
             state.phase = control_pb2.ABSENT
         elif time.monotonic() < found.ends_at:
             state.phase = control_pb2.ACTIVE
+            found.renewed_at = time.monotonic()
         else:
             state.phase = control_pb2.SUCCEEDED
             state.answer = '{"done": true}'
@@ -140,6 +163,7 @@
         reply.state.task = request.task
         reply.state.attempt = request.attempt
         reply.state.phase = control_pb2.STOPPED
+        reply.boot = self.name
         await stream.send_message(reply)
 
 
@@ -149,6 +173,8 @@
     def __init__(self, churn_seconds: float = 0.0) -> None:
         self.sidecars: list[FakeSidecar] = []
         self._churn_seconds = churn_seconds
+        self._made = 0
+        self.started = anyio.Event()
         self._owned = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> 'FakeSidecars':
@@ -172,21 +198,57 @@
     ) -> None:
         """Announce instances until there are ``count``."""
         while len(self.sidecars) < count:
+            self._made += 1
             proxy = await self._owned.enter_async_context(
                 slope_meter.CountingProxy()
             )
-            name = f'fake-{len(self.sidecars):04d}'
+            name = f'fake-{self._made:04d}'
             sidecar = FakeSidecar(name, zone, proxy)
             server = await sidecar.listen()
             self._owned.callback(server.close)
             opened = self._owned.enter_context(links.Links())
             sidecar.open_announcer(entries, opened)
+            sidecar.note_start = self._note_start
             self.sidecars.append(sidecar)
-            self._group.start_soon(sidecar.announcer.run)
+            self._group.start_soon(self._announce, sidecar)
             if self._churn_seconds:
                 self._group.start_soon(self._churn, sidecar)
             await anyio.sleep(0.002)
 
+    async def wait_started(self, count: int) -> None:
+        """Wait until so many tasks run."""
+        while sum(len(s.tasks) for s in self.sidecars) < count:
+            self.started = anyio.Event()
+            await self.started.wait()
+
+    async def wait_renewed(self, count: int, since: float) -> None:
+        """Wait until so many tasks were renewed after a time."""
+        for sidecar in self.sidecars:
+            while not all(
+                task.renewed_at > since for task in sidecar.tasks.values()
+            ):
+                sidecar.renewed = anyio.Event()
+                await sidecar.renewed.wait()
+        held = sum(len(sidecar.tasks) for sidecar in self.sidecars)
+        if held != count:
+            raise RuntimeError(f'{held} tasks are held, not {count}')
+
+    def lose(self, count: int) -> list[FakeSidecar]:
+        """Let the last instances go silent, and return them."""
+        lost = self.sidecars[-count:]
+        del self.sidecars[-count:]
+        for sidecar in lost:
+            sidecar.scope.cancel()
+            sidecar.proxy.silent = True
+        return lost
+
+    def _note_start(self) -> None:
+        self.started.set()
+
+    async def _announce(self, sidecar: FakeSidecar) -> None:
+        with sidecar.scope:
+            await sidecar.announcer.run()
+
     async def _churn(self, sidecar: FakeSidecar) -> None:
         # A busy instance's load differs at nearly every look at it.
         while True:
@@ -194,32 +256,25 @@
             await anyio.sleep(self._churn_seconds)
 
 
-class FakeEntry(control_grpc.EntryBase):
-    """An entry that only answers announcements."""
-
-    def __init__(self) -> None:
-        self.sidecars: dict[str, control_pb2.SidecarReport] = {}
+class FakeEntry:
+    """An entry that only answers announcements, as for a full zone."""
 
     async def Link(self, stream) -> None:
         """Answer each report."""
         async for report in stream:
-            if report.address:
-                self.sidecars[report.instance] = report
             await stream.send_message(
                 control_pb2.EntryNotice(revision=1, sequence=report.sequence)
             )
 
-    async def Submit(self, stream) -> None:
-        """Not played."""
-
-    async def Query(self, stream) -> None:
-        """Not played."""
-
-    async def Cancel(self, stream) -> None:
-        """Not played."""
-
-    async def Peer(self, stream) -> None:
-        """Not played."""
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        return {
+            '/persimmonsail.Entry/Link': grpclib.const.Handler(
+                self.Link,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                control_pb2.SidecarReport,
+                control_pb2.EntryNotice,
+            )
+        }
 
 
 @contextlib.asynccontextmanager
@@ -229,8 +284,8 @@
     """Run a fake entry behind a counting proxy."""
     entry = FakeEntry()
     server = grpclib.server.Server([entry])
-    sock = httpserver.bind('127.0.0.1:0')
-    target = httpserver.name_of(sock)
+    sock = addresses.bind('127.0.0.1:0')
+    target = addresses.name_of(sock)
     await server.start(sock=sock)
     async with slope_meter.CountingProxy(target) as proxy:
         try:
