Hold the catalogue's promise against real processes

Found: peers were asked each 5 s also at the start of an outage, so that two healthy entries lost agreement after 4.4 s; now they are asked each 0.5 s once the evidence is 1.5 s old. Admissions now log the revision that the request came under: the sidecar's own told nothing.

--- a/src/persimmonsail/peers.py
+++ b/src/persimmonsail/peers.py
@@ -24,6 +24,7 @@
 from persimmonsail import settings as settings_module
 
 _CALM_FACTOR = 10
+_ALARM_FACTOR = 3
 _LIST_PERIOD = 0.5
 
 
@@ -118,25 +119,30 @@
             group.start_soon(self._follow, address, self._tasks[address])
 
     async def _follow(self, address: str, scope: anyio.CancelScope) -> None:
+        asked_at = -math.inf
         with scope:
             while True:
-                try:
-                    await self._ask(address)
-                except exceptions.LinkLost as error:
-                    logs.write_event(
-                        'peer-unreachable', entry=address, error=error
-                    )
-                except exceptions.CatalogueUnreadable as error:
-                    logs.write_warning('catalogue-unreadable', error=error)
-                await anyio.sleep(self._choose_period())
-
-    def _choose_period(self) -> float:
+                if self._is_due(asked_at):
+                    asked_at = time.monotonic()
+                    await self._try_ask(address)
+                await anyio.sleep(self._limits.heartbeat)
+
+    async def _try_ask(self, address: str) -> None:
+        try:
+            await self._ask(address)
+        except exceptions.LinkLost as error:
+            logs.write_event('peer-unreachable', entry=address, error=error)
+        except exceptions.CatalogueUnreadable as error:
+            logs.write_warning('catalogue-unreadable', error=error)
+
+    def _is_due(self, asked_at: float) -> bool:
         # While the store answers, peers are asked seldom: with 20 peers
         # a question each half second would eat the budget of 4 KB/s.
-        period = self._limits.heartbeat
-        if self._view.age <= self._limits.silence:
-            return period * _CALM_FACTOR
-        return period
+        # Once it does not, all must have answered within 'freshness'.
+        heartbeat = self._limits.heartbeat
+        if self._view.age > heartbeat * _ALARM_FACTOR:
+            return True
+        return time.monotonic() - asked_at >= heartbeat * _CALM_FACTOR
 
     async def _ask(self, address: str) -> None:
         asked_at = time.monotonic()
--- a/src/persimmonsail/sidecar.py
+++ b/src/persimmonsail/sidecar.py
@@ -67,6 +67,7 @@
             workload=request.workload,
             incarnation=self.own.incarnation,
             revision=self.own.revision,
+            request_revision=request.revision,
             verdict=_name(reply.verdict),
             reason=reply.reason,
         )
@@ -98,6 +99,7 @@
             partition=request.partition,
             epoch=request.epoch,
             incarnation=self.own.incarnation,
+            request_revision=request.revision,
             verdict=_name(reply.verdict),
             reason=reply.reason,
         )
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -3,7 +3,8 @@
 ``--target host:port`` is where bytes go. ``POST /faults`` on the
 control address takes JSON: ``mode`` is one of pass, cut (close all and
 refuse), freeze (hold bytes of all connections), silent (drop bytes of
-the connections open now; new ones work), and ``delay`` in seconds.
+the connections open now; new ones work), ``delay`` in seconds; a
+``target`` given there replaces the first one.
 """
 
 import collections.abc
@@ -105,6 +106,8 @@
 
     async def _set_faults(self, request: requests.Request):
         body = await request.json()
+        if 'target' in body:
+            self._target = httpserver.split_address(body['target'])
         self.set_mode(body['mode'], body.get('delay', 0.0))
         return responses.JSONResponse({})
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,6 +6,7 @@
 
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
+from persimmonsail import execution
 from persimmonsail import httpserver
 from persimmonsail import instance
 from persimmonsail import links
@@ -13,6 +14,7 @@
 from persimmonsail import peers
 from persimmonsail import revisions
 from persimmonsail import settings
+from persimmonsail import supervisor
 from tests import base
 from tests import test_revisions
 
@@ -165,13 +167,50 @@
         )
 
 
+class SidecarRevisionTest(base.TestCase):
+    """A replaced limit admits work again.
+
+    The sidecar restarts and forgets the highest revision; an entry that
+    slept through an accepted change sends the old one.
+    """
+
+    async def execute(self, own, revision):
+        request = control_pb2.ExecuteRequest(
+            attempt='a', incarnation=own.incarnation, revision=revision
+        )
+        limits = settings.Sidecar(
+            entries='a:1', worker='a:1', service='s', backend='a:1', queue=0
+        )
+        async with anyio.create_task_group() as group:
+            executor = execution.Executor(own, None, limits, group)
+            return await executor.execute(request)
+
+    async def start(self, own, revision):
+        request = control_pb2.StartTaskRequest(
+            task='t', attempt=1, incarnation=own.incarnation, revision=revision
+        )
+        return await supervisor.Supervisor(own, None).start(request)
+
+    async def test_nothing_is_admitted_before_a_fresh_notice(self):
+        own = instance.OwnInstance(notice_limit=FRESHNESS)
+        for admit in (self.execute, self.start):
+            reply = await admit(own, 1)
+            self.assertEqual(control_pb2.NOT_RUN, reply.verdict)
+            self.assertIn('no entry confirms', reply.reason)
+            self.assertEqual(0, own.revision)
+
+    async def test_lower_revision_is_refused_after_a_notice(self):
+        own = instance.OwnInstance(notice_limit=FRESHNESS)
+        own.note_fresh(time.monotonic())
+        own.note_revision(2)
+        for admit in (self.execute, self.start):
+            reply = await admit(own, 1)
+            self.assertEqual(control_pb2.NOT_RUN, reply.verdict)
+            self.assertEqual('stale revision', reply.reason)
+
+
 class OwnInstanceTest(base.TestCase):
     def test_restarted_sidecar_waits_for_a_fresh_entry(self):
-        """A replaced limit admits work again.
-
-        The sidecar restarts and forgets the highest revision; an entry
-        that slept through an accepted change sends the old one.
-        """
         own = instance.OwnInstance(notice_limit=2.0)
         self.assertIn('no entry confirms', own.find_staleness())
         own.note_fresh(time.monotonic())
