--- a/src/persimmonsail/cli.py
+++ b/src/persimmonsail/cli.py
@@ -9,10 +9,12 @@
 import anyio
 
 from persimmonsail import __version__
+from persimmonsail import crashes
 from persimmonsail import exceptions
 from persimmonsail import exits
 from persimmonsail import logs
 from persimmonsail import settings as settings_module
+from persimmonsail import tolerances
 
 _ROLES = ('entry', 'sidecar')
 _EPILOG = """\
@@ -23,8 +25,10 @@
   3  a file has findings; all are printed with their places
   4  the store or an entry gave no answer; nothing was changed
   5  another operator's edit won; yours is kept in your file
-  6  unknown whether the edit was accepted
-  7  accepted, but not confirmed in force by every live process
+  6  the role met an error that nobody foresaw
+  7  the audit's evidence is broken or leaves a promise open
+  8  unknown whether the edit was accepted
+  9  accepted, but not confirmed in force by every live process
 """
 
 
@@ -63,7 +67,38 @@
         'audit', help='check every promise from ledger and logs'
     )
     audit.add_argument('logs', type=pathlib.Path, nargs='+')
-    _add_store(audit)
+    source = audit.add_mutually_exclusive_group()
+    source.add_argument('--store', help='host:port to read the ledger from')
+    source.add_argument(
+        '--ledger', type=pathlib.Path, help='a saved copy of the ledger'
+    )
+    audit.add_argument(
+        '--save-ledger', type=pathlib.Path, help='keep a copy of the ledger'
+    )
+    subject = audit.add_mutually_exclusive_group()
+    subject.add_argument('--request', help="print one request's history")
+    subject.add_argument('--task', help="print one task's history")
+    for name, seconds, text in (
+        ('clock', tolerances.DEFAULTS.clock, 'two clocks may differ'),
+        (
+            'leaving',
+            tolerances.DEFAULTS.leaving,
+            'a leaving backend server may still be chosen',
+        ),
+        (
+            'catalogue',
+            tolerances.DEFAULTS.catalogue,
+            'a change may not yet be in force',
+        ),
+    ):
+        audit.add_argument(
+            f'--{name}-seconds',
+            type=float,
+            default=seconds,
+            help=f'how long {text} (default: %(default)s)',
+        )
+    audit.add_argument('--store-kind', default='http')
+    audit.add_argument('--timeout', type=float, default=2.0)
 
 
 def _add_store(parser: argparse.ArgumentParser) -> None:
@@ -103,7 +138,14 @@
     # Only the role that runs is imported, to stay small in memory.
     importlib.import_module('persimmonsail.httpstore')
     role = importlib.import_module(f'persimmonsail.{arguments.command}')
-    anyio.run(role.run, settings)
+    crashes.install_hooks()
+    try:
+        anyio.run(role.run, settings)
+    except Exception as error:
+        # Left to the interpreter this is a traceback of many lines,
+        # which no collector of log lines takes for one event.
+        crashes.report(error)
+        return exits.CRASHED
     return exits.OK
 
 
--- a/src/persimmonsail/commands.py
+++ b/src/persimmonsail/commands.py
@@ -135,6 +135,7 @@
         _report_unknown(error, base.head.revision)
         return exits.OUTCOME_UNKNOWN
     print(f'accepted revision={accepted.revision} id={accepted.id}')
+    _print_evidence(accepted)
     if arguments.wait:
         return await _wait_in_force(store, accepted, arguments.wait)
     return exits.OK
@@ -176,6 +177,17 @@
     return text
 
 
+def _print_evidence(accepted: revisions.Head) -> None:
+    fields = {
+        'time': f'{logs.wall_time():.6f}',
+        'process': 'catalogue',
+        'event': 'catalogue-accepted',
+        'revision': accepted.revision,
+        'id': accepted.id,
+    }
+    print(logs.format_line(fields))
+
+
 def _read_file(path: pathlib.Path) -> str:
     text = findings.read_text(path)
     catalogue.parse(str(path), text)
--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -227,6 +227,10 @@
             attempt=attempt,
             epoch=self.table.epoch,
             chosen=chosen.name,
+            incarnation=chosen.incarnation,
+            workload_class=workload.workload_class,
+            idempotent=workload.idempotent,
+            checkpoint=logs.digest(task.checkpoint.encode()),
             revision=self._view.revision,
         )
         request = control_pb2.StartTaskRequest(
--- a/src/persimmonsail/httpstore.py
+++ b/src/persimmonsail/httpstore.py
@@ -1,14 +1,21 @@
 """The platform's store over HTTP with JSON bodies."""
 
+import time
 import typing as t
 
 import httpx
 import pydantic
 
 from persimmonsail import exceptions
+from persimmonsail import metrics
 from persimmonsail import store
 
 _WATCH_MARGIN = 1.0
+_OUTCOMES = {
+    httpx.codes.OK: 'ok',
+    httpx.codes.CONFLICT: 'conflict',
+    httpx.codes.GONE: 'lease-expired',
+}
 _Answer = httpx.Response
 _M = t.TypeVar('_M', bound=pydantic.BaseModel)
 
@@ -100,14 +107,17 @@
     async def _call(
         self, name: str, body: dict[str, t.Any], timeout: float | None = None
     ) -> _Answer:
+        begun = time.monotonic()
         try:
             answer = await self._client.post(
                 f'/v1/{name}', json=body, timeout=timeout or self._timeout
             )
         except httpx.HTTPError as error:
+            metrics.STORE_CALLS.increase(name, 'no-answer')
             raise exceptions.StoreUnavailable(
                 f'{name}: {type(error).__name__}'
             ) from error
+        _count_answer(name, answer.status_code, time.monotonic() - begun)
         if answer.status_code == httpx.codes.GONE:
             raise exceptions.LeaseExpired(str(body.get('lease')))
         if answer.status_code == httpx.codes.CONFLICT:
@@ -118,6 +128,14 @@
         return answer
 
 
+def _count_answer(name: str, status: int, seconds: float) -> None:
+    outcome = _OUTCOMES.get(status, 'error')
+    metrics.STORE_CALLS.increase(name, outcome)
+    # A watch waits on purpose; its time says nothing of the store.
+    if name != 'watch':
+        metrics.STORE_SECONDS.record(seconds, name)
+
+
 def _read(model: type[_M], answer: httpx.Response, name: str) -> _M:
     # Something between the two ends may answer in the store's place,
     # with a page of its own; a write may have taken effect all the same.
--- a/tests/test_catalogue_processes.py
+++ b/tests/test_catalogue_processes.py
@@ -75,6 +75,9 @@
         """Send requests through every entry until cancelled."""
         while True:
             for entry in list(self.http):
+                # Not the one that a test has taken away meanwhile.
+                if entry not in self.http:
+                    continue
                 try:
                     answer = await self.ask(entry)
                 except httpx.HTTPError:
