--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: env demo test lint format binary proto guards measure-audit
+.PHONY: env demo test lint format binary proto guards measure-audit slopes \
+  measure
 
 env: $(STAMP)
 
@@ -19,6 +20,9 @@
 test: env
 	$(BIN)/pytest -n 4 --dist loadfile
 
+slopes: env
+	PYTHONPATH=. $(BIN)/python tools/slopes.py $(SLOPES)
+
 lint: env
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
@@ -42,3 +46,6 @@
 
 measure-audit: env
 	PYTHONPATH=. $(BIN)/python tools/measure_audit.py
+
+measure: env
+	PYTHONPATH=. $(BIN)/python tools/measure.py $(MEASURE)
--- a/src/persimmonsail/announcer.py
+++ b/src/persimmonsail/announcer.py
@@ -13,7 +13,6 @@
 from persimmonsail import logs
 from persimmonsail import settings as settings_module
 
-
 _STALE_INTERVAL = 0.2
 
 
--- a/src/persimmonsail/commands.py
+++ b/src/persimmonsail/commands.py
@@ -141,6 +141,17 @@
     return exits.OK
 
 
+def _print_evidence(accepted: revisions.Head) -> None:
+    fields = {
+        'time': f'{logs.wall_time():.6f}',
+        'process': 'catalogue',
+        'event': 'catalogue-accepted',
+        'revision': accepted.revision,
+        'id': accepted.id,
+    }
+    print(logs.format_line(fields))
+
+
 async def _wait_in_force(
     store: store_module.Store, accepted: revisions.Head, seconds: float
 ) -> int:
@@ -177,17 +188,6 @@
     return text
 
 
-def _print_evidence(accepted: revisions.Head) -> None:
-    fields = {
-        'time': f'{logs.wall_time():.6f}',
-        'process': 'catalogue',
-        'event': 'catalogue-accepted',
-        'revision': accepted.revision,
-        'id': accepted.id,
-    }
-    print(logs.format_line(fields))
-
-
 def _read_file(path: pathlib.Path) -> str:
     text = findings.read_text(path)
     catalogue.parse(str(path), text)
