Let a started sidecar wait for evidence younger than itself

Cause: one fresh notice was not enough after a restart. Before it, one entry may have told of a change that the first entry after it has not heard of, and that still counts as fresh: the sidecar went back.

Notices tell how old the entry's evidence is; a sidecar admits once the evidence is younger than itself, as that covers all that it forgot. An entry reads the head when a new incarnation reports, before it announces it, so that nothing is routed there too early; many share one read. Ruled out: counting revisions only (a forgotten one can't be told from a first one).

--- a/src/persimmonsail/announcer.py
+++ b/src/persimmonsail/announcer.py
@@ -116,5 +116,7 @@
     def _note(self, notice: control_pb2.EntryNotice, asked_at: float) -> None:
         self._own.note_revision(notice.revision)
         if notice.fresh:
-            self._own.note_fresh(asked_at)
+            self._own.note_fresh(
+                asked_at, asked_at - notice.evidence_age_seconds
+            )
         self._add(notice.entries)
--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -4,6 +4,7 @@
 import hashlib
 import random
 import signal
+import time
 import typing as t
 
 import anyio
@@ -32,6 +33,7 @@
 _RETRY_AFTER = 2.0
 _KEY_LENGTH = 24
 _FRESHNESS_PERIOD = 0.1
+_REFRESH_SECONDS = 0.5
 
 
 class Entry(control_grpc.EntryBase):
@@ -44,6 +46,9 @@
         self.links = links_module.Links()
         self.leaving = False
         self.store = _open_store(settings.store)
+        self.follower = follower_module.Follower(
+            self.store, self.view, settings.entry.catalogue_poll
+        )
         self.quick = quick.QuickPath(
             self.fleet,
             self.links,
@@ -78,11 +83,8 @@
 
     async def follow_catalogue(self) -> None:
         """Keep the catalogue's view up to date, until cancelled."""
-        follower = follower_module.Follower(
-            self.store, self.view, self.settings.entry.catalogue_poll
-        )
         async with anyio.create_task_group() as group:
-            group.start_soon(follower.run)
+            group.start_soon(self.follower.run)
             group.start_soon(self.peers.run)
             group.start_soon(
                 revisions.watch_freshness, self.view, _FRESHNESS_PERIOD
@@ -134,6 +136,10 @@
         """Take a sidecar's reports in, and answer each."""
         async for report in stream:
             known = self.fleet.find(report.instance)
+            if known is None or known.incarnation != report.incarnation:
+                # A started sidecar admits nothing before it has evidence
+                # that is younger than itself.
+                await self.follower.refresh(_REFRESH_SECONDS)
             self.fleet.note_report(report)
             if known is None or known.incarnation != report.incarnation:
                 logs.write_event(
@@ -151,6 +157,9 @@
                     entries=entries,
                     sequence=report.sequence,
                     fresh=self.view.is_fresh,
+                    evidence_age_seconds=(
+                        time.monotonic() - self.view.evidence_at
+                    ),
                 )
             )
 
--- a/src/persimmonsail/follower.py
+++ b/src/persimmonsail/follower.py
@@ -11,6 +11,7 @@
 
 _WATCH_SECONDS = 10.0
 _RETRY_DELAY = 0.3
+_MIN_PERIOD = 0.05
 _UNREADABLE_DELAY = 1.0
 
 
@@ -23,6 +24,8 @@
         self._store = store
         self._view = view
         self._poll = poll
+        self._wanted = anyio.Event()
+        self._polled = anyio.Event()
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -30,6 +33,17 @@
             group.start_soon(self._run_polls)
             group.start_soon(self._run_watch)
 
+    async def refresh(self, seconds: float) -> None:
+        """Wait at most so long for evidence that is younger than now.
+
+        Many who wait at once share one read of the store.
+        """
+        begun = time.monotonic()
+        self._wanted.set()
+        with anyio.move_on_after(seconds):
+            while self._view.confirmed_at < begun:
+                await self._polled.wait()
+
     async def read_head(self) -> None:
         """Ask the store for the head once.
 
@@ -59,7 +73,12 @@
         while True:
             try:
                 await self.read_head()
-                await anyio.sleep(self._poll)
+                self._polled.set()
+                self._polled = anyio.Event()
+                await anyio.sleep(_MIN_PERIOD)
+                with anyio.move_on_after(self._poll - _MIN_PERIOD):
+                    await self._wanted.wait()
+                self._wanted = anyio.Event()
             except exceptions.StoreError as error:
                 logs.write_event('store-unavailable', error=error)
                 await anyio.sleep(_RETRY_DELAY)
--- a/src/persimmonsail/instance.py
+++ b/src/persimmonsail/instance.py
@@ -33,6 +33,8 @@
     revision: int = 0
     notice_limit: float = math.inf
     confirmed_at: float = -math.inf
+    started_at: float = dataclasses.field(default_factory=time.monotonic)
+    is_informed: bool = False
     leaving: bool = False
     busy_slots: int = 0
     queued: int = 0
@@ -56,18 +58,34 @@
                 'catalogue', revision=revision, incarnation=self.incarnation
             )
 
-    def note_fresh(self, asked_at: float) -> None:
-        """Note that an entry, asked then, had a fresh catalogue."""
+    def note_fresh(self, asked_at: float, evidence_at: float) -> None:
+        """Take an entry's word that its catalogue is fresh.
+
+        Parameters
+        ----------
+        asked_at : float
+            Monotonic seconds before the entry was asked.
+        evidence_at : float
+            Monotonic seconds; no revision higher than the entry's had
+            been accepted then.
+        """
         self.confirmed_at = max(self.confirmed_at, asked_at)
+        if evidence_at >= self.started_at:
+            self.is_informed = True
 
     def find_staleness(self) -> str:
         """Return why no revision can be trusted; empty if one can.
 
         A restarted sidecar has forgotten the highest revision, and an
-        entry that was frozen past an accepted change wakes with a
-        replaced one. Without a fresh entry's word of late, neither is
-        noticed here by comparing numbers.
+        entry may still be fresh under the one before. Evidence that is
+        younger than this sidecar covers all that it may have forgotten.
+        An entry that was frozen past an accepted change wakes with the
+        replaced revision; without word of late, nobody told this one.
         """
+        if self.notice_limit == math.inf:
+            return ''
+        if not self.is_informed:
+            return 'no entry confirms the catalogue revision since the start'
         if time.monotonic() - self.confirmed_at <= self.notice_limit:
             return ''
         return 'no entry confirms the catalogue revision'
--- a/src/persimmonsail/revisions.py
+++ b/src/persimmonsail/revisions.py
@@ -115,6 +115,11 @@
         """Seconds since the revision was last confirmed to be newest."""
         return time.monotonic() - self.confirmed_at
 
+    @property
+    def evidence_at(self) -> float:
+        """When nothing higher was accepted for sure, in seconds."""
+        return max(self.confirmed_at, self.witness())
+
     @property
     def is_fresh(self) -> bool:
         """Whether work may be admitted under this revision now.
@@ -125,8 +130,7 @@
         """
         if self.refused:
             return False
-        newest = max(self.confirmed_at, self.witness())
-        return time.monotonic() - newest <= self._freshness
+        return time.monotonic() - self.evidence_at <= self._freshness
 
     def find_staleness(self) -> str:
         """Return why nothing may be admitted; empty if it may."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -201,7 +201,7 @@
 
     async def test_lower_revision_is_refused_after_a_notice(self):
         own = instance.OwnInstance(notice_limit=FRESHNESS)
-        own.note_fresh(time.monotonic())
+        own.note_fresh(time.monotonic(), time.monotonic())
         own.note_revision(2)
         for admit in (self.execute, self.start):
             reply = await admit(own, 1)
@@ -213,10 +213,24 @@
     def test_restarted_sidecar_waits_for_a_fresh_entry(self):
         own = instance.OwnInstance(notice_limit=2.0)
         self.assertIn('no entry confirms', own.find_staleness())
-        own.note_fresh(time.monotonic())
+        own.note_fresh(time.monotonic(), time.monotonic())
         self.assertEqual('', own.find_staleness())
 
     def test_word_of_an_entry_grows_old(self):
         own = instance.OwnInstance(notice_limit=2.0)
-        own.note_fresh(time.monotonic() - 3.0)
+        own.note_fresh(time.monotonic() - 3.0, time.monotonic())
         self.assertIn('no entry confirms', own.find_staleness())
+
+    def test_evidence_older_than_the_sidecar_is_not_enough(self):
+        """A sidecar goes back to a lower revision.
+
+        Before its restart one entry told it of a change; after the
+        restart another one is first, which has not heard of the change
+        yet and still counts as fresh.
+        """
+        own = instance.OwnInstance(notice_limit=2.0)
+        now = time.monotonic()
+        own.note_fresh(now, own.started_at - 0.1)
+        self.assertIn('since the start', own.find_staleness())
+        own.note_fresh(now, own.started_at)
+        self.assertEqual('', own.find_staleness())
