--- /dev/null
+++ b/src/persimmonsail/tasklog.py
@@ -0,0 +1,106 @@
+"""What a sidecar logs of tasks, as evidence for the audit."""
+
+import dataclasses
+import time
+import typing as t
+
+from persimmonsail import admission
+from persimmonsail import control_pb2
+from persimmonsail import logs
+from persimmonsail import workers
+
+
+def note_takeover(incarnation: str, view: workers.WorkerView) -> None:
+    """Log that a worker was taken over, and what was found there."""
+    size = admission.Size(view.cores, view.memory_gb, view.accelerators)
+    logs.write_event(
+        'takeover',
+        incarnation=incarnation,
+        worker_boot=view.boot,
+        **dataclasses.asdict(size),
+    )
+    for task in view.tasks:
+        if task.phase == 'active':
+            logs.write_event(
+                'task-found',
+                task=task.task,
+                attempt=task.attempt,
+                incarnation=incarnation,
+                cores=task.cores,
+                memory_gb=task.memory_gb,
+                accelerators=task.accelerators,
+            )
+
+
+def note_dispatch(
+    incarnation: str, request: control_pb2.StartTaskRequest
+) -> None:
+    """Log, before the worker is called, that an attempt may run.
+
+    A sidecar that dies in the call leaves evidence that way.
+    ``lease_seconds`` is what is left of the lease at this line's time.
+    """
+    logs.write_event(
+        'task-dispatch',
+        task=request.task,
+        attempt=request.attempt,
+        partition=request.partition,
+        epoch=request.epoch,
+        incarnation=incarnation,
+        revision=request.revision,
+        ticket=f'{request.ticket:.6f}',
+        lease_seconds=_find_rest(request, time.monotonic()),
+        checkpoint=logs.digest(request.checkpoint.encode()),
+        **dataclasses.asdict(admission.read_size(request.size)),
+    )
+
+
+def note_renewal(
+    incarnation: str,
+    request: control_pb2.RenewRequest,
+    verdict: str,
+    asked_at: float,
+) -> None:
+    """Log, after the call, which leases were extended.
+
+    The worker's own deadline is not later than this line's time and
+    ``lease_seconds``, nor earlier than that less ``took``.
+    """
+    if not request.tasks:
+        return
+    logs.write_event(
+        'renewal',
+        partition=request.partition,
+        epoch=request.epoch,
+        incarnation=incarnation,
+        ticket=f'{request.ticket:.6f}',
+        lease_seconds=_find_rest(request, asked_at),
+        verdict=verdict,
+        took=time.monotonic() - asked_at,
+        tasks=','.join(f'{ref.task}/{ref.attempt}' for ref in request.tasks),
+    )
+
+
+def note_ended(
+    incarnation: str, key: workers.Attempt, phase: str, checkpoint: str
+) -> None:
+    """Log that the worker does not run an attempt any more."""
+    logs.write_event(
+        'task-ended',
+        task=key[0],
+        attempt=key[1],
+        incarnation=incarnation,
+        phase=phase,
+        checkpoint=logs.digest(checkpoint.encode()),
+    )
+
+
+def note_refused_epoch(partition: int, epoch: int, highest: int) -> None:
+    """Log that a holder was refused which another one has followed."""
+    logs.write_event(
+        'epoch-refused', partition=partition, epoch=epoch, highest=highest
+    )
+
+
+def _find_rest(request: t.Any, now: float) -> float:
+    return max(request.ticket + request.lease_seconds - now, 0.0)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -1,7 +1,6 @@
 import pathlib
 
 from tests import base
-from tools import guard_list
 from tools import guards
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -12,9 +11,9 @@
         self.assertEqual([], guards.find_misfits(ROOT))
 
     def test_each_guard_has_a_name_of_its_own_and_existing_tests(self):
-        names = [guard.name for guard in guard_list.GUARDS]
+        names = [guard.name for guard in guards.ALL_GUARDS]
         self.assertEqual(sorted(set(names)), sorted(names))
-        for guard in guard_list.GUARDS:
+        for guard in guards.ALL_GUARDS:
             self.assertNotEqual((), guard.tests, guard.name)
             for test in guard.tests:
                 path = ROOT / test.partition('::')[0]
@@ -25,4 +24,4 @@
     def test_a_guard_without_its_source_is_a_misfit(self):
         directory = self.make_directory()
         misfits = guards.find_misfits(directory)
-        self.assertEqual(len(guard_list.GUARDS), len(misfits))
+        self.assertEqual(len(guards.ALL_GUARDS), len(misfits))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,6 @@
 import math
 import time
+import types
 
 import anyio
 import grpclib.server
@@ -187,9 +188,16 @@
 
     async def start(self, own, revision):
         request = control_pb2.StartTaskRequest(
-            task='t', attempt=1, incarnation=own.incarnation, revision=revision
+            task='t',
+            attempt=1,
+            incarnation=own.incarnation,
+            revision=revision,
+            boot='b',
+            ticket=time.monotonic(),
+            lease_seconds=60.0,
         )
-        return await supervisor.Supervisor(own, None).start(request)
+        worker = types.SimpleNamespace(boot='b')
+        return await supervisor.Supervisor(own, worker).start(request)
 
     async def test_nothing_is_admitted_before_a_fresh_notice(self):
         own = instance.OwnInstance(notice_limit=FRESHNESS)
