--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -42,6 +42,7 @@
 _KEY_LENGTH = 24
 _LINK_SILENCES = 2
 _FRESHNESS_PERIOD = 0.1
+_REFRESH_SECONDS = 0.5
 
 
 class Entry(control_grpc.EntryBase):
@@ -62,6 +63,9 @@
         self.calls = shutdown.Calls()
         self.store = _open_store(settings.store)
         self.turns = turns.Turns(settings.entry.commit_interval)
+        self.follower = follower_module.Follower(
+            self.store, self.view, settings.entry.catalogue_poll
+        )
         self.quick = quick.QuickPath(
             self.fleet,
             self.links,
@@ -98,11 +102,8 @@
 
     async def follow_catalogue(self) -> None:
         """Keep the catalogue's view up to date, until cancelled."""
-        follower = follower_module.Follower(
-            self.store, self.view, self.settings.entry.catalogue_poll
-        )
         async with anyio.create_task_group() as group:
-            group.start_soon(follower.run)
+            group.start_soon(self.follower.run)
             group.start_soon(self.peers.run)
             group.start_soon(
                 revisions.watch_freshness, self.view, _FRESHNESS_PERIOD
@@ -191,6 +192,10 @@
         known = self.fleet.find(report.instance)
         incarnation = known.incarnation if known else ''
         was_leaving = known is not None and _is_leaving(known)
+        if incarnation != report.incarnation:
+            # A started sidecar admits nothing before it has evidence
+            # that is younger than itself.
+            await self.follower.refresh(_REFRESH_SECONDS)
         found = self.fleet.note_report(report)
         if incarnation != report.incarnation:
             logs.write_event(
@@ -209,6 +214,9 @@
                 entries=entries,
                 sequence=report.sequence,
                 fresh=self.view.is_fresh,
+                evidence_age_seconds=(
+                    time.monotonic() - self.view.evidence_at
+                ),
             )
         )
 
