--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,82 @@
+import time
+import types
+
+from persimmonsail import control_pb2
+from persimmonsail import forwarding
+from persimmonsail import revisions
+from persimmonsail import tasks
+from tests import base
+from tests import test_revisions
+
+FRESHNESS = 60.0
+
+
+class StubHolder:
+    """Accepts every task that reaches it."""
+
+    ready = True
+
+    def __init__(self, *known: str) -> None:
+        self.table = tasks.Table()
+        for task in known:
+            self.table.tasks[task] = self.make_task(task)
+
+    def make_task(self, task):
+        return tasks.Task(task, 'build', 'team', '{}', 1)
+
+    async def submit(self, request):
+        return self.make_task(request.task)
+
+
+class SubmitHereTest(base.TestCase):
+    def make_forwarder(self, view, *known):
+        partitions = types.SimpleNamespace(held={0: StubHolder(*known)})
+        entry = types.SimpleNamespace(partitions=partitions, view=view)
+        return forwarding.TaskForwarder(entry)
+
+    def make_view(self, age):
+        view = revisions.View(FRESHNESS)
+        text = test_revisions.TEXT + (
+            '[workload build]\nowner = tallowford\nclass = batch\n'
+            'cores = 1\nmemory-gb = 1\n'
+        )
+        head = test_revisions.make_head(1, text)
+        view.offer(head, 'poll')
+        view.confirm(head, time.monotonic() - age)
+        return view
+
+    def make_request(self, revision=1):
+        return control_pb2.SubmitRequest(
+            task='t', workload='build', payload=b'{}', revision=revision
+        )
+
+    async def test_holder_without_evidence_accepts_nothing(self):
+        """A task is accepted under a replaced quota.
+
+        The entry that the caller reached is up to date; the one that
+        holds the partition is cut off from store and peers.
+        """
+        forwarder = self.make_forwarder(self.make_view(FRESHNESS + 1))
+        reply = await forwarder.submit_here(self.make_request())
+        self.assertEqual(control_pb2.NOT_RUN, reply.verdict)
+        self.assertIn('neither store nor peers', reply.reason)
+        self.assertGreater(reply.retry_after_seconds, 0)
+
+    async def test_holder_with_a_lower_revision_accepts_nothing(self):
+        forwarder = self.make_forwarder(self.make_view(0))
+        reply = await forwarder.submit_here(self.make_request(2))
+        self.assertEqual(control_pb2.NOT_RUN, reply.verdict)
+        self.assertIn('does not know the revision', reply.reason)
+        reply = await forwarder.submit_here(self.make_request(1))
+        self.assertTrue(reply.accepted)
+
+    async def test_known_task_is_never_called_not_run(self):
+        """A caller is told 'not run' of a build that ran.
+
+        It repeats its request with the same key while the holder has
+        no evidence; the build was accepted long before.
+        """
+        view = self.make_view(FRESHNESS + 1)
+        forwarder = self.make_forwarder(view, 't')
+        reply = await forwarder.submit_here(self.make_request())
+        self.assertTrue(reply.accepted)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,6 @@
 import math
 import time
+import types
 
 import anyio
 import grpclib.server
@@ -7,12 +8,14 @@
 from persimmonsail import addresses
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
+from persimmonsail import execution
 from persimmonsail import instance
 from persimmonsail import links
 from persimmonsail import partitions
 from persimmonsail import peers
 from persimmonsail import revisions
 from persimmonsail import settings
+from persimmonsail import supervisor
 from tests import base
 from tests import test_revisions
 
@@ -181,19 +184,77 @@
         )
 
 
+class SidecarRevisionTest(base.TestCase):
+    """A replaced limit admits work again.
+
+    The sidecar restarts and forgets the highest revision; an entry that
+    slept through an accepted change sends the old one.
+    """
+
+    async def execute(self, own, revision):
+        request = control_pb2.ExecuteRequest(
+            attempt='a', incarnation=own.incarnation, revision=revision
+        )
+        limits = settings.Sidecar(
+            entries='a:1', worker='a:1', service='s', backend='a:1', queue=0
+        )
+        async with anyio.create_task_group() as group:
+            executor = execution.Executor(own, None, limits, group)
+            return await executor.execute(request)
+
+    async def start(self, own, revision):
+        request = control_pb2.StartTaskRequest(
+            task='t',
+            attempt=1,
+            incarnation=own.incarnation,
+            revision=revision,
+            boot='b',
+            ticket=time.monotonic(),
+            lease_seconds=60.0,
+        )
+        worker = types.SimpleNamespace(boot='b')
+        return await supervisor.Supervisor(own, worker).start(request)
+
+    async def test_nothing_is_admitted_before_a_fresh_notice(self):
+        own = instance.OwnInstance(notice_limit=FRESHNESS)
+        for admit in (self.execute, self.start):
+            reply = await admit(own, 1)
+            self.assertEqual(control_pb2.NOT_RUN, reply.verdict)
+            self.assertIn('no entry confirms', reply.reason)
+            self.assertEqual(0, own.revision)
+
+    async def test_lower_revision_is_refused_after_a_notice(self):
+        own = instance.OwnInstance(notice_limit=FRESHNESS)
+        own.note_fresh(time.monotonic(), time.monotonic())
+        own.note_revision(2)
+        for admit in (self.execute, self.start):
+            reply = await admit(own, 1)
+            self.assertEqual(control_pb2.NOT_RUN, reply.verdict)
+            self.assertEqual('stale revision', reply.reason)
+
+
 class OwnInstanceTest(base.TestCase):
     def test_restarted_sidecar_waits_for_a_fresh_entry(self):
-        """A replaced limit admits work again.
-
-        The sidecar restarts and forgets the highest revision; an entry
-        that slept through an accepted change sends the old one.
-        """
         own = instance.OwnInstance(notice_limit=2.0)
         self.assertIn('no entry confirms', own.find_staleness())
-        own.note_fresh(time.monotonic())
+        own.note_fresh(time.monotonic(), time.monotonic())
         self.assertEqual('', own.find_staleness())
 
     def test_word_of_an_entry_grows_old(self):
         own = instance.OwnInstance(notice_limit=2.0)
-        own.note_fresh(time.monotonic() - 3.0)
+        own.note_fresh(time.monotonic() - 3.0, time.monotonic())
         self.assertIn('no entry confirms', own.find_staleness())
+
+    def test_evidence_older_than_the_sidecar_is_not_enough(self):
+        """A sidecar goes back to a lower revision.
+
+        Before its restart one entry told it of a change; after the
+        restart another one is first, which has not heard of the change
+        yet and still counts as fresh.
+        """
+        own = instance.OwnInstance(notice_limit=2.0)
+        now = time.monotonic()
+        own.note_fresh(now, own.started_at - 0.1)
+        self.assertIn('since the start', own.find_staleness())
+        own.note_fresh(now, own.started_at)
+        self.assertEqual('', own.find_staleness())
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -20,6 +20,7 @@
 
 from tools import guard as guard_module
 from tools import guard_list
+from tools import guard_list_catalogue
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _COPIED = ('src', 'standins', 'tests', 'tools', 'examples', 'pyproject.toml')
@@ -27,6 +28,7 @@
 _SECONDS = 100.0
 _PASSED = 0
 _FAILED = 1
+ALL_GUARDS = [*guard_list.GUARDS, *guard_list_catalogue.GUARDS]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,7 +46,7 @@
 def find_misfits(root: pathlib.Path) -> list[str]:
     """Return the guards whose source is not found exactly once."""
     misfits = []
-    for guard in guard_list.GUARDS:
+    for guard in ALL_GUARDS:
         path = root / guard.file
         count = 0
         if path.exists():
@@ -140,7 +142,7 @@
         return 1
     guards = [
         guard
-        for guard in guard_list.GUARDS
+        for guard in ALL_GUARDS
         if not words or any(word in guard.name for word in words)
     ]
     code = check_untouched(guards)
