--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -2,6 +2,7 @@
 import importlib.util
 import pathlib
 import re
+import tomllib
 
 from tests import base
 
@@ -12,6 +13,8 @@
     r'\b[a-z0-9-]+(?:\.[a-z0-9-]+)*\.(?:com|org|net|io|dev|internal)\b'
 )
 
+LINK = re.compile(r'\]\((?!#)([^):]+?)(?:#[^)]*)?\)')
+
 
 def list_sources() -> list[pathlib.Path]:
     """Return all of our own modules."""
@@ -71,3 +74,25 @@
                 for name in HOST_NAME.findall(text)
             ]
         self.assertEqual([], found)
+
+    def test_every_link_between_pages_leads_somewhere(self):
+        pages = [*ROOT.glob('*.md'), *(ROOT / 'docs').glob('*.md')]
+        broken = [
+            f'{page.name}: {target}'
+            for page in pages
+            for target in LINK.findall(page.read_text(encoding='utf-8'))
+            if not (page.parent / target).exists()
+        ]
+        self.assertEqual([], broken)
+
+    def test_every_dependency_is_pinned(self):
+        for name in ('requirements.txt', 'test-requirements.txt'):
+            for line in (ROOT / name).read_text('utf-8').splitlines():
+                if not line.startswith(('#', '-r ')):
+                    self.assertRegex(line, r'^[\w-]+==[\w.]+$', name)
+
+    def test_the_package_declares_the_versions_that_are_pinned(self):
+        project = tomllib.loads((ROOT / 'pyproject.toml').read_text('utf-8'))
+        pinned = (ROOT / 'requirements.txt').read_text('utf-8').lower()
+        for dependency in project['project']['dependencies']:
+            self.assertIn(f'\n{dependency}\n', pinned)
