--- a/src/persimmonsail/announcer.py
+++ b/src/persimmonsail/announcer.py
@@ -6,8 +6,10 @@
 import anyio
 import grpclib.exceptions
 
+from persimmonsail import attempts
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
+from persimmonsail import exceptions
 from persimmonsail import instance as instance_module
 from persimmonsail import links
 from persimmonsail import logs
@@ -31,6 +33,7 @@
         self._address = settings.process.control_advertised or address
         self._links = opened
         self._known: set[str] = set()
+        self._alive: frozenset[str] = frozenset()
         self.changed = anyio.Event()
 
     async def run(self) -> None:
@@ -57,6 +60,8 @@
             address=self._address,
             service=limits.service,
             leaving=self._own.leaving,
+            backend_leaving=self._own.backend_leaving,
+            clock_ms=attempts.read_clock(),
             slots=limits.slots,
             max_connections=limits.connections,
             capacity=self._own.commitments.capacity.to_message(),
@@ -81,12 +86,23 @@
                 TimeoutError,
                 grpclib.exceptions.GRPCError,
                 grpclib.exceptions.StreamTerminatedError,
+                exceptions.LinkLost,
             ) as error:
                 name = type(error).__name__
                 logs.write_event('link-lost', entry=address, error=name)
             self._links.drop(address)
+            if self._is_gone(address):
+                logs.write_event('entry-forgotten', entry=address)
+                self._known.discard(address)
+                return
             await anyio.sleep(limits.heartbeat)
 
+    def _is_gone(self, address: str) -> bool:
+        # An entry replaced at another address would be called for ever.
+        # The settings' addresses are kept: they may be reused.
+        listed = address in self._settings.sidecar.entries
+        return not listed and bool(self._alive) and address not in self._alive
+
     async def _run_link(self, address: str) -> None:
         settings = self._settings
         stub = control_grpc.EntryStub(self._links.open(address))
@@ -99,7 +115,9 @@
                     await stream.send_message(self.describe(sequence))
                     notice = await stream.recv_message()
                     if notice is None:
-                        return
+                        # Leaving the stream without an error would
+                        # finish it, which fails on an ended one.
+                        raise exceptions.LinkLost('ended by the entry')
                     self._note(notice, asked_at)
                     scope.deadline = (
                         anyio.current_time() + settings.links.silence
@@ -115,6 +133,7 @@
 
     def _note(self, notice: control_pb2.EntryNotice, asked_at: float) -> None:
         self._own.note_revision(notice.revision)
+        self._alive = frozenset(notice.entries)
         if notice.fresh:
             self._own.note_fresh(asked_at)
         self._add(notice.entries)
--- a/tests/test_httpstore.py
+++ b/tests/test_httpstore.py
@@ -5,6 +5,7 @@
 from starlette import responses
 from starlette import routing
 
+from persimmonsail import addresses
 from persimmonsail import exceptions
 from persimmonsail import httpserver
 from persimmonsail import httpstore
@@ -70,8 +71,8 @@
         await self.check('oops', 409)
 
     async def test_nobody_listens(self):
-        sock = httpserver.bind('127.0.0.1:0')
-        address = httpserver.name_of(sock)
+        sock = addresses.bind('127.0.0.1:0')
+        address = addresses.name_of(sock)
         sock.close()
         store = httpstore.HttpStore(address, 20.0)
         try:
