Let a sidecar stop while it waits for its worker

Cause: the signal was caught, and nobody waited for it until the worker had been taken over; with the worker down a planned stop hung. Ruled out: catching the signal later, since the process would then end by it, without its last line.

--- a/src/persimmonsail/gateway.py
+++ b/src/persimmonsail/gateway.py
@@ -16,6 +16,7 @@
 
 from persimmonsail import catalogue
 from persimmonsail import control_pb2
+from persimmonsail import gauges
 from persimmonsail import logs
 from persimmonsail import metrics
 from persimmonsail import problems
@@ -89,7 +90,7 @@
 
     def __init__(self, entry: t.Any) -> None:
         self._entry = entry
-        self._gauges = _make_gauges(entry)
+        self._gauges = gauges.make_gauges(entry)
         self.app = applications.Starlette(
             routes=[
                 routing.Route(
@@ -295,36 +296,6 @@
         )
 
 
-def _make_gauges(entry: t.Any) -> tuple[metrics.Gauge, ...]:
-    return (
-        metrics.Gauge(
-            'persimmonsail_catalogue_revision',
-            'The catalogue revision in force here.',
-            lambda: entry.view.revision,
-        ),
-        metrics.Gauge(
-            'persimmonsail_catalogue_age_seconds',
-            'Time since the revision was confirmed to be the newest.',
-            lambda: entry.view.age,
-        ),
-        metrics.Gauge(
-            'persimmonsail_instances_live',
-            'Instances that may get new work from this entry.',
-            lambda: len(entry.fleet.list_live()),
-        ),
-        metrics.Gauge(
-            'persimmonsail_partitions_held',
-            'Partitions of the task ledger held here.',
-            lambda: len(entry.partitions.held),
-        ),
-        metrics.Gauge(
-            'persimmonsail_ready',
-            'One if callers may be sent here.',
-            lambda: not entry.find_unready(),
-        ),
-    )
-
-
 def _read_headers(request: requests.Request) -> RequestHeaders:
     try:
         return RequestHeaders.model_validate(dict(request.headers))
--- a/src/persimmonsail/sidecar.py
+++ b/src/persimmonsail/sidecar.py
@@ -162,42 +162,61 @@
 
 async def run(settings: settings_module.Settings) -> None:
     """Run the role until SIGTERM, then stop gracefully."""
+    stop = shutdown.Stop()
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with Sidecar(settings) as sidecar:
-            await sidecar.supervisor.rebuild()
-            server = grpclib.server.Server([sidecar, health_service.Health()])
-            sock = addresses.bind(settings.process.control)
-            address = addresses.name_of(sock)
-            await server.start(sock=sock)
-            logs.write_event(
-                'listening',
-                control=address,
-                incarnation=sidecar.own.incarnation,
-            )
-            with links.Links(links.describe_limits(settings.links)) as opened:
-                async with anyio.create_task_group() as group:
-                    announcer = announcer_module.Announcer(
-                        sidecar.own, settings, address, opened
-                    )
-                    probe = healthchecks.BackendProbe(
-                        sidecar.own,
-                        sidecar.backend,
-                        settings.sidecar.health_interval,
-                        announcer.announce_now,
-                    )
-                    await probe.probe_once()
-                    group.start_soon(probe.run)
-                    group.start_soon(announcer.run)
-                    group.start_soon(measurements.run)
-                    await anext(aiter(signals))
-                    await _stop(sidecar, announcer)
-                    group.cancel_scope.cancel()
-            server.close()
-            await server.wait_closed()
+        async with (
+            Sidecar(settings) as sidecar,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(_note_signal, signals, stop)
+            # While the worker is down this tries again and again; a stop
+            # that only waited behind it would never come.
+            await stop.run_until_begun(sidecar.supervisor.rebuild)
+            if not stop.begun.is_set():
+                await _serve(sidecar, stop)
+            group.cancel_scope.cancel()
     measurements.write_all()
     logs.write_event('stopped', incarnation=sidecar.own.incarnation)
 
 
+async def _note_signal(
+    signals: t.AsyncIterator[signal.Signals], stop: shutdown.Stop
+) -> None:
+    await anext(signals)
+    stop.begun.set()
+
+
+async def _serve(sidecar: Sidecar, stop: shutdown.Stop) -> None:
+    settings = sidecar.settings
+    server = grpclib.server.Server([sidecar, health_service.Health()])
+    sock = addresses.bind(settings.process.control)
+    address = addresses.name_of(sock)
+    await server.start(sock=sock)
+    logs.write_event(
+        'listening', control=address, incarnation=sidecar.own.incarnation
+    )
+    with links.Links(links.describe_limits(settings.links)) as opened:
+        async with anyio.create_task_group() as group:
+            announcer = announcer_module.Announcer(
+                sidecar.own, settings, address, opened
+            )
+            probe = healthchecks.BackendProbe(
+                sidecar.own,
+                sidecar.backend,
+                settings.sidecar.health_interval,
+                announcer.announce_now,
+            )
+            await probe.probe_once()
+            group.start_soon(probe.run)
+            group.start_soon(announcer.run)
+            group.start_soon(measurements.run)
+            await stop.begun.wait()
+            await _stop(sidecar, announcer)
+            group.cancel_scope.cancel()
+    server.close()
+    await server.wait_closed()
+
+
 async def _stop(
     sidecar: Sidecar, announcer: announcer_module.Announcer
 ) -> None:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,7 +3,7 @@
 import re
 
 from persimmonsail import entry
-from persimmonsail import gateway
+from persimmonsail import gauges
 from persimmonsail import metrics
 from tests import base
 from tests import contract
@@ -55,8 +55,8 @@
         self.assertEqual(set(), events - self.words)
 
     def test_every_metric_is_explained(self):
-        gauges = gateway._make_gauges(entry.Entry)
-        names = {m.name for m in (*metrics.list_metrics(), *gauges)}
+        more = gauges.make_gauges(entry.Entry)
+        names = {m.name for m in (*metrics.list_metrics(), *more)}
         self.assertEqual(set(), names - self.words)
 
     def test_every_refusal_is_explained(self):
