--- a/src/persimmonsail/sidecar.py
+++ b/src/persimmonsail/sidecar.py
@@ -92,6 +92,7 @@
             workload=request.workload,
             incarnation=self.own.incarnation,
             revision=self.own.revision,
+            request_revision=request.revision,
             verdict=instance_module.name_verdict(reply.verdict),
             reason=reply.reason,
             busy_slots=self.own.busy_slots,
