--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -28,6 +28,7 @@
 from persimmonsail import logs
 from persimmonsail import partitions as partitions_module
 from persimmonsail import peers as peers_module
+from persimmonsail import planner
 from persimmonsail import problems
 from persimmonsail import quick
 from persimmonsail import revisions
@@ -35,6 +36,7 @@
 from persimmonsail import shutdown
 from persimmonsail import status
 from persimmonsail import store as store_module
+from persimmonsail import turns
 
 _RETRY_AFTER = 2.0
 _KEY_LENGTH = 24
@@ -49,6 +51,7 @@
         self.settings = settings
         self.view = revisions.View(settings.entry.freshness)
         self.fleet = fleet_module.Fleet(settings.links.silence)
+        self.knowledge = planner.Knowledge()
         self.links = links_module.Links(
             links_module.describe_limits(settings.links)
         )
@@ -58,6 +61,7 @@
         self.last_stop = shutdown.Stop()
         self.calls = shutdown.Calls()
         self.store = _open_store(settings.store)
+        self.turns = turns.Turns(settings.entry.commit_interval)
         self.quick = quick.QuickPath(
             self.fleet,
             self.links,
@@ -160,6 +164,8 @@
             lease,
             partitions.promises.id,
             partitions.list_members,
+            self.knowledge,
+            self.turns,
         )
 
     async def Link(self, stream) -> None:
--- a/src/persimmonsail/fleet.py
+++ b/src/persimmonsail/fleet.py
@@ -13,7 +13,9 @@
 class Instance:
     """One announced instance; times are monotonic seconds.
 
-    ``outstanding`` counts this entry's own requests there. ``shares``
+    ``outstanding`` counts this entry's own requests there; ``failures``
+    and ``unproved`` the tasks that failed in a row and those that have
+    not yet begun well, see ``persimmonsail.quarantine``. ``shares``
     has the part of the cores that each batch class uses, ``demand`` the
     part of the slots that each latency-critical class keeps busy.
     """
@@ -39,6 +41,8 @@
     revision: int = 0
     shares: dict[str, float] = dataclasses.field(default_factory=dict)
     demand: dict[str, float] = dataclasses.field(default_factory=dict)
+    failures: int = 0
+    unproved: int = 0
 
 
 class Fleet:
@@ -82,6 +86,8 @@
             backend_leaving=report.backend_leaving,
             clock_ms=report.clock_ms,
             revision=report.revision,
+            failures=report.load.failures,
+            unproved=report.load.unproved,
         )
         self._forget_silent()
         if before is None:
@@ -102,6 +108,8 @@
         instance.busy_slots = load.busy_slots
         instance.queued = load.queued
         instance.connections = load.connections
+        instance.failures = load.failures
+        instance.unproved = load.unproved
 
     def note_reply(
         self, name: str, incarnation: str, reply: control_pb2.ExecuteReply
