Give the test's request the clock that a sidecar now asks for

Cause: after the quick lane's merge a request without issued_ms is refused as too old before its revision is looked at, so two tests of tests/test_peers.py failed in every run, here and on main; they now send it and still hold the sidecar to the same reasons. One of mine expected a reason that main has reworded.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,6 +6,7 @@
 import grpclib.server
 
 from persimmonsail import addresses
+from persimmonsail import attempts
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import execution
@@ -193,7 +194,10 @@
 
     async def execute(self, own, revision):
         request = control_pb2.ExecuteRequest(
-            attempt='a', incarnation=own.incarnation, revision=revision
+            attempt='a',
+            incarnation=own.incarnation,
+            revision=revision,
+            issued_ms=attempts.read_clock(),
         )
         limits = settings.Sidecar(
             entries='a:1', worker='a:1', service='s', backend='a:1', queue=0
--- a/tests/test_supervisor_refusals.py
+++ b/tests/test_supervisor_refusals.py
@@ -72,7 +72,8 @@
         instance = await instances.Instance().open()
         instance.own.notice_limit = 5.0
         await self.assert_not_run(
-            instance, 'no entry confirms the catalogue revision'
+            instance,
+            'no entry confirms the catalogue revision since the start',
         )
 
     async def test_leaving_instance_starts_nothing(self):
