Let the audit judge every recovery test; a late checkpoint is no loss

Each process test now ends with the audit over the processes' own logs. The audit's rule was wrong there: it takes such a checkpoint as too late only if the ledger gave the attempt up for 'lease over' and the line came after the end of the lease that the logs show. Told of within the lease it still is a violation; both have a test.

--- a/src/persimmonsail/audit_tasks.py
+++ b/src/persimmonsail/audit_tasks.py
@@ -223,7 +223,17 @@
     checkpoint = getattr(ends[0], 'checkpoint', '')
     cancelled = getattr(ends[0], 'phase', '') == records.TaskPhase.CANCELLED
     kept = logs.digest(checkpoint.encode()) == run.ended.get('checkpoint')
-    if not kept and not cancelled:
+    if not kept and not cancelled and not _came_too_late(run, ends[0]):
         report.violate(
             task, f'the checkpoint of attempt {attempt} was lost', run.ended
         )
+
+
+def _came_too_late(run: runs_module.Run, end: t.Any) -> bool:
+    """Whether a checkpoint was told of only after its lease was over.
+
+    The instance was out of reach for the whole lease; a watcher has
+    gone on elsewhere by then, and can't be resumed a second time.
+    """
+    told_late = run.ended.time > run.lapses_until
+    return told_late and end.reason == records.LEASE_OVER
--- a/src/persimmonsail/records.py
+++ b/src/persimmonsail/records.py
@@ -7,6 +7,9 @@
 
 import pydantic
 
+# Why an attempt was given up whose instance was out of reach.
+LEASE_OVER = 'lease over'
+
 
 class TaskPhase(enum.StrEnum):
     """Where a task stands between its acceptance and its end."""
--- a/src/persimmonsail/renewals.py
+++ b/src/persimmonsail/renewals.py
@@ -239,8 +239,8 @@
             attempt=attempt,
             instance=name,
             epoch=self._holding.epoch,
-            reason='lease over',
+            reason=records.LEASE_OVER,
             now=f'{time.monotonic():.6f}',
         )
         with self._holding.owned.own(task.id):
-            await self._endings.give_up(task, 'lease over')
+            await self._endings.give_up(task, records.LEASE_OVER)
--- a/tests/recovery.py
+++ b/tests/recovery.py
@@ -8,6 +8,7 @@
 import anyio
 import httpx
 
+from persimmonsail import exits
 from standins import deployment
 
 CATALOGUE = """
@@ -67,6 +68,22 @@
         self.sidecars: dict[str, t.Callable] = {}
         self.workers: dict[str, str] = {}
 
+    async def __aexit__(self, *exc_info: t.Any) -> bool | None:
+        """Hold the audit's verdict against the test, then end all."""
+        broken = '' if exc_info[0] else await self.find_violations()
+        ended = await super().__aexit__(*exc_info)
+        if broken:
+            raise AssertionError(broken)
+        return ended
+
+    async def find_violations(self) -> str:
+        """Return what the audit says of a promise that did not hold."""
+        files = [str(path) for path in self.evidence_files]
+        code, output = await self.run_command(
+            'audit', '--store', self.store, *files
+        )
+        return output if code == exits.BROKEN else ''
+
     async def open(
         self, entries: int = 2, workers: int = 2, **entry: object
     ) -> None:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -131,6 +131,41 @@
         line.fields['checkpoint'] = 'other'
         self.assert_only(story, 'I3', story_module.BUILD)
 
+    def test_checkpoint_told_of_after_the_lease_is_not_lost(self):
+        """An instance was cut off for the whole of a watcher's lease.
+
+        Its worker evicted the watcher, which has gone on elsewhere when
+        the sidecar is back and tells of the checkpoint.
+        """
+        story = story_module.make_story()
+        story.add(
+            17.0,
+            'one',
+            'task-ended',
+            task=story_module.WATCHER,
+            attempt=1,
+            incarnation=story_module.ONE,
+            phase='evicted',
+            checkpoint='late',
+        )
+        for report in self.judge(story).values():
+            self.assertIs(HELD, report.verdict, report.violations)
+
+    def test_checkpoint_told_of_within_the_lease_is_lost(self):
+        """As before, but the holder gave up on a worker that answered."""
+        story = story_module.make_story()
+        story.add(
+            10.0,
+            'one',
+            'task-ended',
+            task=story_module.WATCHER,
+            attempt=1,
+            incarnation=story_module.ONE,
+            phase='evicted',
+            checkpoint='told',
+        )
+        self.assert_only(story, 'I3', story_module.WATCHER)
+
     def test_eviction_whose_checkpoint_the_ledger_lost(self):
         story = story_module.make_story()
         line = story.find('task-ended', task=story_module.WATCHER, attempt=2)
