--- a/tools/bench/scenarios_limits.py
+++ b/tools/bench/scenarios_limits.py
@@ -5,11 +5,13 @@
 from persimmonsail import admission
 from persimmonsail import catalogue as catalogue_module
 from persimmonsail import quarantine
+from tools.bench import overload
 from tools.bench import registry
 from tools.bench import results
 from tools.bench import tenancy
 
 _SECONDS = 180.0
+_OVERLOAD_SECONDS = 40.0
 _FAULT_AT = 40.0
 _UNDISTURBED = 'undisturbed'
 # A task accepted this long before the end had its chance (seconds).
@@ -254,6 +256,48 @@
     return world.execute(_SECONDS + 60.0, drain=120.0)
 
 
+_FULL = 'shedding x3'
+_AT_CAPACITY = 'shedding x1'
+
+
+@registry.scenario(
+    'overload', _FULL, [name for name in overload.POLICIES if name != _FULL]
+)
+def run_overload(policy: str, seed: int) -> results.Run:
+    """Offer quick requests at 0.7, 1, 1.5 and 3 times capacity.
+
+    One in seven is urgent. A request counts as served if its whole answer
+    came within its two seconds.
+    """
+    return overload.run_policy(policy, seed, _OVERLOAD_SECONDS)
+
+
+@registry.goal(
+    'overload', 'goodput at 3 times capacity over that at 1', 0.95, True
+)
+def measure_goodput(outcomes: registry.Outcomes) -> list[float]:
+    """Return the ratio of goodputs, seed by seed."""
+    full = overload.list_goodput(outcomes[_FULL])
+    even = overload.list_goodput(outcomes[_AT_CAPACITY])
+    return [one / other for one, other in zip(full, even, strict=True)]
+
+
+@registry.goal(
+    'overload', 'urgent requests served in time at 3 times', 0.95, True
+)
+def measure_urgent(outcomes: registry.Outcomes) -> list[float]:
+    """Return the part of urgent requests, seed by seed."""
+    name = f'{overload.URGENT} in time'
+    return [run.extras[name] for run in outcomes[_FULL]]
+
+
+@registry.goal('overload', 'p99 ms until a refusal at 3 times', 10.0)
+def measure_refusals(outcomes: registry.Outcomes) -> list[float]:
+    """Return the refusals' 99th percentile, seed by seed."""
+    runs = outcomes[_FULL]
+    return [run.extras['refused after p99 ms'] for run in runs]
+
+
 def _count_wrongs(outcomes: registry.Outcomes) -> list[float]:
     return [
         run.doubled + run.lost + run.extras['overcommitted']
