--- a/src/persimmonsail/admission.py
+++ b/src/persimmonsail/admission.py
@@ -46,13 +46,25 @@
 # Tasks leave this part of an instance's processors and memory free, so
 # that a quick request finds room at once.
 HEADROOM = 0.15
+# Quick requests that are not urgent leave this part free for those that
+# are; urgent ones may take all.
+URGENT_HEADROOM = 0.05
 
 
 def leave_headroom(capacity: Size) -> Size:
     """Return the part of a capacity that tasks may take."""
+    return _leave(capacity, HEADROOM)
+
+
+def find_quick_limit(capacity: Size, urgent: bool) -> Size:
+    """Return the part of a capacity that quick requests may take."""
+    return capacity if urgent else _leave(capacity, URGENT_HEADROOM)
+
+
+def _leave(capacity: Size, part: float) -> Size:
     return Size(
-        capacity.cores * (1 - HEADROOM),
-        capacity.memory_gb * (1 - HEADROOM),
+        capacity.cores * (1 - part),
+        capacity.memory_gb * (1 - part),
         capacity.accelerators,
     )
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -57,3 +57,16 @@
         self.assertTrue(self.commitments.try_commit('task', fitting, limit))
         quick = admission.Size(2.5, 1.0, 0)
         self.assertTrue(self.commitments.try_commit('request', quick))
+
+    def test_only_urgent_requests_may_take_the_last_part(self):
+        """Uploads take every core, and a line lead's check waits."""
+        common = admission.find_quick_limit(CAPACITY, urgent=False)
+        self.assertTrue(
+            self.commitments.try_commit(
+                'upload', admission.Size(15.2, 1.0, 0), common
+            )
+        )
+        more = admission.Size(0.5, 1.0, 0)
+        self.assertFalse(self.commitments.try_commit('other', more, common))
+        urgent = admission.find_quick_limit(CAPACITY, urgent=True)
+        self.assertTrue(self.commitments.try_commit('check', more, urgent))
--- a/tools/bench/scenarios_limits.py
+++ b/tools/bench/scenarios_limits.py
@@ -5,6 +5,7 @@
 from persimmonsail import admission
 from persimmonsail import catalogue as catalogue_module
 from persimmonsail import quarantine
+from tools.bench import cancelling
 from tools.bench import overload
 from tools.bench import registry
 from tools.bench import results
@@ -298,6 +299,23 @@
     return [run.extras['refused after p99 ms'] for run in runs]
 
 
+@registry.scenario('cancellation wave', 'coalesced', ('a commit each',))
+def run_cancellations(policy: str, seed: int) -> results.Run:
+    """Cancel a thousand waiting tasks at once, in real time.
+
+    A real holder over a store in memory that takes 5 ms for a write.
+    Latency columns show how long a cancellation's answer took.
+    """
+    del seed
+    return cancelling.run_policy(policy == 'coalesced')
+
+
+@registry.goal('cancellation wave', 'store writes for the whole wave', 20)
+def measure_cancel_writes(outcomes: registry.Outcomes) -> list[float]:
+    """Return the writes, seed by seed."""
+    return [run.extras['store writes'] for run in outcomes['coalesced']]
+
+
 def _count_wrongs(outcomes: registry.Outcomes) -> list[float]:
     return [
         run.doubled + run.lost + run.extras['overcommitted']
