--- a/src/persimmonsail/shedding.py
+++ b/src/persimmonsail/shedding.py
@@ -340,8 +340,12 @@
 ) -> problems.Problem:
     # Work under an idempotency key may have run for an earlier request,
     # at this entry or at another; only the replay path would know.
-    work = problems.UNKNOWN if request.key else problems.NOT_RUN
-    status = 429 if decision.reason == 'max-concurrent' else 503
+    reason, retry_after = decision.reason, decision.retry_after
+    if request.key:
+        return problems.Problem(
+            504, 'Outcome unknown', problems.UNKNOWN, reason, retry_after
+        )
+    status = 429 if reason == 'max-concurrent' else 503
     return problems.Problem(
-        status, 'Overloaded', work, decision.reason, decision.retry_after
+        status, 'Overloaded', problems.NOT_RUN, reason, retry_after
     )
--- a/tests/test_openapi.py
+++ b/tests/test_openapi.py
@@ -73,6 +73,8 @@
 NOT_RUN = problems.Problem(503, 'Not run', problems.NOT_RUN, 'busy', 1.5)
 UNKNOWN = problems.Problem(504, 'Outcome unknown', problems.UNKNOWN, 'lost')
 NO_TASK = problems.Problem(404, 'No such task', problems.NOT_RUN, 'x')
+FULL = problems.Problem(429, 'Not accepted', problems.NOT_RUN, 'full', 9.0)
+NEVER = problems.Problem(422, 'Not accepted', problems.NOT_RUN, 'too large')
 FAULTS = (NOT_RUN, UNKNOWN, RuntimeError('unforeseen'))
 
 
@@ -133,7 +135,7 @@
             self.entry.tasks.outcome = fault
             await self.send('GET', ONE_TASK, TASK)
             await self.send('DELETE', ONE_TASK, TASK)
-        for fault in FAULTS:
+        for fault in (*FAULTS, FULL, NEVER):
             self.entry.tasks.outcome = self.entry.quick.outcome = fault
             await self.send('POST', QUICK, REQUESTS)
             await self.send('POST', BATCH, REQUESTS)
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -182,6 +182,7 @@
         """
         problem = self.refuse(Request(make_limits(), key='board-9'))
         self.assertEqual('unknown', problem.work)
+        self.assertEqual(504, problem.status)
 
     def test_entries_share_a_workloads_concurrency(self):
         self.shedder.name = 'entry-2'
--- a/tools/bench/tenancy.py
+++ b/tools/bench/tenancy.py
@@ -11,6 +11,8 @@
 import random
 import typing as t
 
+from absl import logging as absl_logging
+
 from persimmonsail import admission
 from persimmonsail import catalogue as catalogue_module
 from persimmonsail import fleet as fleet_module
@@ -379,6 +381,8 @@
         catalogue: catalogue_module.Catalogue,
         seed: int,
     ) -> None:
+        # The decisions' log lines would drown the bench's tables.
+        absl_logging.set_verbosity(absl_logging.ERROR)
         self.clock = clock_module.EventQueue()
         self.rules = rules
         self.kinds = {kind.name: kind for kind in kinds}
