--- a/src/persimmonsail/ladder.py
+++ b/src/persimmonsail/ladder.py
@@ -54,13 +54,24 @@
     """What is known of one instance.
 
     ``demand`` has the part of the slots that each latency-critical
-    class keeps busy; ``lag`` is the age of usage reports in seconds.
+    class keeps busy, ``waiting`` the requests queued for each slot;
+    ``lag`` is the age of usage reports in seconds.
     """
 
     instance: str
     tasks: tuple[RunningTask, ...]
     demand: t.Mapping[str, float]
     lag: float = 0.0
+    waiting: float = 0.0
+
+    def find_delay(self, slowdown: float) -> float:
+        """Return the factor on an answer's time, queue included.
+
+        Without the queue, an instance on which every class is slowed
+        only a little could be overloaded for good: each slot is held
+        longer than requests take to come.
+        """
+        return slowdown * (1.0 + self.waiting)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -174,7 +185,8 @@
             return None
         worst = self._find_worst(situation, situation.tasks)
         weights = self._objectives.find_weights(worst.victim)
-        slow = worst.slowdown > weights.throttle_above
+        delay = situation.find_delay(worst.slowdown)
+        slow = delay > weights.throttle_above
         memory.bad = memory.bad + 1 if slow else 0
         if slow:
             memory.good = 0
@@ -218,17 +230,16 @@
         def find_term(task: RunningTask) -> float:
             return coefficients[task.workload] * task.share
 
+        delay = situation.find_delay(worst.slowdown)
         noisy = [t for t in situation.tasks if find_term(t) >= _MIN_TERM]
         noisy.sort(key=find_term, reverse=True)
         for task in noisy:
             if task.speed > weights.slowest_speed:
                 target = (weights.throttle_above + weights.release_below) / 2
-                wanted = task.speed - (worst.slowdown - target) / find_term(
-                    task
-                )
+                wanted = task.speed - (delay - target) / find_term(task)
                 speed = max(weights.slowest_speed, wanted)
                 return _act(Kind.THROTTLE, situation, task, speed, worst)
-        if worst.slowdown <= weights.evict_above:
+        if delay <= weights.evict_above:
             return None
         for task in noisy:
             if find_relief(task) >= _RELIEF:
@@ -248,7 +259,8 @@
             ]
             worst = self._find_worst(situation, after)
             weights = self._objectives.find_weights(worst.victim)
-            if worst.slowdown > weights.release_below:
+            delay = situation.find_delay(worst.slowdown)
+            if delay > weights.release_below:
                 continue
             memory.good += 1
             if memory.good < memory.release_patience:
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -39,7 +39,7 @@
             lambda: self.now,
         )
 
-    def run_for(self, seconds, tasks, relief=1.0, demand=None):
+    def run_for(self, seconds, tasks, relief=1.0, demand=None, waiting=0.0):
         """Carry out what the ladder decides, once a second."""
         actions = []
         running = {task.task: task for task in tasks}
@@ -47,7 +47,7 @@
             self.now += 1.0
             wanted = demand(second) if demand else {'check': 0.5}
             situation = ladder.Situation(
-                'one', tuple(running.values()), wanted
+                'one', tuple(running.values()), wanted, waiting=waiting
             )
             action = self.ladder.decide(situation, lambda task: relief)
             if action is None:
@@ -72,6 +72,19 @@
         self.assertEqual(4, kinds[:first_eviction].count('throttle'))
         self.assertNotIn('0', [action.task for action in actions])
 
+    def test_mild_noise_is_throttled_where_requests_queue(self):
+        """A little noise everywhere must not overload the site for good.
+
+        A user would see every check take a second, and it would not get
+        better. Each instance is slowed too little to be acted on, but
+        together the slots are held longer than requests take to come,
+        so the queues stay full.
+        """
+        tasks = make_tasks('build', share=0.15)
+        self.assertEqual([], self.run_for(30, tasks, relief=0.0))
+        actions = self.run_for(30, tasks, relief=0.0, waiting=0.5)
+        self.assertEqual(['throttle'], [action.kind for action in actions])
+
     def test_nothing_is_evicted_without_a_better_place(self):
         actions = self.run_for(120, make_tasks(*['build'] * 4), relief=0.0)
         self.assertNotIn('evict', [action.kind for action in actions])
--- a/tools/bench/colocation.py
+++ b/tools/bench/colocation.py
@@ -61,7 +61,12 @@
 
 
 class Policy:
-    """What a policy decides; the base never throttles nor evicts."""
+    """What a policy decides; the base never throttles nor evicts.
+
+    ``reporting`` takes the place of the scenario's, for an oracle.
+    """
+
+    reporting: Reporting | None = None
 
     def __init__(self, world: 'World') -> None:
         self.world = world
@@ -301,10 +306,9 @@
         for view in (*self.entries, self.holder):
             self.note_load(view[worker.name])
         usage = worker.take_usage()
-        if self.chances.random() >= self.reporting.missing:
-            self.clock.call_later(
-                self.reporting.lag, self.policy.note_usage, usage
-            )
+        reporting = self.policy.reporting or self.reporting
+        if self.chances.random() >= reporting.missing:
+            self.clock.call_later(reporting.lag, self.policy.note_usage, usage)
 
     # Batch tasks.
 
--- a/tools/bench/subject.py
+++ b/tools/bench/subject.py
@@ -164,6 +164,7 @@
                 ladder.RunningTask(*task) for task in timeline.list_tasks()
             ),
             demand=self.world.holder[name].demand,
+            waiting=self.world.holder[name].queued / machines.SLOTS,
             lag=self.joiners[name].lag,
         )
 
@@ -251,6 +252,8 @@
 class OraclePolicy(SubjectPolicy):
     """The same decisions by one who knows the truth at once."""
 
+    reporting = colocation.Reporting(lag=0.0, missing=0.0)
+
     def _make_estimator(self):
         return TrueEstimator(self.world)
 
