Renew an instance while an outcome waits for the store

Cause: a holder did not call an instance again before the outcomes of its last answer were committed. In a store outage a build that ended kept all other tasks of its instance from being renewed, and the worker evicted them. Change: the instance may be called again at once. The test now has one worker, which fails without the change and passes with it.

--- a/src/persimmonsail/renewals.py
+++ b/src/persimmonsail/renewals.py
@@ -82,12 +82,15 @@
         self._calling.add(name)
         try:
             reply = await self._renew(name, claimed)
-            if reply is not None:
-                await self._note_states(name, reply)
-            else:
-                await self._reassign_silent(name, claimed)
         finally:
             self._calling.discard(name)
+        # An outcome is committed only once the store is back. Were the
+        # instance not called meanwhile, the leases of all its other
+        # tasks would lapse.
+        if reply is not None:
+            await self._note_states(name, reply)
+        else:
+            await self._reassign_silent(name, claimed)
 
     async def _renew(
         self, name: str, claimed: list[tasks.Task]
--- a/tests/test_recovery_store.py
+++ b/tests/test_recovery_store.py
@@ -15,9 +15,11 @@
         The outage outlasts the holder's lease and the tasks' leases;
         all entries are cut off alike and consent. New tasks are refused
         as not run; a build that ends meanwhile has its outcome later.
+        It runs beside the watcher, whose lease must be extended while
+        the build's outcome waits for the store.
         """
         async with recovery.Cluster(self.make_directory()) as cluster:
-            await cluster.open()
+            await cluster.open(workers=1)
             holder = await cluster.wait_holder()
             process = cluster.processes[holder]
             await process.wait_event('members-listed', count=1)
