Wire interference into the processes

The worker's late usage reports reach its sidecar, which joins them with its own service times, passes samples and changed shares on in its link reports, and throttles a noisy task by the ladder. Entries learn from all samples and place tasks by the placer, whose line 'placement-choice' or 'placement-held' has the terms. Objectives go to sidecars in notices. The ladder waits at most 5 s for late reports between its actions. Not wired: eviction by the ladder, since a sidecar can't see whether another instance would be better.

--- a/src/persimmonsail/announcer.py
+++ b/src/persimmonsail/announcer.py
@@ -6,6 +6,7 @@
 import anyio
 import grpclib.exceptions
 
+from persimmonsail import colocation as colocation_module
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import instance as instance_module
@@ -25,11 +26,13 @@
         settings: settings_module.Settings,
         address: str,
         opened: links.Links,
+        colocation: colocation_module.Colocation,
     ) -> None:
         self._own = own
         self._settings = settings
         self._address = settings.process.control_advertised or address
         self._links = opened
+        self._colocation = colocation
         self._known: set[str] = set()
         self.changed = anyio.Event()
 
@@ -91,12 +94,15 @@
         settings = self._settings
         stub = control_grpc.EntryStub(self._links.open(address))
         sequence = 0
+        told = colocation_module.LinkState()
         with anyio.fail_after(settings.links.silence) as scope:
             async with stub.Link.open() as stream:
                 while True:
                     sequence += 1
                     asked_at = time.monotonic()
-                    await stream.send_message(self.describe(sequence))
+                    report = self.describe(sequence)
+                    self._colocation.describe(report, told)
+                    await stream.send_message(report)
                     notice = await stream.recv_message()
                     if notice is None:
                         return
@@ -118,3 +124,4 @@
         if notice.fresh:
             self._own.note_fresh(asked_at)
         self._add(notice.entries)
+        self._colocation.note_notice(notice)
--- a/src/persimmonsail/dispatch.py
+++ b/src/persimmonsail/dispatch.py
@@ -1,5 +1,7 @@
 """Placing pending tasks on instances, and starting them there."""
 
+import time
+
 import anyio
 import anyio.abc
 
@@ -13,6 +15,7 @@
 from persimmonsail import fleet as fleet_module
 from persimmonsail import holding as holding_module
 from persimmonsail import logs
+from persimmonsail import objectives
 from persimmonsail import placement
 from persimmonsail import records
 from persimmonsail import renewals
@@ -34,6 +37,15 @@
         self._holding = holding
         self._endings = endings
         self._renewer = renewer
+        self._placer = placement.Placer(
+            holding.fleet.estimator,
+            objectives.Objectives(
+                lambda name: objectives.find_objective(
+                    holding.view.catalogue, name
+                )
+            ),
+            time.monotonic,
+        )
 
     async def run(self) -> None:
         """Place tasks until cancelled."""
@@ -47,8 +59,8 @@
         self, task: tasks.Task, workload: catalogue.Workload
     ) -> fleet_module.Instance | None:
         """Return the instance for a task's next attempt, if any."""
-        return placement.choose_instance(
-            self._holding.fleet.list_live(), _read_size(workload)
+        return self._placer.choose_task(
+            self._holding.fleet.list_live(), task, _read_size(workload)
         )
 
     def _place_pending(self, group: anyio.abc.TaskGroup) -> None:
--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -22,6 +22,7 @@
 from persimmonsail import ledger
 from persimmonsail import links as links_module
 from persimmonsail import logs
+from persimmonsail import objectives
 from persimmonsail import partitions as partitions_module
 from persimmonsail import peers as peers_module
 from persimmonsail import problems
@@ -142,6 +143,7 @@
 
     async def Link(self, stream) -> None:
         """Take a sidecar's reports in, and answer each."""
+        told = -1
         async for report in stream:
             known = self.fleet.find(report.instance)
             self.fleet.note_report(report)
@@ -155,14 +157,18 @@
             elif report.leaving and not known.leaving:
                 logs.write_event('leaving', instance=report.instance)
             entries = [e.control for e in self.partitions.entries.values()]
-            await stream.send_message(
-                control_pb2.EntryNotice(
-                    revision=self.view.revision,
-                    entries=entries,
-                    sequence=report.sequence,
-                    fresh=self.view.is_fresh,
-                )
+            notice = control_pb2.EntryNotice(
+                revision=self.view.revision,
+                entries=entries,
+                sequence=report.sequence,
+                fresh=self.view.is_fresh,
             )
+            if told != self.view.revision:
+                told = self.view.revision
+                objectives.fill_notice(
+                    notice, self.view.catalogue, report.service
+                )
+            await stream.send_message(notice)
 
     async def Submit(self, stream) -> None:
         """Accept a task of a partition held here."""
--- a/src/persimmonsail/execution.py
+++ b/src/persimmonsail/execution.py
@@ -174,6 +174,7 @@
         if left <= 0:
             return _refuse('deadline passed in the queue')
         self._note_dispatch(request)
+        begun = time.monotonic()
         try:
             answer = await self._backend.send(
                 request.request, request.body, request.content_type, left
@@ -184,6 +185,8 @@
             return control_pb2.ExecuteReply(
                 verdict=control_pb2.UNKNOWN, reason=type(error).__name__
             )
+        ended = time.monotonic()
+        self._own.latencies.note(request.workload, ended - begun, ended)
         return control_pb2.ExecuteReply(
             verdict=control_pb2.ANSWERED,
             status=answer.status,
--- a/src/persimmonsail/fleet.py
+++ b/src/persimmonsail/fleet.py
@@ -5,6 +5,8 @@
 
 from persimmonsail import admission
 from persimmonsail import control_pb2
+from persimmonsail import interference
+from persimmonsail import usage
 
 
 @dataclasses.dataclass
@@ -38,10 +40,14 @@
 
 
 class Fleet:
-    """Instances by name; a silent one ages out."""
+    """Instances by name; a silent one ages out.
+
+    ``estimator`` has learnt from the samples of all reports.
+    """
 
     def __init__(self, silence: float) -> None:
         self._silence = silence
+        self.estimator = interference.Estimator()
         self._instances: dict[str, Instance] = {}
 
     def note_report(self, report: control_pb2.SidecarReport) -> Instance:
@@ -66,6 +72,16 @@
             outstanding=before.outstanding if before else 0,
             revision=report.revision,
         )
+        if report.HasField('usage'):
+            instance.shares = usage.read_shares(report.usage.shares)
+            instance.demand = usage.read_shares(report.usage.demand)
+        elif before and before.incarnation == report.incarnation:
+            instance.shares = before.shares
+            instance.demand = before.demand
+        for sample in report.samples:
+            self.estimator.learn(
+                usage.read_sample(sample, instance.reported_at)
+            )
         self._instances[report.instance] = instance
         return instance
 
--- a/src/persimmonsail/instance.py
+++ b/src/persimmonsail/instance.py
@@ -8,6 +8,7 @@
 from persimmonsail import admission
 from persimmonsail import control_pb2
 from persimmonsail import logs
+from persimmonsail import usage
 
 
 def _make_incarnation() -> str:
@@ -36,6 +37,9 @@
     leaving: bool = False
     busy_slots: int = 0
     queued: int = 0
+    latencies: usage.LatencyLog = dataclasses.field(
+        default_factory=usage.LatencyLog
+    )
     commitments: admission.Commitments = dataclasses.field(
         default_factory=lambda: admission.Commitments(admission.Size())
     )
--- a/src/persimmonsail/ladder.py
+++ b/src/persimmonsail/ladder.py
@@ -21,6 +21,7 @@
 from persimmonsail import objectives
 
 SETTLE_SECONDS = 3.0
+_MAX_LAG = 5.0
 _MIN_DEMAND = 0.01
 _PATIENCE = 2
 _RELEASE_PATIENCE = 5
@@ -196,7 +197,7 @@
         elif not memory.bad:
             action = self._loosen(situation, memory)
         if action is not None:
-            settle = SETTLE_SECONDS + situation.lag
+            settle = SETTLE_SECONDS + min(situation.lag, _MAX_LAG)
             memory.settled_at = self._clock() + settle
             memory.note(action.kind, self._clock())
         return action
--- a/src/persimmonsail/objectives.py
+++ b/src/persimmonsail/objectives.py
@@ -1,8 +1,10 @@
 """What an owner's objective means for placement and for the ladder."""
 
 import dataclasses
+import typing as t
 
 from persimmonsail import catalogue
+from persimmonsail import control_pb2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,15 +51,40 @@
 
 
 class Objectives:
-    """Finds the weights of a workload's owner in the catalogue."""
+    """Finds the weights of a workload's owner.
 
-    def __init__(self, found: catalogue.Catalogue) -> None:
-        self._catalogue = found
+    Parameters
+    ----------
+    find_objective : callable
+        Returns a workload's objective, or none for an unknown one,
+        which is then weighed by its tail latency.
+    """
+
+    def __init__(
+        self, find_objective: t.Callable[[str], catalogue.Objective | None]
+    ) -> None:
+        self._find_objective = find_objective
 
     def find_weights(self, workload: str) -> Weights:
-        """Return the weights; tail latency's for an unknown workload."""
-        limits = self._catalogue.workloads.get(workload)
-        team = self._catalogue.teams.get(limits.owner) if limits else None
-        if team is None:
-            return WEIGHTS[catalogue.Objective.TAIL_LATENCY]
-        return WEIGHTS[team.objective]
+        """Return the weights of a workload's owner."""
+        found = self._find_objective(workload)
+        return WEIGHTS[found or catalogue.Objective.TAIL_LATENCY]
+
+
+def find_objective(
+    found: catalogue.Catalogue, workload: str
+) -> catalogue.Objective | None:
+    """Return the objective of a workload's owner by the catalogue."""
+    limits = found.workloads.get(workload)
+    team = found.teams.get(limits.owner) if limits else None
+    return team.objective if team else None
+
+
+def fill_notice(
+    notice: control_pb2.EntryNotice, found: catalogue.Catalogue, service: str
+) -> None:
+    """Tell a sidecar the objectives of what its service answers."""
+    for name, limits in found.workloads.items():
+        objective = find_objective(found, name)
+        if limits.service == service and objective:
+            notice.objectives.add(workload=name, objective=objective)
--- a/src/persimmonsail/placement.py
+++ b/src/persimmonsail/placement.py
@@ -7,7 +7,9 @@
 from persimmonsail import admission
 from persimmonsail import fleet
 from persimmonsail import interference
+from persimmonsail import logs
 from persimmonsail import objectives
+from persimmonsail import tasks
 
 _CROWDING_WEIGHT = 0.05
 _SPREAD_WEIGHT = 0.02
@@ -15,6 +17,9 @@
 _AGE_WEIGHT = 0.01
 _MAX_AGE = 10.0
 
+# A task that is cancelled while it waits is never chosen for again.
+_MAX_WAITING = 20_000
+
 
 @dataclasses.dataclass(frozen=True)
 class Need:
@@ -113,6 +118,7 @@
         self._estimator = estimator
         self._objectives = weights
         self._clock = clock
+        self._waiting: dict[str, float] = {}
 
     def choose(
         self, candidates: t.Sequence[fleet.Instance], need: Need
@@ -131,7 +137,7 @@
             self._find_cost(instance, need, racks, zones)
             for instance in fitting
         ]
-        best = min(costs, key=lambda cost: cost.total)
+        best = min(costs, key=_rank)
         weights = self._objectives.find_weights(need.workload)
         held = (
             best.interference > weights.hold_above
@@ -139,6 +145,36 @@
         )
         return Choice(best, 'interference' if held else '', len(fitting))
 
+    def choose_task(
+        self,
+        candidates: t.Sequence[fleet.Instance],
+        task: tasks.Task,
+        size: admission.Size,
+    ) -> fleet.Instance | None:
+        """Return the instance for a task's next attempt, if any.
+
+        The decision is logged with its terms. The instance's view is
+        changed at once, since its next report comes after the next
+        decisions.
+        """
+        now = self._clock()
+        waited = now - self._waiting.get(task.id, now)
+        choice = self.choose(candidates, Need(task.workload, size, waited))
+        chosen = choice.instance
+        if chosen is None:
+            if choice.cost and task.id not in self._waiting:
+                _log_choice('placement-held', task, choice)
+            self._waiting.setdefault(task.id, now)
+            if len(self._waiting) > _MAX_WAITING:
+                del self._waiting[next(iter(self._waiting))]
+            return None
+        self._waiting.pop(task.id, None)
+        share = size.cores / chosen.capacity.cores
+        before = chosen.shares.get(task.workload, 0.0)
+        chosen.shares = {**chosen.shares, task.workload: before + share}
+        _log_choice('placement-choice', task, choice)
+        return chosen
+
     def find_interference(
         self, instance: fleet.Instance, workload: str, share: float
     ) -> float:
@@ -184,6 +220,25 @@
         )
 
 
+def _rank(cost: Cost) -> tuple[float, float]:
+    """Order by cost; of equals, the instance with most room is first."""
+    instance = cost.instance
+    return cost.total, instance.committed.cores / instance.capacity.cores
+
+
+def _log_choice(event: str, task: tasks.Task, choice: Choice) -> None:
+    logs.write_event(
+        event,
+        task=task.id,
+        workload=task.workload,
+        chosen=choice.cost.instance.name,
+        fitting=choice.fitting,
+        cost=choice.cost.total,
+        terms=choice.cost.describe(),
+        reason=choice.reason,
+    )
+
+
 def _sum_shares(
     candidates: t.Iterable[fleet.Instance], workload: str, place: str
 ) -> dict[str, float]:
--- a/src/persimmonsail/settings.py
+++ b/src/persimmonsail/settings.py
@@ -83,6 +83,7 @@
     connections: t.Annotated[int, pydantic.Field(ge=1, le=65536)] = 64
     queue: t.Annotated[int, pydantic.Field(ge=0, le=65536)] = 16
     report_interval: Seconds = 0.5
+    usage_interval: Seconds = 1.0
     drain: Seconds = 10.0
 
 
--- a/src/persimmonsail/sidecar.py
+++ b/src/persimmonsail/sidecar.py
@@ -9,6 +9,7 @@
 
 from persimmonsail import announcer as announcer_module
 from persimmonsail import backends
+from persimmonsail import colocation
 from persimmonsail import control_grpc
 from persimmonsail import execution
 from persimmonsail import httpserver
@@ -47,6 +48,9 @@
             self.own, backend, limits, self._group
         )
         self.supervisor = supervisor.Supervisor(self.own, worker)
+        self.colocation = colocation.Colocation(
+            self.own, worker, limits.slots, limits.usage_interval
+        )
         return self
 
     async def __aexit__(self, *exc_info: t.Any) -> bool | None:
@@ -133,9 +137,14 @@
             with links.Links() as opened:
                 async with anyio.create_task_group() as group:
                     announcer = announcer_module.Announcer(
-                        sidecar.own, settings, address, opened
+                        sidecar.own,
+                        settings,
+                        address,
+                        opened,
+                        sidecar.colocation,
                     )
                     group.start_soon(announcer.run)
+                    group.start_soon(sidecar.colocation.run)
                     await anext(aiter(signals))
                     await _stop(sidecar, announcer)
                     group.cancel_scope.cancel()
--- a/src/persimmonsail/usage.py
+++ b/src/persimmonsail/usage.py
@@ -10,9 +10,11 @@
 import dataclasses
 import typing as t
 
+from persimmonsail import control_pb2
 from persimmonsail import interference
 
 HORIZON = 120.0
+_MAX_LATENCIES = 8192
 _SHORTEST_WINDOW = 1e-3
 
 
@@ -44,6 +46,53 @@
     cores: t.Mapping[str, float]
 
 
+class LatencyLog:
+    """Service times of the last requests, until their windows come."""
+
+    def __init__(self) -> None:
+        self._ended: collections.deque[tuple[float, str, float]] = (
+            collections.deque(maxlen=_MAX_LATENCIES)
+        )
+
+    def note(self, workload: str, seconds: float, at: float) -> None:
+        """Note a request that has ended."""
+        self._ended.append((at, workload, seconds))
+
+    def find(self, begin: float, end: float) -> tuple[ClassLatency, ...]:
+        """Return the classes whose requests ended in a window."""
+        counts: collections.Counter[str] = collections.Counter()
+        sums: dict[str, float] = collections.defaultdict(float)
+        for at, workload, seconds in self._ended:
+            if begin <= at < end:
+                counts[workload] += 1
+                sums[workload] += seconds
+        return tuple(
+            ClassLatency(name, count, sums[name])
+            for name, count in counts.items()
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class TaskUse:
+    """What a worker measured of one task in one window."""
+
+    task: str
+    workload: str
+    cores: float
+    speed: float
+    active: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Window:
+    """A worker's report; times are on the sidecar's clock."""
+
+    sequence: int
+    begin: float
+    end: float
+    tasks: tuple[TaskUse, ...]
+
+
 @dataclasses.dataclass
 class _Segment:
     """A stretch of time in which a task ran at one speed."""
@@ -110,6 +159,19 @@
         if segment is not None and segment.speed > 0:
             segment.cores = cores / segment.speed
 
+    def sync(self, window: Window) -> None:
+        """Bring the history up to what a worker saw in a window."""
+        seen = {use.task for use in window.tasks}
+        for task in [name for name in self._running if name not in seen]:
+            self.note_stop(task, window.begin)
+        for use in window.tasks:
+            if use.task not in self._running:
+                full = use.cores / use.speed if use.speed else use.cores
+                self.note_start(use.task, use.workload, full, window.begin)
+            self.note_speed(use.task, use.speed, window.begin)
+            if not use.active:
+                self.note_stop(use.task, window.end)
+
     def list_tasks(self) -> list[tuple[str, str, float, float]]:
         """Return task, workload, share at full speed, and speed."""
         return [
@@ -194,3 +256,48 @@
             for latency in report.latencies
             if latency.count
         ]
+
+
+def describe_shares(
+    shares: t.Mapping[str, float],
+) -> list[control_pb2.ClassShare]:
+    """Return the protocol's form; parts are rounded to a hundredth."""
+    return [
+        control_pb2.ClassShare(workload=name, part=round(part, 2))
+        for name, part in sorted(shares.items())
+    ]
+
+
+def read_shares(
+    shares: t.Iterable[control_pb2.ClassShare],
+) -> dict[str, float]:
+    """Read the protocol's form of shares."""
+    return {share.workload: share.part for share in shares}
+
+
+def describe_sample(
+    sample: interference.Sample, now: float
+) -> control_pb2.InterferenceSample:
+    """Return the protocol's form of a sample, with its age."""
+    return control_pb2.InterferenceSample(
+        victim=sample.victim,
+        seconds=sample.seconds,
+        count=sample.count,
+        shares=describe_shares(sample.shares),
+        busy=sample.busy,
+        age_seconds=now - sample.measured_at,
+    )
+
+
+def read_sample(
+    message: control_pb2.InterferenceSample, now: float
+) -> interference.Sample:
+    """Read the protocol's form; the age is taken off this clock."""
+    return interference.Sample(
+        message.victim,
+        message.seconds,
+        message.count,
+        read_shares(message.shares),
+        message.busy,
+        now - message.age_seconds,
+    )
--- a/src/persimmonsail/workers.py
+++ b/src/persimmonsail/workers.py
@@ -7,6 +7,7 @@
 import httpx
 
 from persimmonsail import exceptions
+from persimmonsail import usage
 
 _REFUSALS = {
     'incarnation': exceptions.StaleIncarnation,
@@ -132,6 +133,29 @@
         found = (await self._call('stop', body))['task']
         return WorkerTask(**found) if found else None
 
+    async def throttle(
+        self, incarnation: str, task: str, speed: float
+    ) -> None:
+        """Let a task run at a part of its full speed, from 0 to 1."""
+        body = {'incarnation': incarnation, 'task': task, 'speed': speed}
+        await self._call('throttle', body)
+
+    async def list_usage(
+        self, incarnation: str, after: int
+    ) -> list[usage.Window]:
+        """Return the reports that have come since one with a number."""
+        body = {'incarnation': incarnation, 'after': after}
+        found = await self._call('usage', body)
+        return [
+            usage.Window(
+                report['sequence'],
+                report['begin'] - self._offset,
+                report['end'] - self._offset,
+                tuple(usage.TaskUse(**use) for use in report['tasks']),
+            )
+            for report in found['reports']
+        ]
+
     def _convert(self, moment: float) -> float:
         return moment + self._offset
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -28,6 +28,7 @@
 
 from persimmonsail import logs
 from standins import serving
+from standins import usage
 
 _TICK = 0.02
 
@@ -46,6 +47,7 @@
     payload: dict
     deadline: float
     remaining: float | None
+    speed: float = 1.0
     phase: str = 'active'
     answer: str = ''
     checkpoint: str = ''
@@ -76,6 +78,7 @@
         self._runs: dict[str, Run] = {}
         self._record: list[dict] = []
         self._broken = False
+        self._usage = usage.UsageReports()
         self._epochs: dict[int, int] = {}
         self._bars: dict[tuple[str, int], float] = {}
         self.app = applications.Starlette(
@@ -86,6 +89,10 @@
                 routing.Route('/v1/start', self._start, methods=['POST']),
                 routing.Route('/v1/renew', self._renew, methods=['POST']),
                 routing.Route('/v1/stop', self._stop, methods=['POST']),
+                routing.Route('/v1/usage', self._report, methods=['POST']),
+                routing.Route(
+                    '/v1/throttle', self._throttle, methods=['POST']
+                ),
                 routing.Route('/evict', self._evict, methods=['POST']),
                 routing.Route('/record', self._show_record),
                 routing.Route('/faults', self._set_faults, methods=['POST']),
@@ -101,6 +108,7 @@
             for run in self._runs.values():
                 if run.phase == 'active':
                     self._advance(run, now, now - before)
+            self._usage.measure(self._runs.values(), now, now - before)
             before = now
             over = [key for key, until in self._bars.items() if until < now]
             for key in over:
@@ -112,7 +120,7 @@
             return
         if run.remaining is None:
             return
-        run.remaining -= elapsed
+        run.remaining -= elapsed * run.speed
         if run.remaining <= 0:
             run.answer = json.dumps({'task': run.task, 'done': True})
             self._end(run, 'succeeded', 'done')
@@ -248,6 +256,23 @@
             self._end(run, phase, 'asked')
         return self._respond({'task': run.describe()})
 
+    async def _report(self, request: requests.Request):
+        body = await request.json()
+        if body['incarnation'] != self._incarnation:
+            return self._refuse('incarnation', 'another sidecar took over')
+        reports = self._usage.list_after(body['after'], time.monotonic())
+        return self._respond({'reports': reports})
+
+    async def _throttle(self, request: requests.Request):
+        body = await request.json()
+        if body['incarnation'] != self._incarnation:
+            return self._refuse('incarnation', 'another sidecar took over')
+        run = self._runs.get(body['task'])
+        if run and run.phase == 'active':
+            run.speed = body['speed']
+            self._note(run, 'throttled', str(run.speed))
+        return self._respond({})
+
     async def _evict(self, request: requests.Request):
         run = self._runs[(await request.json())['task']]
         self._end(run, 'evicted', 'room needed')
@@ -257,7 +282,10 @@
         return responses.JSONResponse(self._record)
 
     async def _set_faults(self, request: requests.Request):
-        self._broken = (await request.json())['broken']
+        faults = await request.json()
+        self._broken = faults.get('broken', self._broken)
+        self._usage.lag = faults.get('usage_lag', self._usage.lag)
+        self._usage.missing = faults.get('usage_missing', self._usage.missing)
         return responses.JSONResponse({})
 
     def _view(self) -> responses.Response:
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -1,6 +1,5 @@
 import dataclasses
 
-from persimmonsail import catalogue
 from persimmonsail import ladder
 from persimmonsail import objectives
 from tests import base
@@ -34,7 +33,7 @@
         self.budget = ladder.EvictionBudget(lambda: self.now, 0.0, 2.0)
         self.ladder = ladder.Ladder(
             self.estimator,
-            objectives.Objectives(catalogue.EMPTY),
+            objectives.Objectives(lambda workload: None),
             self.budget,
             lambda: self.now,
         )
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -1,4 +1,7 @@
+import functools
+
 from persimmonsail import catalogue
+from persimmonsail import control_pb2
 from persimmonsail import objectives
 from tests import base
 
@@ -16,6 +19,7 @@
 [workload check]
 owner = harness
 class = latency-critical
+service = planning
 cores = 1
 memory-gb = 1
 
@@ -30,7 +34,10 @@
 class ObjectivesTest(base.TestCase):
     def setUp(self):
         super().setUp()
-        self.owners = objectives.Objectives(catalogue.parse('test', TEXT))
+        self.catalogue = catalogue.parse('test', TEXT)
+        self.owners = objectives.Objectives(
+            functools.partial(objectives.find_objective, self.catalogue)
+        )
 
     def test_owner_sets_the_weights(self):
         tail = self.owners.find_weights('check')
@@ -38,6 +45,14 @@
         self.assertGreater(tail.tail, throughput.tail)
         self.assertLess(tail.throttle_above, throughput.throttle_above)
 
+    def test_service_has_the_objectives_of_its_workloads(self):
+        notice = control_pb2.EntryNotice()
+        objectives.fill_notice(notice, self.catalogue, 'planning')
+        told = [
+            (found.workload, found.objective) for found in notice.objectives
+        ]
+        self.assertEqual([('check', 'tail-latency')], told)
+
     def test_unknown_workload_is_treated_as_tail_first(self):
         self.assertEqual(
             self.owners.find_weights('check'),
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,4 @@
 from persimmonsail import admission
-from persimmonsail import catalogue
 from persimmonsail import objectives
 from persimmonsail import placement
 from tests import base
@@ -13,7 +12,7 @@
         views.teach(self.estimator, {'build': 4.0, 'archive': 0.1}, 0.15)
         self.placer = placement.Placer(
             self.estimator,
-            objectives.Objectives(catalogue.EMPTY),
+            objectives.Objectives(lambda workload: None),
             lambda: 0.0,
         )
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -1,3 +1,4 @@
+from persimmonsail import interference
 from persimmonsail import usage
 from tests import base
 
@@ -42,6 +43,38 @@
             timeline.note_stop(str(number), at=number + 0.5)
         self.assertEqual({}, timeline.find_past_shares(0.0, 80.0, {}))
 
+    def test_windows_keep_the_history_up_to_date(self):
+        timeline = usage.Timeline(CORES)
+        seen = usage.TaskUse('1', 'build', 8.0, 0.5, True)
+        timeline.sync(usage.Window(1, 0.0, 1.0, (seen,)))
+        self.assertEqual([('1', 'build', 0.25, 0.5)], timeline.list_tasks())
+        timeline.sync(usage.Window(2, 1.0, 2.0, ()))
+        self.assertEqual([], timeline.list_tasks())
+        self.assertEqual(
+            {'build': 0.125}, timeline.find_past_shares(0.0, 1.0, {})
+        )
+
+
+class LatencyLogTest(base.TestCase):
+    def test_requests_count_in_the_window_they_ended_in(self):
+        log = usage.LatencyLog()
+        for second in range(10):
+            log.note('check', 0.5, float(second))
+        log.note('other', 2.0, 4.5)
+        found = {c.workload: c for c in log.find(3.0, 5.0)}
+        self.assertEqual(2, found['check'].count)
+        self.assertEqual(0.5, found['check'].mean)
+        self.assertEqual(2.0, found['other'].mean)
+
+
+class ProtocolTest(base.TestCase):
+    def test_sample_keeps_its_age_across_clocks(self):
+        sample = interference.Sample('check', 0.5, 4, {'a': 0.25}, 0.5, 90.0)
+        message = usage.describe_sample(sample, now=100.0)
+        read = usage.read_sample(message, now=5.0)
+        self.assertEqual(-5.0, read.measured_at)
+        self.assertEqual({'a': 0.25}, read.shares)
+
 
 class JoinerTest(base.TestCase):
     def setUp(self):
--- a/tools/bench/subject.py
+++ b/tools/bench/subject.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import random
 import typing as t
 
@@ -57,7 +58,10 @@
         clock = world.clock.read
         self.estimator = self._make_estimator()
         owners = objectives.Objectives(
-            make_catalogue(world.load, self.objective)
+            functools.partial(
+                objectives.find_objective,
+                make_catalogue(world.load, self.objective),
+            )
         )
         self.placer = placement.Placer(self.estimator, owners, clock)
         self.router = routing.Router(
