--- a/src/persimmonsail/holder.py
+++ b/src/persimmonsail/holder.py
@@ -28,6 +28,7 @@
 from persimmonsail import revisions
 from persimmonsail import settings as settings_module
 from persimmonsail import tasks
+from persimmonsail import turns as turns_module
 
 MAX_PAYLOAD_BYTES = 65_536
 _ANSWER_SECONDS = 3.5
@@ -52,6 +53,7 @@
         process_id: str,
         list_members: ListMembers,
         knowledge: planner.Knowledge | None = None,
+        turns: turns_module.Turns | None = None,
     ) -> None:
         limits = settings.entry
         consent_limits = (limits.task_lease, limits.outage_limit)
@@ -69,7 +71,9 @@
         self._intake = intake.Intake(
             fleet, known, random.Random(ledger.partition)
         )
-        self._committer = commits.Committer(ledger, limits.commit_interval)
+        self._committer = commits.Committer(
+            ledger, turns or turns_module.Turns(limits.commit_interval)
+        )
         self._authority = consents.Authority(
             lease, links, process_id, *consent_limits
         )
--- a/src/persimmonsail/routing.py
+++ b/src/persimmonsail/routing.py
@@ -9,6 +9,8 @@
 
 SAMPLE = 5
 DEFAULT_SECONDS = 0.1
+# To another availability zone and back, as the larger site has it.
+DISTANCE_SECONDS = 0.0028
 
 _SAMPLE = 2
 _LOAD_HALF_LIFE = 1.0
