--- a/src/persimmonsail/dispatch.py
+++ b/src/persimmonsail/dispatch.py
@@ -13,6 +13,8 @@
 from persimmonsail import exceptions
 from persimmonsail import holding as holding_module
 from persimmonsail import logs
+from persimmonsail import objectives
+from persimmonsail import placement
 from persimmonsail import planner as planner_module
 from persimmonsail import records
 from persimmonsail import renewals
@@ -34,8 +36,17 @@
         self._holding = holding
         self._endings = endings
         self._renewer = renewer
+        self._placer = placement.Placer(
+            holding.fleet.estimator,
+            objectives.Objectives(
+                lambda name: objectives.find_objective(
+                    holding.view.catalogue, name
+                )
+            ),
+            time.monotonic,
+        )
         self._planner = planner_module.Planner(
-            holding.fleet, holding.knowledge, planner_module.choose
+            holding.fleet, holding.knowledge, self._placer.choose_task
         )
         self._starting: set[str] = set()
         self._told: dict[str, str] = {}
--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -26,6 +26,7 @@
 from persimmonsail import ledger
 from persimmonsail import links as links_module
 from persimmonsail import logs
+from persimmonsail import objectives
 from persimmonsail import partitions as partitions_module
 from persimmonsail import peers as peers_module
 from persimmonsail import planner
@@ -178,17 +179,22 @@
         # A sidecar's link can go silent for good; its sidecar connects
         # anew, and this end must not be kept for ever.
         silence = _LINK_SILENCES * self.settings.links.silence
+        told = -1
         while True:
             with anyio.move_on_after(silence):
                 report = await stream.recv_message()
                 if report is None:
                     return
-                await self._note_report(report, stream)
+                notice = await self._note_report(report, told)
+                await stream.send_message(notice)
+                told = notice.revision
                 continue
             logs.write_event('link-silent', address='a sidecar')
             return
 
-    async def _note_report(self, report, stream) -> None:
+    async def _note_report(
+        self, report: control_pb2.SidecarReport, told: int
+    ) -> control_pb2.EntryNotice:
         known = self.fleet.find(report.instance)
         incarnation = known.incarnation if known else ''
         was_leaving = known is not None and _is_leaving(known)
@@ -208,17 +214,16 @@
             event = 'serving' if was_leaving else 'leaving'
             logs.write_event(event, instance=report.instance)
         entries = [e.control for e in self.partitions.entries.values()]
-        await stream.send_message(
-            control_pb2.EntryNotice(
-                revision=self.view.revision,
-                entries=entries,
-                sequence=report.sequence,
-                fresh=self.view.is_fresh,
-                evidence_age_seconds=(
-                    time.monotonic() - self.view.evidence_at
-                ),
-            )
+        notice = control_pb2.EntryNotice(
+            revision=self.view.revision,
+            entries=entries,
+            sequence=report.sequence,
+            fresh=self.view.is_fresh,
+            evidence_age_seconds=time.monotonic() - self.view.evidence_at,
         )
+        if told != self.view.revision:
+            objectives.fill_notice(notice, self.view.catalogue, report.service)
+        return notice
 
     async def Submit(self, stream) -> None:
         """Accept a task of a partition held here."""
--- a/src/persimmonsail/execution.py
+++ b/src/persimmonsail/execution.py
@@ -227,7 +227,9 @@
             return self._describe_refusal(str(error))
         except exceptions.BackendAnswerLost as error:
             return _unknown(str(error))
-        self._backlog.note_service(time.monotonic() - began)
+        ended = time.monotonic()
+        self._own.latencies.note(request.workload, ended - began, ended)
+        self._backlog.note_service(ended - began)
         return control_pb2.ExecuteReply(
             verdict=control_pb2.ANSWERED,
             status=answer.status,
--- a/src/persimmonsail/instance.py
+++ b/src/persimmonsail/instance.py
@@ -9,6 +9,7 @@
 from persimmonsail import control_pb2
 from persimmonsail import logs
 from persimmonsail import quarantine
+from persimmonsail import usage
 
 
 def _make_incarnation() -> str:
@@ -41,6 +42,9 @@
     backend_leaving: bool = False
     busy_slots: int = 0
     queued: int = 0
+    latencies: usage.LatencyLog = dataclasses.field(
+        default_factory=usage.LatencyLog
+    )
     commitments: admission.Commitments = dataclasses.field(
         default_factory=lambda: admission.Commitments(admission.Size())
     )
--- a/src/persimmonsail/planner.py
+++ b/src/persimmonsail/planner.py
@@ -306,7 +306,12 @@
             if chosen is not None:
                 return chosen
         chosen = self._planner._choose(candidates, task, size)
-        if chosen is None and len(candidates) == len(self._live):
+        all_seen = len(candidates) == len(self._live)
+        if (
+            chosen is None
+            and all_seen
+            and not placement.list_fitting(candidates, size)
+        ):
             self._without_room.append(size)
         return chosen
 
--- a/src/persimmonsail/quick.py
+++ b/src/persimmonsail/quick.py
@@ -84,7 +84,12 @@
         self._links = links
         self._view = view
         self._zone = zone
-        self._generator = generator
+        self._router = routing.Router(
+            fleet.estimator,
+            time.monotonic,
+            generator,
+            routing.DISTANCE_SECONDS,
+        )
         self._claims = claims
         self._settler = settlement.Settler(links)
         self._budget = retries.POLICIES['fraction']()
@@ -220,16 +225,16 @@
         fresh = [instance for instance in live if instance.name not in tried]
         if not fresh:
             return None
-        chosen = routing.POLICIES['sampled'](
-            fresh, self._zone, self._generator
-        )
+        cost = self._router.choose(fresh, request.workload, self._zone)
+        chosen = cost.instance
         logs.write_event(
             'routing',
             request=request.id,
             workload=request.workload,
             chosen=chosen.name,
             incarnation=chosen.incarnation,
-            score=routing.score(chosen, self._zone),
+            score=cost.total,
+            terms=cost.describe(),
             outstanding=chosen.outstanding,
             queued=chosen.queued,
             busy_slots=chosen.busy_slots,
--- a/src/persimmonsail/sidecar.py
+++ b/src/persimmonsail/sidecar.py
@@ -12,6 +12,7 @@
 from persimmonsail import announcer as announcer_module
 from persimmonsail import attempts
 from persimmonsail import backends
+from persimmonsail import colocation
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import execution
@@ -55,6 +56,9 @@
             self.own, self.backend, limits, self._group
         )
         self.supervisor = supervisor.Supervisor(self.own, worker)
+        self.colocation = colocation.Colocation(
+            self.own, worker, limits.slots, limits.usage_interval
+        )
         return self
 
     async def __aexit__(self, *exc_info: t.Any) -> bool | None:
@@ -199,7 +203,7 @@
     with links.Links(links.describe_limits(settings.links)) as opened:
         async with anyio.create_task_group() as group:
             announcer = announcer_module.Announcer(
-                sidecar.own, settings, address, opened
+                sidecar.own, settings, address, opened, sidecar.colocation
             )
             probe = healthchecks.BackendProbe(
                 sidecar.own,
@@ -210,6 +214,7 @@
             await probe.probe_once()
             group.start_soon(probe.run)
             group.start_soon(announcer.run)
+            group.start_soon(sidecar.colocation.run)
             group.start_soon(measurements.run)
             await stop.begun.wait()
             await _stop(sidecar, announcer)
--- a/tests/test_quick_processes.py
+++ b/tests/test_quick_processes.py
@@ -323,7 +323,9 @@
             answer = await site.post('order', {'n': 9})
             self.assertEqual(200, answer.status_code)
             last = site.entries[0].find('routing')[-1]
-            self.assertEqual('0', last['score'])
+            counted = ('outstanding', 'queued', 'busy_slots')
+            self.assertEqual(['0'] * 3, [last[name] for name in counted])
+            self.assertIn('waiting:0.0000,distance:0.0000', last['terms'])
             self.assertEqual('0', one.find('admission')[-1]['busy_slots'])
             record = await site.read_all()
             self.assertEqual([True] * 3, [run['ended'] for run in record])
--- a/tools/bench/subject.py
+++ b/tools/bench/subject.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import random
 import typing as t
 
@@ -57,7 +58,10 @@
         clock = world.clock.read
         self.estimator = self._make_estimator()
         owners = objectives.Objectives(
-            make_catalogue(world.load, self.objective)
+            functools.partial(
+                objectives.find_objective,
+                make_catalogue(world.load, self.objective),
+            )
         )
         self.placer = placement.Placer(self.estimator, owners, clock)
         self.router = routing.Router(
@@ -164,6 +168,7 @@
                 ladder.RunningTask(*task) for task in timeline.list_tasks()
             ),
             demand=self.world.holder[name].demand,
+            waiting=self.world.holder[name].queued / machines.SLOTS,
             lag=self.joiners[name].lag,
         )
 
@@ -251,6 +256,8 @@
 class OraclePolicy(SubjectPolicy):
     """The same decisions by one who knows the truth at once."""
 
+    reporting = colocation.Reporting(lag=0.0, missing=0.0)
+
     def _make_estimator(self):
         return TrueEstimator(self.world)
 
