--- a/tools/guards_ledger.py
+++ b/tools/guards_ledger.py
@@ -58,8 +58,8 @@
         'headroom',
         'I1',
         'src/persimmonsail/admission.py',
-        'capacity.cores * (1 - HEADROOM),',
-        'capacity.cores,',
+        'return _leave(capacity, HEADROOM)',
+        'return capacity',
         ('tests/test_admission.py',),
     ),
     guard.Guard(
