--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -3,7 +3,8 @@
 ``--target host:port`` is where bytes go. ``POST /faults`` on the
 control address takes JSON: ``mode`` is one of pass, cut (close all and
 refuse), freeze (hold bytes of all connections), silent (drop bytes of
-the connections open now; new ones work), and ``delay`` in seconds.
+the connections open now; new ones work), ``delay`` in seconds, and
+``target`` for where new connections go.
 """
 
 import collections.abc
@@ -15,7 +16,7 @@
 from starlette import responses
 from starlette import routing
 
-from persimmonsail import httpserver
+from persimmonsail import addresses
 from persimmonsail import logs
 from standins import serving
 
@@ -34,9 +35,9 @@
     """Forwards connections to a target, with faults."""
 
     def __init__(self, listen: str, target: str) -> None:
-        self._target = httpserver.split_address(target)
-        self._socket = httpserver.bind(listen)
-        self.address = httpserver.name_of(self._socket)
+        self._target = addresses.split(target)
+        self._socket = addresses.bind(listen)
+        self.address = addresses.name_of(self._socket)
         self._mode = 'pass'
         self._delay = 0.0
         self._thawed = anyio.Event()
@@ -105,7 +106,9 @@
 
     async def _set_faults(self, request: requests.Request):
         body = await request.json()
-        self.set_mode(body['mode'], body.get('delay', 0.0))
+        if 'target' in body:
+            self._target = addresses.split(body['target'])
+        self.set_mode(body.get('mode', self._mode), body.get('delay', 0.0))
         return responses.JSONResponse({})
 
 
