--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -206,6 +206,8 @@
                     )
                     reply = await executor.settle(settle)
                     self.assertEqual(verdict, reply.verdict)
+                # In the evidence, a stop's victim must not look so.
+                self.assertEqual('no longer wanted', reply.reason)
             self.assertEqual(['a'], backend.ran)
             self.assertEqual(0, own.busy_slots)
             self.assertEqual(0, own.queued)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,6 +6,7 @@
 import grpclib.server
 
 from persimmonsail import addresses
+from persimmonsail import attempts
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import execution
@@ -167,6 +168,22 @@
             self.make_reply(1, established=True), view, check
         )
 
+    async def test_peer_with_a_higher_revision_does_not_vouch(self):
+        """An entry admits work under a replaced catalogue.
+
+        The store is down for it; its only peer has a newer revision,
+        whose text did not come through.
+        """
+        view = self.make_view()
+
+        async def check(found, listed):
+            self.assertEqual(1, view.revision)
+            self.assertEqual(-math.inf, found.find_agreement())
+
+        await self.run_with_peer(
+            self.make_reply(2, established=True), view, check
+        )
+
 
 class SidecarRevisionTest(base.TestCase):
     """A replaced limit admits work again.
@@ -177,7 +194,10 @@
 
     async def execute(self, own, revision):
         request = control_pb2.ExecuteRequest(
-            attempt='a', incarnation=own.incarnation, revision=revision
+            attempt='a',
+            incarnation=own.incarnation,
+            revision=revision,
+            issued_ms=attempts.read_clock(),
         )
         limits = settings.Sidecar(
             entries='a:1', worker='a:1', service='s', backend='a:1', queue=0
