--- a/src/persimmonsail/announcer.py
+++ b/src/persimmonsail/announcer.py
@@ -135,5 +135,7 @@
         self._own.note_revision(notice.revision)
         self._alive = frozenset(notice.entries)
         if notice.fresh:
-            self._own.note_fresh(asked_at)
+            self._own.note_fresh(
+                asked_at, asked_at - notice.evidence_age_seconds
+            )
         self._add(notice.entries)
--- a/src/persimmonsail/sidecar.py
+++ b/src/persimmonsail/sidecar.py
@@ -19,6 +19,8 @@
 from persimmonsail import instance as instance_module
 from persimmonsail import links
 from persimmonsail import logs
+from persimmonsail import measurements
+from persimmonsail import metrics
 from persimmonsail import settings as settings_module
 from persimmonsail import shutdown
 from persimmonsail import supervisor
@@ -90,12 +92,14 @@
             workload=request.workload,
             incarnation=self.own.incarnation,
             revision=self.own.revision,
+            request_revision=request.revision,
             verdict=instance_module.name_verdict(reply.verdict),
             reason=reply.reason,
             busy_slots=self.own.busy_slots,
             queued=self.own.queued,
             retry_after=reply.retry_after_seconds,
         )
+        _count(request.workload, reply.verdict)
 
     async def Settle(self, stream) -> None:
         """Tell what became of an attempt, or bar it for ever."""
@@ -136,6 +140,7 @@
             verdict=instance_module.name_verdict(reply.verdict),
             reason=reply.reason,
         )
+        _count(request.workload, reply.verdict)
         await stream.send_message(reply)
 
     async def Renew(self, stream) -> None:
@@ -151,6 +156,11 @@
         await stream.send_message(await self.supervisor.stop(request))
 
 
+def _count(workload: str, verdict: int) -> None:
+    name = instance_module.name_verdict(verdict)
+    metrics.ADMISSIONS.increase(workload, name)
+
+
 async def run(settings: settings_module.Settings) -> None:
     """Run the role until SIGTERM, then stop gracefully."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -179,11 +189,13 @@
                     await probe.probe_once()
                     group.start_soon(probe.run)
                     group.start_soon(announcer.run)
+                    group.start_soon(measurements.run)
                     await anext(aiter(signals))
                     await _stop(sidecar, announcer)
                     group.cancel_scope.cancel()
             server.close()
             await server.wait_closed()
+    measurements.write_all()
     logs.write_event('stopped', incarnation=sidecar.own.incarnation)
 
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -12,6 +12,9 @@
 from persimmonsail import settings
 from tests import base
 
+# A guard that is gone shows as a wait for ever.
+SECONDS = 20.0
+
 
 class FakeBackend:
     """Answers once it is let; counts what is in flight."""
@@ -53,9 +56,11 @@
         commitments=admission.Commitments(admission.Size(64, 64, 0))
     )
     backend = FakeBackend()
-    async with anyio.create_task_group() as group:
-        yield execution.Executor(own, backend, section, group), own, backend
-        group.cancel_scope.cancel()
+    with anyio.fail_after(SECONDS):
+        async with anyio.create_task_group() as group:
+            executor = execution.Executor(own, backend, section, group)
+            yield executor, own, backend
+            group.cancel_scope.cancel()
 
 
 def make_request(own, attempt: str, **fields) -> control_pb2.ExecuteRequest:
--- /dev/null
+++ b/tools/guard_list_catalogue.py
@@ -0,0 +1,144 @@
+"""The guards that the proof of I9 leans on."""
+
+from tools import guard_list
+
+_SOURCE = 'src/persimmonsail/'
+_REVISIONS = ('tests/test_revisions.py',)
+_PEERS = ('tests/test_peers.py',)
+_COMMANDS = ('tests/test_commands.py',)
+
+
+def _make(
+    name: str,
+    file: str,
+    pattern: str,
+    replacement: str,
+    tests: tuple[str, ...],
+) -> guard_list.Guard:
+    return guard_list.Guard(
+        name, 'I9', _SOURCE + file, pattern, replacement, tests
+    )
+
+
+GUARDS = [
+    _make(
+        'revision comparison',
+        'revisions.py',
+        'if head.revision <= max(self.revision, self.refused):',
+        'if False:',
+        _REVISIONS,
+    ),
+    _make(
+        'freshness bound',
+        'revisions.py',
+        'return time.monotonic() - self.evidence_at <= self._freshness',
+        'return True',
+        _REVISIONS,
+    ),
+    _make(
+        'unreadable catalogue',
+        'revisions.py',
+        'self.refused = head.revision\n',
+        'pass\n',
+        _REVISIONS,
+    ),
+    _make(
+        'store that went back',
+        'revisions.py',
+        'if forked or went_back:',
+        'if False:',
+        _REVISIONS,
+    ),
+    _make(
+        'evidence from the question on',
+        'follower.py',
+        'self._view.confirm(head, asked_at)',
+        'self._view.confirm(head, time.monotonic())',
+        _REVISIONS,
+    ),
+    _make(
+        "age of a peer's evidence",
+        'peers.py',
+        'at = asked_at - reply.store_age_seconds',
+        'at = asked_at',
+        _PEERS,
+    ),
+    _make(
+        'agreement of all peers',
+        'peers.py',
+        'if answer is None or answer.revision > self._view.revision:\n'
+        '                return -math.inf',
+        'if answer is None:\n                continue',
+        _PEERS,
+    ),
+    _make(
+        'restarted peer',
+        'peers.py',
+        'if not answer.established:',
+        'if False:',
+        _PEERS,
+    ),
+    _make(
+        'word of a fresh entry',
+        'instance.py',
+        'if time.monotonic() - self.confirmed_at <= self.notice_limit:',
+        'if True:',
+        _PEERS,
+    ),
+    _make(
+        'evidence younger than the sidecar',
+        'instance.py',
+        'if evidence_at >= self.started_at:',
+        'if True:',
+        _PEERS,
+    ),
+    _make(
+        'revision check of quick requests',
+        'execution.py',
+        'if request.revision < self._own.revision:',
+        'if False:',
+        _PEERS,
+    ),
+    _make(
+        'revision check of tasks',
+        'supervisor.py',
+        'if request.revision < self._own.revision:',
+        'if False:',
+        _PEERS,
+    ),
+    _make(
+        'holder without evidence',
+        'forwarding.py',
+        'return view.find_staleness()',
+        "return ''",
+        ('tests/test_forwarding.py',),
+    ),
+    _make(
+        'known task is accepted',
+        'forwarding.py',
+        'if request.task in holder.table.tasks:',
+        'if False:',
+        ('tests/test_forwarding.py',),
+    ),
+    _make(
+        'catalogue compare-and-swap',
+        'catalogue_store.py',
+        '_dump_small(head), base.key_revision',
+        '_dump_small(head)',
+        _COMMANDS,
+    ),
+    _make(
+        'lost answer of the swap',
+        'catalogue_store.py',
+        'if not await self._resolve(head):',
+        'if True:',
+        _COMMANDS,
+    ),
+    _make(
+        'base revision of an edit',
+        'commands.py',
+        'if edited_from != base.head.revision:',
+        'if False:',
+        _COMMANDS,
+    ),
+]
