--- a/src/persimmonsail/instance.py
+++ b/src/persimmonsail/instance.py
@@ -26,6 +26,7 @@
 
     ``incarnation`` tells an old and a new sidecar of one instance
     apart; ``revision`` is the highest catalogue revision seen.
+    ``backend_leaving`` concerns quick requests only, tasks go on.
     ``notice_limit`` is for how many seconds an entry's word that its
     catalogue is fresh counts, from ``confirmed_at`` on.
     """
@@ -35,6 +36,7 @@
     notice_limit: float = math.inf
     confirmed_at: float = -math.inf
     leaving: bool = False
+    backend_leaving: bool = False
     busy_slots: int = 0
     queued: int = 0
     commitments: admission.Commitments = dataclasses.field(
@@ -52,6 +54,7 @@
             queued=self.queued,
             failures=self.probation.failures,
             unproved=self.probation.unproved,
+            connections=self.busy_slots,
         )
 
     def note_revision(self, revision: int) -> None:
--- a/tests/test_openapi.py
+++ b/tests/test_openapi.py
@@ -75,6 +75,9 @@
 NO_TASK = problems.Problem(404, 'No such task', problems.NOT_RUN, 'x')
 FULL = problems.Problem(429, 'Not accepted', problems.NOT_RUN, 'full', 9.0)
 NEVER = problems.Problem(422, 'Not accepted', problems.NOT_RUN, 'too large')
+TOO_LARGE = problems.Problem(413, 'Body too large', problems.NOT_RUN, 'x')
+REUSED = problems.Problem(422, 'Key reused', problems.NOT_RUN, 'x')
+OVERLOADED = problems.Problem(429, 'Overloaded', problems.UNKNOWN, 'x', 0.5)
 FAULTS = (NOT_RUN, UNKNOWN, RuntimeError('unforeseen'))
 
 
@@ -135,7 +138,8 @@
             self.entry.tasks.outcome = fault
             await self.send('GET', ONE_TASK, TASK)
             await self.send('DELETE', ONE_TASK, TASK)
-        for fault in (*FAULTS, FULL, NEVER):
+        refusals = (TOO_LARGE, REUSED, OVERLOADED, FULL, NEVER)
+        for fault in (*FAULTS, *refusals):
             self.entry.tasks.outcome = self.entry.quick.outcome = fault
             await self.send('POST', QUICK, REQUESTS)
             await self.send('POST', BATCH, REQUESTS)
