--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -34,6 +34,7 @@
 from persimmonsail import quick
 from persimmonsail import revisions
 from persimmonsail import settings as settings_module
+from persimmonsail import shedding
 from persimmonsail import shutdown
 from persimmonsail import status
 from persimmonsail import store as store_module
@@ -67,6 +68,12 @@
         self.follower = follower_module.Follower(
             self.store, self.view, settings.entry.catalogue_poll
         )
+        shedder = shedding.Shedder(
+            self.fleet,
+            random.Random(settings.process.name),
+            name=settings.process.name,
+            list_entries=lambda: self.partitions.entries,
+        )
         self.quick = quick.QuickPath(
             self.fleet,
             self.links,
@@ -74,6 +81,7 @@
             settings.process.zone,
             random.Random(settings.process.name),
             claims.Claims(self.store),
+            shedder,
         )
         self.partitions: partitions_module.Partitions
         self.tasks = forwarding.TaskForwarder(self)
--- a/src/persimmonsail/execution.py
+++ b/src/persimmonsail/execution.py
@@ -203,7 +203,11 @@
         holder = f'request/{request.attempt}'
         size = admission.read_size(request.size)
         try:
-            if not self._own.commitments.try_commit(holder, size):
+            commitments = self._own.commitments
+            limit = admission.find_quick_limit(
+                commitments.capacity, request.urgent
+            )
+            if not commitments.try_commit(holder, size, limit):
                 return self._describe_refusal('no capacity')
             return await self._send(request, deadline)
         finally:
--- a/src/persimmonsail/quick.py
+++ b/src/persimmonsail/quick.py
@@ -26,6 +26,7 @@
 from persimmonsail import revisions
 from persimmonsail import routing
 from persimmonsail import settlement
+from persimmonsail import shedding
 
 _MAX_ATTEMPTS = 4
 _RETRY_AFTER = 1.0
@@ -79,6 +80,7 @@
         zone: str,
         generator: random.Random,
         claims: claims_module.Claims | None = None,
+        shedder: shedding.Shedder | None = None,
     ) -> None:
         self._fleet = fleet
         self._links = links
@@ -91,6 +93,7 @@
             routing.DISTANCE_SECONDS,
         )
         self._claims = claims
+        self._shedder = shedder or shedding.Shedder(fleet, generator)
         self._settler = settlement.Settler(links)
         self._budget = retries.POLICIES['fraction']()
         self._hedging = hedging.POLICIES['percentile']()
@@ -116,14 +119,16 @@
             If the request is refused, or its outcome is unknown.
         """
         if not request.key:
-            return await self._send_once(request)
+            with self._shedder.admit(request):
+                return await self._send_once(request)
         fingerprint = claims_module.take_fingerprint(request.body)
         key = f'{request.limits.owner}/{request.workload}/{request.key}'
 
         async def send_first() -> control_pb2.ExecuteReply:
-            if request.limits.idempotent or self._claims is None:
-                return await self._send_once(request)
-            return await self._send_claimed(request, key, fingerprint)
+            with self._shedder.admit(request):
+                if request.limits.idempotent or self._claims is None:
+                    return await self._send_once(request)
+                return await self._send_claimed(request, key, fingerprint)
 
         return await self._replays.run(
             key, fingerprint, send_first, request.deadline
@@ -375,6 +380,7 @@
             ),
             timeout_seconds=left - margin,
             idempotent=limits.idempotent,
+            urgent=limits.urgent,
             body=request.body,
             content_type=request.content_type,
             issued_ms=claim.issued_ms,
