--- a/src/persimmonsail/execution.py
+++ b/src/persimmonsail/execution.py
@@ -134,10 +134,14 @@
         attempt: attempts.Attempt,
         request: control_pb2.ExecuteRequest,
     ) -> None:
-        reply = _unknown('cut off')
+        reply = cut_off = _unknown('cut off')
         try:
             with attempt.scope:
                 reply = await self._queue_and_send(request)
+            if attempt.scope.cancelled_caught and reply is cut_off:
+                # By its entry: another attempt was faster. Whatever a
+                # stop cuts off must not look like this in the evidence.
+                reply = _unknown('no longer wanted')
         finally:
             self._attempts.end(attempt, reply)
             self._note_outcome(request, reply)
--- /dev/null
+++ b/tools/guards_tasks.py
@@ -0,0 +1,302 @@
+"""The guards of a task's one place: tickets, epochs, incarnations."""
+
+from tools import guard
+
+_SUPERVISOR = 'src/persimmonsail/supervisor.py'
+_SUPERVISOR_TESTS = (
+    'tests/test_supervisor.py',
+    'tests/test_supervisor_refusals.py',
+)
+
+GUARDS = [
+    guard.Guard(
+        'lease counts from the ticket',
+        'I2',
+        'src/persimmonsail/supervisor.py',
+        '            until=self._find_end(request),',
+        '            until=time.monotonic() + request.lease_seconds,',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'start only on a valid ticket',
+        'I2',
+        'src/persimmonsail/supervisor.py',
+        "            return 'the lease is over'",
+        '            pass',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        "ticket of the sidecar's own past",
+        'I2',
+        'src/persimmonsail/supervisor.py',
+        'granted = self._is_granted(request)',
+        'granted = True',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'worker refuses a lease that is over',
+        'I2',
+        'standins/worker.py',
+        "            return 'the lease has lapsed'",
+        '            pass',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'worker keeps a lapsed lease lapsed',
+        'I2',
+        'standins/worker.py',
+        ('        if time.monotonic() >= run.deadline:\n'),
+        ('        if False:\n'),
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'epoch check in the sidecar',
+        'I2',
+        'src/persimmonsail/supervisor.py',
+        '        if epoch < highest:',
+        '        if False:',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'epoch check in the worker',
+        'I2',
+        'standins/worker.py',
+        "        if body['epoch'] < self._epochs.get(body['partition'], 0):",
+        '        if False:',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'epochs survive a sidecar restart',
+        'I2',
+        'src/persimmonsail/supervisor.py',
+        '        self._epochs.update(view.epochs)',
+        '        pass',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'epochs survive a worker restart',
+        'I2',
+        'standins/worker.py',
+        ('            self._note_epoch(int(partition), epoch)\n'),
+        ('            pass\n'),
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'incarnation check of a start',
+        'I2',
+        'src/persimmonsail/supervisor.py',
+        (
+            "            return 'other incarnation'\n"
+            '        if not self._accept'
+        ),
+        ('            pass\n        if not self._accept'),
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'incarnation check of a renewal',
+        'I2',
+        'src/persimmonsail/supervisor.py',
+        ("            return 'other incarnation'\n        wanted"),
+        ('            pass\n        wanted'),
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'incarnation check in the worker',
+        'I1',
+        'standins/worker.py',
+        "        if body['incarnation'] != self._incarnation:",
+        '        if False:',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'attempt barred in the sidecar',
+        'I5',
+        'src/persimmonsail/supervisor.py',
+        "            return 'barred'",
+        '            pass',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'attempt barred in the worker',
+        'I5',
+        'standins/worker.py',
+        "            return 'the attempt is barred'",
+        '            pass',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'start under way keeps its room',
+        'I1',
+        'src/persimmonsail/supervisor.py',
+        'if name in active or name in self._unsettled:',
+        'if name in active:',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'ended attempts kept until acknowledged',
+        'I3',
+        'standins/worker.py',
+        'for task, attempt in acknowledged:',
+        'for task, attempt in [(r.task, r.attempt) for r in [*map('
+        'self._runs.get, [*self._runs])]]:',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'acknowledged attempt never starts',
+        'I6',
+        'src/persimmonsail/supervisor.py',
+        (
+            '        for key in ended:\n'
+            '            self._bar(key, request.lease_seconds)'
+        ),
+        ('        for key in ended:\n            pass'),
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'start only at the claimed worker process',
+        'I6',
+        'src/persimmonsail/supervisor.py',
+        "            return 'the worker was restarted'",
+        '            pass',
+        ('tests/test_supervisor.py',),
+    ),
+    guard.Guard(
+        'absence counts for one worker process',
+        'I6',
+        'src/persimmonsail/endings.py',
+        '        if task.boot and task.boot == boot:',
+        '        if True:',
+        ('tests/test_holder.py',),
+    ),
+    guard.Guard(
+        'eviction without a checkpoint',
+        'I6',
+        'src/persimmonsail/endings.py',
+        '        if checkpoint and not task.cancel_asked:',
+        '        if not task.cancel_asked:',
+        ('tests/test_holder.py',),
+    ),
+    guard.Guard(
+        'contact only through a live worker',
+        'I2',
+        'src/persimmonsail/renewals.py',
+        'if reply.incarnation != self._find_incarnation(instance):',
+        'if True:',
+        ('tests/test_holder.py',),
+    ),
+    guard.Guard(
+        'authority before each renewal',
+        'I2',
+        'src/persimmonsail/renewals.py',
+        '        if not self._holding.authority.is_valid:',
+        '        if False:',
+        ('tests/test_holder.py',),
+    ),
+    guard.Guard(
+        'later epoch ends the holder',
+        'I2',
+        'src/persimmonsail/renewals.py',
+        '        if reply.reason == _LATER_EPOCH:',
+        '        if False:',
+        ('tests/test_holder.py',),
+    ),
+    guard.Guard(
+        'withdrawn proposal is not written',
+        'I5',
+        'src/persimmonsail/commits.py',
+        '            self._proposals.remove(proposal)',
+        '            pass',
+        ('tests/test_holder.py',),
+    ),
+    guard.Guard(
+        'doubled key is not reported as not run',
+        'I5',
+        'src/persimmonsail/holder.py',
+        '            if self._unsettled[request.task] > 0:',
+        '            if False:',
+        ('tests/test_holder.py',),
+    ),
+    guard.Guard(
+        'record checked before its write',
+        'I6',
+        'src/persimmonsail/ledger.py',
+        ('        if problems:\n'),
+        ('        if False:\n'),
+        ('tests/test_ledger.py',),
+    ),
+    guard.Guard(
+        'ring waits for a snapshot',
+        'I6',
+        'src/persimmonsail/ledger.py',
+        '        while self.position + 1 - self._snapshot_position > SLOTS:',
+        '        while False:',
+        ('tests/test_ledger.py',),
+    ),
+    guard.Guard(
+        'lost snapshot answer',
+        'I2',
+        'src/persimmonsail/ledger.py',
+        '        self._uncertain_snapshots.add(records.hash_text(text))',
+        '        pass',
+        ('tests/test_ledger.py',),
+    ),
+    guard.Guard(
+        'leases end with the hand-over',
+        'I2',
+        'src/persimmonsail/holder.py',
+        (
+            '        self._authority.release()\n'
+            '        self.ready = False\n'
+            '        self._committer.announce()\n'
+            '        seconds'
+        ),
+        (
+            '        self.ready = False\n'
+            '        self._committer.announce()\n'
+            '        seconds'
+        ),
+        ('tests/test_holder.py',),
+    ),
+    guard.Guard(
+        'lease counts from its ticket (start)',
+        'I2',
+        _SUPERVISOR,
+        """        until = request.ticket + request.lease_seconds
+""",
+        """        until = time.monotonic() + request.lease_seconds
+""",
+        _SUPERVISOR_TESTS,
+    ),
+    guard.Guard(
+        'revision comparison (start at the sidecar)',
+        'I9',
+        _SUPERVISOR,
+        'if request.revision < self._own.revision:',
+        'if False:',
+        _SUPERVISOR_TESTS,
+    ),
+    guard.Guard(
+        'freshness stop of a start',
+        'I9',
+        _SUPERVISOR,
+        'if reason := self._own.find_staleness():',
+        "if reason := '':",
+        _SUPERVISOR_TESTS,
+    ),
+    guard.Guard(
+        'leaving sidecar starts nothing',
+        'I7',
+        _SUPERVISOR,
+        'if self._own.leaving:',
+        'if False:',
+        _SUPERVISOR_TESTS,
+    ),
+    guard.Guard(
+        'restarted sidecar commits what runs',
+        'I1',
+        _SUPERVISOR,
+        'self._own.commitments.restore(name, size)',
+        'pass',
+        _SUPERVISOR_TESTS,
+    ),
+]
