Tell what was never sent to the backend server as not run

Cause: a request that waits for a free connection until its deadline was reported 'unknown', like one whose answer was lost. Mostly it is not even httpx.PoolTimeout that ends it: the scope around the whole exchange ends first with a TimeoutError, and so it does in a slow connect. The exchange is now traced: nothing is traced while it waits for a connection, and only connection.* before anything is sent. Any other name of the library counts as sent, so that a renamed event errs towards 'unknown'.

Ruled out: adding httpx.PoolTimeout to the caught types alone; the scope wins that race.

--- a/src/persimmonsail/backends.py
+++ b/src/persimmonsail/backends.py
@@ -18,6 +18,7 @@
 _HEALTH_PATH = '/health'
 MAX_ANSWER_BYTES = 1_000_000
 NO_CONNECTION = 'no connection to the backend server'
+_CONNECTING = 'connection.'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,6 +30,22 @@
     content_type: str
 
 
+class _Progress:
+    """Tells whether a request may have left; traces one exchange.
+
+    Nothing is traced while a request waits for a free connection, and
+    only names that begin with ``connection.`` while it connects.
+    """
+
+    def __init__(self) -> None:
+        self.may_be_sent = False
+
+    async def note(self, name: str, _: dict[str, object]) -> None:
+        """Take one event of the library's trace in."""
+        if not name.startswith(_CONNECTING):
+            self.may_be_sent = True
+
+
 class Backend:
     """Use inside ``async with``; sends work to one backend server."""
 
@@ -80,22 +97,32 @@
             'request-id': request,
             'content-type': content_type or _JSON,
         }
+        progress = _Progress()
         try:
             with anyio.fail_after(timeout):
-                return await self._exchange(body, headers, timeout)
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-            raise exceptions.BackendNotConnected(NO_CONNECTION) from error
+                return await self._exchange(body, headers, timeout, progress)
         except (httpx.HTTPError, TimeoutError) as error:
+            if not progress.may_be_sent:
+                raise exceptions.BackendNotConnected(NO_CONNECTION) from error
             name = type(error).__name__
             raise exceptions.BackendAnswerLost(
                 f'answer of the backend server lost: {name}'
             ) from error
 
     async def _exchange(
-        self, body: bytes, headers: dict[str, str], timeout: float
+        self,
+        body: bytes,
+        headers: dict[str, str],
+        timeout: float,
+        progress: _Progress,
     ) -> BackendAnswer:
         async with self._client.stream(
-            'POST', '/work', content=body, headers=headers, timeout=timeout
+            'POST',
+            '/work',
+            content=body,
+            headers=headers,
+            timeout=timeout,
+            extensions={'trace': progress.note},
         ) as answer:
             whole = bytearray()
             async for chunk in answer.aiter_bytes():
