Notice two guards of quick requests when they are gone

Cause: both guards were named with process tests in which the removed guard made no difference: the killed sidecar's instance was mostly no longer a candidate, or the outcome came from elsewhere. Now two tests in one process, with links that fail the first attempt and answer others, take the way that the guard closes. The process tests stay.

--- a/tests/test_quick.py
+++ b/tests/test_quick.py
@@ -1,15 +1,21 @@
+import contextlib
 import random
+import time
 
 import anyio
 
 from persimmonsail import backlog
+from persimmonsail import catalogue
 from persimmonsail import claims
 from persimmonsail import control_pb2
 from persimmonsail import exceptions
+from persimmonsail import fleet
 from persimmonsail import hedging
 from persimmonsail import problems
+from persimmonsail import quick
 from persimmonsail import replays
 from persimmonsail import retries
+from persimmonsail import revisions
 from standins import memory
 from tests import base
 
@@ -135,3 +141,92 @@
             with self.assertRaises(problems.Problem):
                 await kept.run('k', 'f', send, 0)
         self.assertEqual(2, len(sent))
+
+
+ORDER = catalogue.Workload.model_validate(
+    {
+        'owner': 'a',
+        'class': 'latency-critical',
+        'service': 'planning',
+        'idempotent': 'no',
+        'cores': 1,
+        'memory-gb': 1,
+    }
+)
+
+
+class OnceFailingLinks:
+    """Fails the first attempt, answers others; settles none."""
+
+    def __init__(self, error: Exception) -> None:
+        self.executed: list[str] = []
+        self._error = error
+
+    async def call(self, address, stub, method, message, timeout):
+        if method == 'Settle':
+            return control_pb2.ExecuteReply(
+                verdict=control_pb2.UNKNOWN, reason='other incarnation'
+            )
+        self.executed.append(message.attempt)
+        if len(self.executed) == 1:
+            raise self._error
+        return control_pb2.ExecuteReply(verdict=control_pb2.ANSWERED)
+
+
+@contextlib.asynccontextmanager
+async def open_path(links, store):
+    """Open the way to two idle instances."""
+    known = fleet.Fleet(3600.0)
+    for name in ('one', 'two'):
+        known.note_report(
+            control_pb2.SidecarReport(
+                instance=name, service='planning', slots=8
+            )
+        )
+    async with quick.QuickPath(
+        known,
+        links,
+        revisions.View(),
+        'zone',
+        random.Random(1),
+        claims.Claims(store),
+    ) as path:
+        yield path
+
+
+class SecondAttemptTest(base.TestCase):
+    async def assert_unknown(self, links, store, key='') -> None:
+        """Send an order, which must end as unknown after one attempt."""
+        deadline = time.monotonic() + 60
+        request = quick.QuickRequest(
+            'r', 'order', ORDER, b'', '', deadline, key
+        )
+        async with open_path(links, store) as path:
+            with self.assertRaises(problems.Problem) as caught:
+                await path.send(request)
+        self.assertEqual(problems.UNKNOWN, caught.exception.work)
+        self.assertEqual(1, len(links.executed))
+
+    async def test_order_whose_answer_is_lost_is_not_sent_again(self):
+        """An order without a key is placed twice.
+
+        Its answer is lost and the sidecar that could tell its outcome
+        is gone. Another instance is free to take it.
+        """
+        links = OnceFailingLinks(exceptions.LinkLost('lost'))
+        await self.assert_unknown(links, memory.MemoryStore())
+
+    async def test_joined_claim_without_a_connection_does_not_move(self):
+        """An order with a key is placed twice.
+
+        One entry has claimed the key and sent the order; its sidecar is
+        gone. Another entry joins the claim and can't connect: its own
+        copy was not sent, but the first one may have run.
+        """
+        store = memory.MemoryStore()
+        fingerprint = claims.take_fingerprint(b'')
+        standing = claims.Claim('a', 'one', 'first', 'one:1', 5, fingerprint)
+        await claims.Claims(store).take('a/order/k', standing)
+        links = OnceFailingLinks(exceptions.LinkRefused('refused'))
+        await self.assert_unknown(links, store, 'k')
+        self.assertEqual(['a'], links.executed)
--- a/tools/guards_requests.py
+++ b/tools/guards_requests.py
@@ -135,8 +135,8 @@
         'if not claim.joined:',
         'if True:',
         (
-            'tests/test_quick_processes.py::SameKeyTest'
-            '::test_key_of_a_killed_sidecar_never_runs_again',
+            'tests/test_quick.py::SecondAttemptTest'
+            '::test_joined_claim_without_a_connection_does_not_move',
         ),
     ),
     guard.Guard(
@@ -147,8 +147,8 @@
         '                    raise _outcome_unknown(reply.reason)',
         'if False:\n                    raise _outcome_unknown(reply.reason)',
         (
-            'tests/test_quick_processes.py::LostProcessTest'
-            '::test_killed_sidecar_leaves_the_outcome_unknown_at_once',
+            'tests/test_quick.py::SecondAttemptTest'
+            '::test_order_whose_answer_is_lost_is_not_sent_again',
         ),
     ),
     guard.Guard(
