Let a task wait after a refused start

A refused start was released and claimed again in the next round; while every sidecar refused (as with 'no entry confirms the catalogue revision since the start') one task took two commits of the store every 0.2 s for ever.

Change: backoff.py holds each task's wait, in the dispatcher's memory only. It begins at the sidecar's retry_after (or 0.1 s), doubles with each refused attempt in a row up to 5 s, with jitter; an attempt between that was not refused begins the row anew. No wait for a first placement, an eviction or a refusal for 'leaving'. A waiting task is left out of the round, so that it blocks no other of its workload, but still counts in its team's backlog.

Ruled out: a wait in the ledger (a follower may try at once) and one for a whole workload (it would hold others up).

--- a/src/persimmonsail/dispatch.py
+++ b/src/persimmonsail/dispatch.py
@@ -1,10 +1,12 @@
 """Placing pending tasks on instances, and starting them there."""
 
+import random
 import time
 
 import anyio
 import anyio.abc
 
+from persimmonsail import backoff
 from persimmonsail import catalogue as catalogue_module
 from persimmonsail import contacts as contacts_module
 from persimmonsail import control_grpc
@@ -48,6 +50,7 @@
         self._planner = planner_module.Planner(
             holding.fleet, holding.knowledge, self._placer.choose_task
         )
+        self._backoff = backoff.Backoff(random.Random(holding.partition))
         self._starting: set[str] = set()
         self._told: dict[str, str] = {}
         self._idle_at: int | None = None
@@ -76,7 +79,13 @@
         pending = self._collect_pending(catalogue)
         holding.intake.note_pending(pending)
         now = time.monotonic()
-        for step in self._planner.plan(pending, catalogue, now):
+        self._backoff.forget_unless(self._is_open)
+        ready = [
+            task
+            for task in pending
+            if not self._backoff.is_waiting(task.id, now)
+        ]
+        for step in self._planner.plan(ready, catalogue, now):
             self._starting.add(step.task.id)
             if isinstance(step, planner_module.Refusal):
                 group.start_soon(self._refuse, step)
@@ -85,6 +94,10 @@
                 group.start_soon(self._start, step, workload)
         self._log_waiting()
 
+    def _is_open(self, task: str) -> bool:
+        found = self._holding.table.tasks.get(task)
+        return found is not None and not found.is_final
+
     def _collect_pending(
         self, catalogue: catalogue_module.Catalogue
     ) -> list[tasks.Task]:
@@ -221,8 +234,26 @@
         if reply.verdict != control_pb2.UNKNOWN:
             self._holding.contacts.note(chosen.name, reply.incarnation, reply)
         if reply.verdict == control_pb2.NOT_RUN:
+            self._delay(task, reply)
             await self._endings.release(task, reply.reason)
 
+    def _delay(
+        self, task: tasks.Task, reply: control_pb2.StartTaskReply
+    ) -> None:
+        now = time.monotonic()
+        wait = self._backoff.note_refusal(
+            task.id, task.attempt, reply.reason, reply.retry_after_seconds, now
+        )
+        if wait is not None:
+            logs.write_event(
+                'start-delayed',
+                task=task.id,
+                attempt=task.attempt,
+                reason=reply.reason,
+                refusals=wait.refusals,
+                seconds=round(wait.until - now, 3),
+            )
+
 
 def _describe_terms(step: planner_module.Placement) -> dict[str, object]:
     size = step.estimate.size
