--- /dev/null
+++ b/tests/virtual/fleet.py
@@ -0,0 +1,179 @@
+"""The system's roles and its stand-ins as processes of a world."""
+
+import json
+import pathlib
+import typing as t
+
+import anyio
+import httpx
+
+from persimmonsail import entry
+from persimmonsail import httpserver
+from persimmonsail import revisions
+from persimmonsail import settings as settings_module
+from persimmonsail import sidecar
+from persimmonsail import store as store_module
+from standins import backend as backend_module
+from standins import store as store_server
+from standins import worker as worker_module
+from tests.virtual import world as world_module
+
+CATALOGUE = pathlib.Path(__file__).parents[2] / 'examples/catalogue.ini'
+STORE = 'store:4000'
+_ENTRY = """\
+[process]
+name = {name}
+region = piedmont
+zone = piedmont-a
+control = {name}:7000
+http = {name}:8000
+
+[store]
+address = store:4000
+timeout = 0.5
+
+[entry]
+partitions = 2
+partition-lease = 3
+task-lease = 3
+"""
+_SIDECAR = """\
+[process]
+name = {name}
+region = piedmont
+zone = piedmont-a
+rack = rack-{name}
+control = {name}:7000
+
+[sidecar]
+entries = {entries}
+worker = worker-{name}:9000
+backend = backend-{name}:9500
+service = planning
+"""
+
+
+class Fleet:
+    """Two entries, three instances and a store in a world."""
+
+    entries = ('entry-1', 'entry-2')
+    instances = ('one', 'two', 'three')
+
+    def __init__(self, world: world_module.World) -> None:
+        self.world = world
+        self.store: store_server.StoreServer
+        self.workers: dict[str, worker_module.WorkerServer] = {}
+        self.backends: dict[str, backend_module.BackendServer] = {}
+        self.records: dict[str, list[dict]] = {}
+
+    def start_all(self) -> None:
+        """Start every process and put the example catalogue in force."""
+        self.world.start('client', anyio.sleep_forever)
+        self.world.start('store', self._run_store)
+        self.world.run_for(0.1)
+        for name in self.entries:
+            self.start_entry(name)
+        for name in self.instances:
+            self.start_worker(name)
+            self.world.start(f'backend-{name}', self._run_backend, name)
+            self.start_sidecar(name)
+        text = CATALOGUE.read_text(encoding='utf-8')
+        self.world.call(self.apply, text)
+        self.world.run_for(5.0)
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry, or start it again."""
+        settings = settings_module.parse(
+            name, _ENTRY.format(name=name), 'entry'
+        )
+        self.world.start(name, entry.run, settings)
+
+    def start_sidecar(self, name: str) -> None:
+        """Start a sidecar, or start it again."""
+        entries = ', '.join(f'{entry}:7000' for entry in self.entries)
+        text = _SIDECAR.format(name=name, entries=entries)
+        settings = settings_module.parse(name, text, 'sidecar')
+        self.world.start(name, sidecar.run, settings)
+
+    def start_worker(self, name: str) -> None:
+        """Start a worker, or start it again with nothing in memory."""
+        self.world.start(f'worker-{name}', self._run_worker, name)
+
+    async def apply(self, text: str, author: str = 'operator') -> int:
+        """Put a catalogue in force and return its revision."""
+        store = store_module.KINDS['http'](STORE, 0.5)
+        kept = revisions.CatalogueStore(store)
+        base, key_revision = await kept.read()
+        head = await kept.swap(base, key_revision, text, author)
+        return head.revision
+
+    async def post(
+        self, entry_name: str, workload: str, body: dict, key: str = ''
+    ) -> httpx.Response | None:
+        """Send a caller's request; nothing if no answer came."""
+        headers = {'idempotency-key': key} if key else {}
+        return await self._ask(
+            'POST',
+            f'http://{entry_name}:8000/v1/workloads/{workload}/requests',
+            json=body,
+            headers=headers,
+        )
+
+    async def get_task(
+        self, entry_name: str, task: str
+    ) -> httpx.Response | None:
+        """Ask for a task's state."""
+        return await self._ask(
+            'GET', f'http://{entry_name}:8000/v1/tasks/{task}'
+        )
+
+    async def cancel_task(
+        self, entry_name: str, task: str
+    ) -> httpx.Response | None:
+        """Ask for a task's end."""
+        return await self._ask(
+            'DELETE', f'http://{entry_name}:8000/v1/tasks/{task}'
+        )
+
+    async def _ask(
+        self, method: str, url: str, **options: t.Any
+    ) -> httpx.Response | None:
+        async with httpx.AsyncClient(timeout=20) as client:
+            try:
+                return await client.request(method, url, **options)
+            except httpx.HTTPError:
+                return None
+
+    async def _run_store(self) -> None:
+        self.store = store_server.StoreServer()
+        await self._serve(
+            self.store.app, 'store:4000', self.store.expire_leases
+        )
+
+    async def _run_worker(self, name: str) -> None:
+        server = worker_module.WorkerServer(64, 250, 0)
+        self.workers[name] = server
+        record = self.records.setdefault(name, [])
+        server._record = record
+        await self._serve(
+            server.app, f'worker-{name}:9000', server.run_tasks
+        )
+
+    async def _run_backend(self, name: str) -> None:
+        server = backend_module.BackendServer()
+        self.backends[name] = server
+        await self._serve(server.app, f'backend-{name}:9500')
+
+    async def _serve(self, app, address: str, *background) -> None:
+        async with (
+            anyio.create_task_group() as group,
+            httpserver.HttpServer(app, address, 1.0),
+        ):
+            for function in background:
+                group.start_soon(function)
+            await anyio.sleep_forever()
+
+
+def read_json(response: httpx.Response) -> dict:
+    """Return the JSON body of an answer."""
+    return json.loads(response.content)
