--- a/src/persimmonsail/cli.py
+++ b/src/persimmonsail/cli.py
@@ -9,20 +9,25 @@
 import anyio
 
 from persimmonsail import __version__
+from persimmonsail import crashes
 from persimmonsail import exceptions
 from persimmonsail import exits
 from persimmonsail import logs
 from persimmonsail import settings as settings_module
+from persimmonsail import tolerances
 
 _ROLES = ('entry', 'sidecar')
-_CATALOGUE_ACTIONS = {
-    'show': 'print the catalogue in force',
-    'history': 'list every accepted revision',
-    'check': 'validate a catalogue file',
-    'diff': 'compare a file with the catalogue in force',
-    'apply': 'put a file in force, if nobody else was faster',
-}
-_WITH_FILE = ('check', 'diff', 'apply')
+_EPILOG = """\
+exit codes:
+  0  done
+  1  broken: a promise or the kept catalogue
+  2  the command line is wrong, or an edit names no base revision
+  3  a file has findings; all are printed with their places
+  4  the store or an entry gave no answer; nothing was changed
+  5  another operator's edit won; yours is kept in your file
+  6  unknown whether the edit was accepted
+  7  accepted, but not confirmed in force by every live process
+"""
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -30,6 +35,8 @@
     parser = argparse.ArgumentParser(
         prog='persimmonsail',
         description='Scheduler for colocated latency-critical and batch work.',
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument(
         '--version', action='version', version=f'%(prog)s {__version__}'
@@ -47,22 +54,10 @@
 
 
 def _add_catalogue(commands: t.Any) -> None:
-    catalogue = commands.add_parser(
-        'catalogue', help='read and edit the catalogue'
-    )
-    actions = catalogue.add_subparsers(dest='action', required=True)
-    for name, text in _CATALOGUE_ACTIONS.items():
-        action = actions.add_parser(name, help=text)
-        if name in _WITH_FILE:
-            action.add_argument('file', type=pathlib.Path)
-        _add_store(action)
-        if name == 'apply':
-            action.add_argument(
-                '--base',
-                type=int,
-                help='the revision that the edit was made from',
-            )
-            action.add_argument('--author', default='')
+    # Only here: the other roles' start stays free of these texts.
+    arguments = importlib.import_module('persimmonsail.catalogue_arguments')
+    arguments.add_catalogue(commands, _EPILOG)
+    arguments.add_status(commands, _EPILOG)
 
 
 def _add_audit(commands: t.Any) -> None:
@@ -70,13 +65,43 @@
         'audit', help='check every promise from ledger and logs'
     )
     audit.add_argument('logs', type=pathlib.Path, nargs='+')
-    _add_store(audit)
+    source = audit.add_mutually_exclusive_group()
+    source.add_argument('--store', help='host:port to read the ledger from')
+    source.add_argument(
+        '--ledger', type=pathlib.Path, help='a saved copy of the ledger'
+    )
+    audit.add_argument(
+        '--save-ledger', type=pathlib.Path, help='keep a copy of the ledger'
+    )
+    subject = audit.add_mutually_exclusive_group()
+    subject.add_argument('--request', help="print one request's history")
+    subject.add_argument('--task', help="print one task's history")
+    for name, seconds, text in (
+        ('clock', tolerances.DEFAULTS.clock, 'two clocks may differ'),
+        (
+            'leaving',
+            tolerances.DEFAULTS.leaving,
+            'a leaving backend server may still be chosen',
+        ),
+        (
+            'catalogue',
+            tolerances.DEFAULTS.catalogue,
+            'a change may not yet be in force',
+        ),
+    ):
+        audit.add_argument(
+            f'--{name}-seconds',
+            type=float,
+            default=seconds,
+            help=f'how long {text} (default: %(default)s)',
+        )
+    audit.add_argument('--store-kind', default='http')
+    audit.add_argument('--timeout', type=float, default=2.0)
 
 
 def _add_store(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument('--store', required=True, help='host:port')
-    parser.add_argument('--store-kind', default='http')
-    parser.add_argument('--timeout', type=float, default=2.0)
+    arguments = importlib.import_module('persimmonsail.catalogue_arguments')
+    arguments.add_store(parser)
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -100,7 +125,7 @@
         for finding in group.exceptions:
             print(f'  {finding}', file=sys.stderr)
         return exits.INVALID_INPUT
-    except OSError as error:
+    except (OSError, exceptions.UnknownKind) as error:
         print(error, file=sys.stderr)
         return exits.INVALID_INPUT
 
@@ -111,7 +136,14 @@
     # Only the role that runs is imported, to stay small in memory.
     importlib.import_module('persimmonsail.httpstore')
     role = importlib.import_module(f'persimmonsail.{arguments.command}')
-    anyio.run(role.run, settings)
+    crashes.install_hooks()
+    try:
+        anyio.run(role.run, settings)
+    except Exception as error:
+        # Left to the interpreter this is a traceback of many lines,
+        # which no collector of log lines takes for one event.
+        crashes.report(error)
+        return exits.CRASHED
     return exits.OK
 
 
@@ -122,11 +154,15 @@
 
 
 def _run_catalogue(arguments: argparse.Namespace) -> int:
-    importlib.import_module('persimmonsail.httpstore')
     commands = importlib.import_module('persimmonsail.commands')
     return anyio.run(commands.run, arguments)
 
 
+def _run_status(arguments: argparse.Namespace) -> int:
+    status = importlib.import_module('persimmonsail.status')
+    return anyio.run(status.run, arguments)
+
+
 def _run_audit(arguments: argparse.Namespace) -> int:
     importlib.import_module('persimmonsail.httpstore')
     audit = importlib.import_module('persimmonsail.audit')
@@ -138,5 +174,6 @@
     'sidecar': _run_role,
     'check': _run_check,
     'catalogue': _run_catalogue,
+    'status': _run_status,
     'audit': _run_audit,
 }
