--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -9,6 +9,7 @@
 import anyio
 import grpclib.server
 
+from persimmonsail import consents
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import fleet as fleet_module
@@ -16,6 +17,7 @@
 from persimmonsail import forwarding
 from persimmonsail import gateway
 from persimmonsail import holder as holder_module
+from persimmonsail import holders
 from persimmonsail import httpserver
 from persimmonsail import ledger
 from persimmonsail import links as links_module
@@ -121,13 +123,21 @@
         digest = hashlib.sha256(text.encode()).hexdigest()[:_KEY_LENGTH]
         return f'{partition:03d}-{digest}'
 
-    def _make_holder(self, partition: int) -> holder_module.Holder:
+    def _make_holder(
+        self,
+        partition: int,
+        lease: consents.StoreLease,
+        partitions: partitions_module.Partitions,
+    ) -> holder_module.Holder:
         return holder_module.Holder(
             ledger.Ledger(self.store, partition),
             self.fleet,
             self.links,
             self.view,
             self.settings,
+            lease,
+            partitions.promises.id,
+            partitions.list_members,
         )
 
     async def Link(self, stream) -> None:
@@ -198,12 +208,14 @@
     """Run the role until SIGTERM, then stop gracefully."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with Entry(settings) as entry:
-            server = grpclib.server.Server([entry])
             sock = httpserver.bind(settings.process.control)
             control = httpserver.name_of(sock)
             entry.open_partitions(
                 settings.process.control_advertised or control
             )
+            server = grpclib.server.Server(
+                [entry, holders.Holders(entry.partitions)]
+            )
             await server.start(sock=sock)
             app = gateway.Gateway(entry).app
             drain = settings.entry.drain
--- a/src/persimmonsail/interference.py
+++ b/src/persimmonsail/interference.py
@@ -12,6 +12,7 @@
 of its own that shrinks towards the fit over all loads.
 """
 
+import bisect
 import dataclasses
 import typing as t
 
@@ -27,6 +28,16 @@
 _BANDS = (0.5, 0.75)
 _BASE = ''
 
+# The spread of one request's service time, as a part of its mean.
+_NOISE = 0.5
+_MAX_ERROR = 100.0
+_SHORT_MEMORY = 8.0
+_USUAL_MEMORY = 300.0
+_SHIFT_FACTOR = 4.0
+_MIN_SEEN = 60
+_SHIFT_KEPT = 0.02
+_UNKNOWN: t.Mapping[str, float] = {}
+
 
 @dataclasses.dataclass(frozen=True)
 class Sample:
@@ -130,6 +141,37 @@
         return max(0.0, above / below) if below > _TINY else 0.0
 
 
+class _ShiftDetector:
+    """Tells a shift of interference from noise by the errors' size.
+
+    Errors are measured in units of what noise alone would give. A fit
+    that is never exact has large errors all the time; only errors much
+    larger than the usual ones are a shift.
+    """
+
+    def __init__(self) -> None:
+        self._short = 1.0
+        self._usual = 1.0
+        self._seen = 0
+
+    def note(self, predicted: float, seconds: float, weight: float) -> bool:
+        """Take one error in; return whether a shift has shown."""
+        if predicted <= 0:
+            return False
+        error = (seconds - predicted) / predicted
+        squared = error * error * weight / _NOISE**2
+        squared = min(squared, _MAX_ERROR)
+        self._seen += 1
+        self._short += (squared - self._short) / _SHORT_MEMORY
+        limit = _SHIFT_FACTOR * max(1.0, self._usual)
+        if self._seen >= _MIN_SEEN and self._short > limit:
+            self._seen = 0
+            self._short = self._usual
+            return True
+        self._usual += (squared - self._usual) / _USUAL_MEMORY
+        return False
+
+
 class _Victim:
     """The fits of one latency-critical class: all loads, and by band."""
 
@@ -137,8 +179,16 @@
         self.overall = _Fit()
         self.bands = [_Fit() for _ in range(len(_BANDS) + 1)]
         self.base = 0.0
+        self.coefficients: list[dict[str, float]] = [{} for _ in self.bands]
         self.changed = False
         self.forgotten_at: float | None = None
+        self.detector = _ShiftDetector()
+
+    def drop(self) -> None:
+        """Keep next to nothing of what was learnt before a shift."""
+        self.overall.forget(_SHIFT_KEPT)
+        for band in self.bands:
+            band.forget(_SHIFT_KEPT)
 
     def forget(self, now: float, half_life: float) -> None:
         if self.forgotten_at is not None and now > self.forgotten_at:
@@ -161,6 +211,15 @@
             band.values[_BASE] = self.base
             band.names.discard(_BASE)
             band.solve(self.overall.values, strength)
+        self.coefficients = [self._scale(band) for band in self.bands]
+
+    def _scale(self, band: _Fit) -> dict[str, float]:
+        if self.base <= 0:
+            return {}
+        values = {**self.overall.values, **band.values}
+        return {
+            name: value / self.base for name, value in values.items() if name
+        }
 
 
 class Estimator:
@@ -169,13 +228,16 @@
     Parameters
     ----------
     half_life : float, optional
-        Seconds after which a sample counts for half. Slow forgetting
-        makes a shift of interference show.
+        Seconds after which a sample counts for half.
+
+    ``shifts`` counts how often errors have grown so suddenly that what
+    was learnt before is dropped.
     """
 
     def __init__(self, half_life: float = HALF_LIFE) -> None:
         self._half_life = half_life
         self._victims: dict[str, _Victim] = {}
+        self.shifts = 0
 
     def learn(self, sample: Sample) -> None:
         """Take one joined measurement in, however late it comes."""
@@ -184,6 +246,12 @@
         victim = self._victims.setdefault(sample.victim, _Victim())
         victim.forget(sample.measured_at, self._half_life)
         weight = min(float(sample.count), _MAX_WEIGHT)
+        predicted = victim.base * self.predict(
+            sample.victim, sample.shares, sample.busy
+        )
+        if victim.detector.note(predicted, sample.seconds, weight):
+            victim.drop()
+            self.shifts += 1
         features = {name: s for name, s in sample.shares.items() if s > 0}
         features[_BASE] = 1.0
         victim.overall.add(features, sample.seconds, weight)
@@ -200,24 +268,18 @@
         self, victim: str, aggressor: str, busy: float
     ) -> float:
         """Return the slowdown by the whole of an instance's cores."""
-        found = self._find(victim)
-        if found is None or found.base <= 0:
-            return PRIOR_COEFFICIENT
-        values = found.bands[find_band(busy)].values
-        if aggressor not in values:
-            values = found.overall.values
-        if aggressor not in values:
-            return PRIOR_COEFFICIENT
-        return values[aggressor] / found.base
+        coefficients = self._find_coefficients(victim, busy)
+        return coefficients.get(aggressor, PRIOR_COEFFICIENT)
 
     def predict(
         self, victim: str, shares: t.Mapping[str, float], busy: float
     ) -> float:
         """Return the factor on a class's service time."""
-        return 1.0 + sum(
-            self.find_coefficient(victim, name, busy) * share
-            for name, share in shares.items()
-        )
+        coefficients = self._find_coefficients(victim, busy)
+        slowdown = 1.0
+        for name, share in shares.items():
+            slowdown += coefficients.get(name, PRIOR_COEFFICIENT) * share
+        return slowdown
 
     def explain(
         self, victim: str, shares: t.Mapping[str, float], busy: float
@@ -231,6 +293,12 @@
         slowdown = 1.0 + sum(term.excess for term in terms)
         return Estimate(victim, slowdown, tuple(terms))
 
+    def _find_coefficients(
+        self, victim: str, busy: float
+    ) -> t.Mapping[str, float]:
+        found = self._find(victim)
+        return found.coefficients[find_band(busy)] if found else _UNKNOWN
+
     def _find(self, victim: str) -> _Victim | None:
         found = self._victims.get(victim)
         if found is not None and found.changed:
@@ -240,4 +308,4 @@
 
 def find_band(busy: float) -> int:
     """Return the number of the load's band."""
-    return sum(busy >= edge for edge in _BANDS)
+    return bisect.bisect_right(_BANDS, busy)
