--- a/tests/test_stateful.py
+++ b/tests/test_stateful.py
@@ -24,6 +24,8 @@
     if os.environ.get('PERSIMMONSAIL_FUZZ_SHRINK')
     else (hypothesis.Phase.explicit, hypothesis.Phase.generate)
 )
+# A process that was told to stop ends within its drain time.
+STOP_SECONDS = 20.0
 SETTLE_SECONDS = 90.0
 CORES = 64.0
 SIZES = {
@@ -184,8 +186,10 @@
     def _settle(self):
         self._heal_store()
         self.world.cut.clear()
-        for name, process in list(self.world.processes.items()):
+        for process in self.world.processes.values():
             process.frozen = False
+        self.world.run_for(STOP_SECONDS)
+        for name, process in list(self.world.processes.items()):
             if process.dead or process.main.done():
                 self._start(name)
         self.world.run_for(SETTLE_SECONDS)
--- a/tests/virtual/fleet.py
+++ b/tests/virtual/fleet.py
@@ -7,9 +7,9 @@
 import anyio
 import httpx
 
+from persimmonsail import catalogue_store
 from persimmonsail import entry
 from persimmonsail import httpserver
-from persimmonsail import revisions
 from persimmonsail import settings as settings_module
 from persimmonsail import sidecar
 from persimmonsail import store as store_module
@@ -102,9 +102,8 @@
     async def apply(self, text: str, author: str = 'operator') -> int:
         """Put a catalogue in force and return its revision."""
         store = store_module.KINDS['http'](STORE, 0.5)
-        kept = revisions.CatalogueStore(store)
-        base, key_revision = await kept.read()
-        head = await kept.swap(base, key_revision, text, author)
+        kept = catalogue_store.CatalogueStore(store)
+        head = await kept.swap(await kept.read(), text, author)
         return head.revision
 
     async def post(
