--- a/src/persimmonsail/exceptions.py
+++ b/src/persimmonsail/exceptions.py
@@ -79,6 +79,18 @@
     """A newer sidecar of the same instance has taken over."""
 
 
+class LinkRefused(LinkLost):
+    """No connection was made, so that the call was never sent."""
+
+
+class BackendNotConnected(PersimmonsailError):
+    """The backend server took no connection; nothing was sent."""
+
+
+class BackendAnswerLost(PersimmonsailError):
+    """The backend server may have done the work without an answer."""
+
+
 class AttemptRefused(PersimmonsailError):
     """The worker refused an attempt; it never ran and never will."""
 
@@ -91,6 +103,23 @@
     """A record was withdrawn, or refused, before it was written."""
 
 
+class NotAccepted(NotCommitted):
+    """A task was refused before anything was written.
+
+    Attributes
+    ----------
+    status : int
+        The HTTP status that says why.
+    retry_after : float
+        Seconds until coming back may help; zero if it never does.
+    """
+
+    def __init__(self, reason: str, status: int, retry_after: float) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.retry_after = retry_after
+
+
 class CommitUnknown(PersimmonsailError):
     """No certain outcome came in time; the write may take effect."""
 
