--- a/tests/virtual/network.py
+++ b/standins/virtual/network.py
@@ -187,6 +187,15 @@
         """The caller's name and the address."""
         return self._process.name, self._address
 
+    async def __connect__(self) -> None:
+        """Connect, or fail as a connection does."""
+        target = self._world.find(self._address)
+        await anyio.sleep(LATENCY)
+        if target is None or self._address not in target.handlers:
+            raise ConnectionRefusedError(self._address)
+        if self._world.is_cut(self._process.name, target.name):
+            await anyio.sleep_forever()
+
     def request(
         self,
         name: str,
--- a/tests/virtual/world.py
+++ b/standins/virtual/world.py
@@ -14,10 +14,11 @@
 import grpclib.server
 import httpx
 
+from persimmonsail import addresses
 from persimmonsail import httpserver
 from persimmonsail import logs
-from tests.virtual import loops
-from tests.virtual import network
+from standins.virtual import loops
+from standins.virtual import network
 
 _MAX_ROUNDS = 2_000_000
 
@@ -209,8 +210,8 @@
             (time, 'time', lambda: self.clock.now),
             (uuid, 'uuid4', self._make_uuid),
             (anyio, 'open_signal_receiver', fakes.open_signal_receiver),
-            (httpserver, 'bind', str),
-            (httpserver, 'name_of', str),
+            (addresses, 'bind', str),
+            (addresses, 'name_of', str),
             (httpserver, 'HttpServer', fakes.make_http_server),
             (grpclib.server, 'Server', fakes.make_grpc_server),
             (grpclib.client, 'Channel', fakes.make_channel),
--- a/tests/test_stateful.py
+++ b/tests/test_stateful.py
@@ -12,9 +12,9 @@
 import hypothesis.strategies as st
 
 from persimmonsail import httpstore
-from tests.virtual import fleet as fleet_module
-from tests.virtual import oracle
-from tests.virtual import world as world_module
+from standins.virtual import fleet as fleet_module
+from standins.virtual import world as world_module
+from tests import oracle
 
 EXAMPLES = int(os.environ.get('PERSIMMONSAIL_FUZZ_EXAMPLES', '8'))
 STEPS = int(os.environ.get('PERSIMMONSAIL_FUZZ_STEPS', '20'))
