--- a/src/persimmonsail/announcer.py
+++ b/src/persimmonsail/announcer.py
@@ -7,6 +7,7 @@
 import grpclib.exceptions
 
 from persimmonsail import attempts
+from persimmonsail import colocation as colocation_module
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import exceptions
@@ -27,11 +28,13 @@
         settings: settings_module.Settings,
         address: str,
         opened: links.Links,
+        colocation: colocation_module.Colocation,
     ) -> None:
         self._own = own
         self._settings = settings
         self._address = settings.process.control_advertised or address
         self._links = opened
+        self._colocation = colocation
         self._known: set[str] = set()
         self._alive: frozenset[str] = frozenset()
         self.changed = anyio.Event()
@@ -107,12 +110,15 @@
         settings = self._settings
         stub = control_grpc.EntryStub(self._links.open(address))
         sequence = 0
+        told = colocation_module.LinkState()
         with anyio.fail_after(settings.links.silence) as scope:
             async with stub.Link.open() as stream:
                 while True:
                     sequence += 1
                     asked_at = time.monotonic()
-                    await stream.send_message(self.describe(sequence))
+                    report = self.describe(sequence)
+                    self._colocation.describe(report, told)
+                    await stream.send_message(report)
                     notice = await stream.recv_message()
                     if notice is None:
                         # Leaving the stream without an error would
@@ -139,3 +145,4 @@
                 asked_at, asked_at - notice.evidence_age_seconds
             )
         self._add(notice.entries)
+        self._colocation.note_notice(notice)
--- a/src/persimmonsail/fleet.py
+++ b/src/persimmonsail/fleet.py
@@ -5,6 +5,8 @@
 
 from persimmonsail import admission
 from persimmonsail import control_pb2
+from persimmonsail import interference
+from persimmonsail import usage
 
 FORGET_SECONDS = 900.0
 
@@ -48,6 +50,8 @@
 class Fleet:
     """Instances by name; a silent one ages out.
 
+    ``estimator`` has learnt from the samples of all reports.
+
     Parameters
     ----------
     silence : float
@@ -58,6 +62,7 @@
 
     def __init__(self, silence: float, forget: float = FORGET_SECONDS) -> None:
         self._silence = silence
+        self.estimator = interference.Estimator()
         self._forget = forget
         self._forgot_at = time.monotonic()
         self._instances: dict[str, Instance] = {}
@@ -89,6 +94,16 @@
             failures=report.load.failures,
             unproved=report.load.unproved,
         )
+        if report.HasField('usage'):
+            instance.shares = usage.read_shares(report.usage.shares)
+            instance.demand = usage.read_shares(report.usage.demand)
+        elif before and before.incarnation == report.incarnation:
+            instance.shares = before.shares
+            instance.demand = before.demand
+        for sample in report.samples:
+            self.estimator.learn(
+                usage.read_sample(sample, instance.reported_at)
+            )
         self._forget_silent()
         if before is None:
             self._instances[report.instance] = instance
--- a/src/persimmonsail/placement.py
+++ b/src/persimmonsail/placement.py
@@ -7,7 +7,9 @@
 from persimmonsail import admission
 from persimmonsail import fleet
 from persimmonsail import interference
+from persimmonsail import logs
 from persimmonsail import objectives
+from persimmonsail import tasks
 
 _CROWDING_WEIGHT = 0.05
 _SPREAD_WEIGHT = 0.02
@@ -56,11 +58,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
-    """A chosen instance, or why the task waits instead."""
+    """A chosen instance, or why the task waits instead.
+
+    ``is_costly`` marks a cost at which tasks are held back for a while.
+    """
 
     cost: Cost | None
     reason: str
     fitting: int
+    is_costly: bool = False
 
     @property
     def instance(self) -> fleet.Instance | None:
@@ -113,6 +119,7 @@
         self._estimator = estimator
         self._objectives = weights
         self._clock = clock
+        self._held_since: dict[str, float] = {}
 
     def choose(
         self, candidates: t.Sequence[fleet.Instance], need: Need
@@ -131,13 +138,42 @@
             self._find_cost(instance, need, racks, zones)
             for instance in fitting
         ]
-        best = min(costs, key=lambda cost: cost.total)
+        best = min(costs, key=_rank)
         weights = self._objectives.find_weights(need.workload)
-        held = (
-            best.interference > weights.hold_above
-            and need.waited < weights.hold_seconds
-        )
-        return Choice(best, 'interference' if held else '', len(fitting))
+        costly = best.interference > weights.hold_above
+        held = costly and need.waited < weights.hold_seconds
+        reason = 'interference' if held else ''
+        return Choice(best, reason, len(fitting), costly)
+
+    def choose_task(
+        self,
+        candidates: t.Sequence[fleet.Instance],
+        task: tasks.Task,
+        size: admission.Size,
+    ) -> fleet.Instance | None:
+        """Return the instance for a task's next attempt, if any.
+
+        All tasks of a workload are held back for the same while. The
+        decision is logged with its terms. The instance's view is
+        changed at once, since its next report comes after the next
+        decisions.
+        """
+        now = self._clock()
+        waited = now - self._held_since.get(task.workload, now)
+        choice = self.choose(candidates, Need(task.workload, size, waited))
+        chosen = choice.instance
+        if choice.is_costly and task.workload not in self._held_since:
+            _log_choice('placement-held', task, choice)
+            self._held_since[task.workload] = now
+        elif chosen is not None and not choice.is_costly:
+            self._held_since.pop(task.workload, None)
+        if chosen is None:
+            return None
+        share = size.cores / chosen.capacity.cores
+        before = chosen.shares.get(task.workload, 0.0)
+        chosen.shares = {**chosen.shares, task.workload: before + share}
+        _log_choice('placement-choice', task, choice)
+        return chosen
 
     def find_interference(
         self, instance: fleet.Instance, workload: str, share: float
@@ -184,6 +220,25 @@
         )
 
 
+def _rank(cost: Cost) -> tuple[float, float]:
+    """Order by cost; of equals, the instance with most room is first."""
+    instance = cost.instance
+    return cost.total, instance.committed.cores / instance.capacity.cores
+
+
+def _log_choice(event: str, task: tasks.Task, choice: Choice) -> None:
+    logs.write_event(
+        event,
+        task=task.id,
+        workload=task.workload,
+        chosen=choice.cost.instance.name,
+        fitting=choice.fitting,
+        cost=choice.cost.total,
+        terms=choice.cost.describe(),
+        reason=choice.reason,
+    )
+
+
 def _sum_shares(
     candidates: t.Iterable[fleet.Instance], workload: str, place: str
 ) -> dict[str, float]:
--- a/src/persimmonsail/quick.py
+++ b/src/persimmonsail/quick.py
@@ -26,6 +26,7 @@
 from persimmonsail import revisions
 from persimmonsail import routing
 from persimmonsail import settlement
+from persimmonsail import shedding
 
 _MAX_ATTEMPTS = 4
 _RETRY_AFTER = 1.0
@@ -79,13 +80,20 @@
         zone: str,
         generator: random.Random,
         claims: claims_module.Claims | None = None,
+        shedder: shedding.Shedder | None = None,
     ) -> None:
         self._fleet = fleet
         self._links = links
         self._view = view
         self._zone = zone
-        self._generator = generator
+        self._router = routing.Router(
+            fleet.estimator,
+            time.monotonic,
+            generator,
+            routing.DISTANCE_SECONDS,
+        )
         self._claims = claims
+        self._shedder = shedder or shedding.Shedder(fleet, generator)
         self._settler = settlement.Settler(links)
         self._budget = retries.POLICIES['fraction']()
         self._hedging = hedging.POLICIES['percentile']()
@@ -111,14 +119,16 @@
             If the request is refused, or its outcome is unknown.
         """
         if not request.key:
-            return await self._send_once(request)
+            with self._shedder.admit(request):
+                return await self._send_once(request)
         fingerprint = claims_module.take_fingerprint(request.body)
         key = f'{request.limits.owner}/{request.workload}/{request.key}'
 
         async def send_first() -> control_pb2.ExecuteReply:
-            if request.limits.idempotent or self._claims is None:
-                return await self._send_once(request)
-            return await self._send_claimed(request, key, fingerprint)
+            with self._shedder.admit(request):
+                if request.limits.idempotent or self._claims is None:
+                    return await self._send_once(request)
+                return await self._send_claimed(request, key, fingerprint)
 
         return await self._replays.run(
             key, fingerprint, send_first, request.deadline
@@ -220,16 +230,16 @@
         fresh = [instance for instance in live if instance.name not in tried]
         if not fresh:
             return None
-        chosen = routing.POLICIES['sampled'](
-            fresh, self._zone, self._generator
-        )
+        cost = self._router.choose(fresh, request.workload, self._zone)
+        chosen = cost.instance
         logs.write_event(
             'routing',
             request=request.id,
             workload=request.workload,
             chosen=chosen.name,
             incarnation=chosen.incarnation,
-            score=routing.score(chosen, self._zone),
+            score=cost.total,
+            terms=cost.describe(),
             outstanding=chosen.outstanding,
             queued=chosen.queued,
             busy_slots=chosen.busy_slots,
@@ -370,6 +380,7 @@
             ),
             timeout_seconds=left - margin,
             idempotent=limits.idempotent,
+            urgent=limits.urgent,
             body=request.body,
             content_type=request.content_type,
             issued_ms=claim.issued_ms,
--- a/src/persimmonsail/settings.py
+++ b/src/persimmonsail/settings.py
@@ -99,6 +99,7 @@
     connections: t.Annotated[int, pydantic.Field(ge=1, le=65536)] = 64
     queue: t.Annotated[int, pydantic.Field(ge=0, le=65536)] = 16
     report_interval: Seconds = 0.5
+    usage_interval: Seconds = 1.0
     attempt_window: Seconds = 15.0
     health_interval: Seconds = 0.5
     notice: Seconds = 1.0
--- /dev/null
+++ b/tests/test_headroom.py
@@ -0,0 +1,92 @@
+import random
+import time
+
+import anyio
+
+from persimmonsail import admission
+from persimmonsail import catalogue
+from persimmonsail import control_pb2
+from persimmonsail import fleet
+from persimmonsail import problems
+from persimmonsail import quick
+from persimmonsail import revisions
+from tests import base
+from tests import test_execution
+
+LIMITS = catalogue.Workload.model_validate(
+    {
+        'owner': 'a',
+        'class': 'latency-critical',
+        'service': 'planning',
+        'idempotent': 'yes',
+        'cores': 1,
+        'memory-gb': 1,
+        'max-concurrent': 2,
+    }
+)
+
+
+class UrgentTest(base.TestCase):
+    async def test_only_an_urgent_request_gets_the_last_cores(self):
+        """Uploads take every core, and a line lead's check waits."""
+        size = admission.Size(2.0, 1.0).to_message()
+        async with test_execution.open_executor() as (executor, own, backend):
+            own.commitments.try_commit('task/1/1', admission.Size(60.0, 1.0))
+            common = test_execution.make_request(own, 'common', size=size)
+            refused = await executor.execute(common)
+            self.assertEqual(control_pb2.NOT_RUN, refused.verdict)
+            self.assertEqual('no capacity', refused.reason)
+            urgent = test_execution.make_request(
+                own, 'urgent', size=size, urgent=True
+            )
+            backend.free.set()
+            answered = await executor.execute(urgent)
+            self.assertEqual(control_pb2.ANSWERED, answered.verdict)
+
+
+class SilentLinks:
+    """Links whose peers never answer."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.called = anyio.Event()
+
+    async def call(self, *arguments):
+        self.calls += 1
+        if self.calls == LIMITS.max_concurrent:
+            self.called.set()
+        await anyio.sleep_forever()
+
+
+def make_request(number: int) -> quick.QuickRequest:
+    return quick.QuickRequest(
+        f'r{number}', 'check', LIMITS, b'', '', time.monotonic() + 60
+    )
+
+
+class QuickPathTest(base.TestCase):
+    async def test_a_shed_request_costs_no_attempt(self):
+        """A busy service gets busier by what it refuses."""
+        known = fleet.Fleet(3600.0)
+        known.note_report(
+            control_pb2.SidecarReport(
+                instance='one', service='planning', slots=8
+            )
+        )
+        links = SilentLinks()
+        path = quick.QuickPath(
+            known, links, revisions.View(), 'zone', random.Random(1)
+        )
+        async with path, anyio.create_task_group() as group:
+            for number in range(LIMITS.max_concurrent):
+                group.start_soon(path.send, make_request(number))
+            await links.called.wait()
+            try:
+                await path.send(make_request(9))
+            except problems.Problem as problem:
+                self.assertEqual(429, problem.status)
+                self.assertEqual('not-run', problem.work)
+            else:
+                self.fail('it was not shed')
+            self.assertEqual(LIMITS.max_concurrent, links.calls)
+            group.cancel_scope.cancel()
