--- a/src/persimmonsail/instance.py
+++ b/src/persimmonsail/instance.py
@@ -12,6 +12,11 @@
 from persimmonsail import usage
 
 
+def _read_clock() -> float:
+    # Looked up at each call, so that a test's clock is read too.
+    return time.monotonic()
+
+
 def _make_incarnation() -> str:
     return uuid.uuid4().hex
 
@@ -36,7 +41,7 @@
     revision: int = 0
     notice_limit: float = math.inf
     confirmed_at: float = -math.inf
-    started_at: float = dataclasses.field(default_factory=time.monotonic)
+    started_at: float = dataclasses.field(default_factory=_read_clock)
     is_informed: bool = False
     leaving: bool = False
     backend_leaving: bool = False
