--- a/tools/guards.py
+++ b/tools/guards.py
@@ -26,6 +26,7 @@
 _COPIED = ('src', 'standins', 'tests', 'tools', 'examples', 'pyproject.toml')
 _WORKERS = 4
 _SECONDS = 100.0
+_UNTOUCHED_SECONDS = 600.0
 _PASSED = 0
 _FAILED = 1
 ALL_GUARDS = [*guard_list.GUARDS, *guard_list_catalogue.GUARDS]
@@ -67,7 +68,9 @@
             shutil.copy(source, directory / name)
 
 
-def run_tests(directory: pathlib.Path, tests: tuple[str, ...]) -> int:
+def run_tests(
+    directory: pathlib.Path, tests: tuple[str, ...], seconds: float
+) -> int:
     """Run tests in a copy and return pytest's code."""
     process = subprocess.Popen(
         [sys.executable, '-m', 'pytest', '-x', '-q', *tests],
@@ -82,7 +85,7 @@
         start_new_session=True,
     )
     try:
-        return process.wait(_SECONDS)
+        return process.wait(seconds)
     except subprocess.TimeoutExpired:
         # The group is the tests' own: pytest and what it has started.
         os.killpg(process.pid, signal.SIGKILL)
@@ -100,7 +103,7 @@
         text = path.read_text(encoding='utf-8')
         path.write_text(text.replace(guard.pattern, guard.replacement))
         try:
-            seen = _name_seen(run_tests(directory, guard.tests))
+            seen = _name_seen(run_tests(directory, guard.tests, _SECONDS))
         except subprocess.TimeoutExpired:
             seen = 'yes (tests hang)'
     return Result(guard, seen, time.monotonic() - began)
@@ -117,7 +120,7 @@
     tests = sorted({test for guard in guards for test in guard.tests})
     with tempfile.TemporaryDirectory(prefix='persimmonsail-') as name:
         copy_tree(pathlib.Path(name))
-        return run_tests(pathlib.Path(name), tuple(tests))
+        return run_tests(pathlib.Path(name), tuple(tests), _UNTOUCHED_SECONDS)
 
 
 def print_row(result: Result) -> None:
