Mend the load of make slopes after the sidecars' new reports

make slopes at ended on a TypeError in its first series: the fake sidecars open the shipped announcer, which since takes what the sidecar sees of interference. The series under load would have ended too: the inner task took the name of the function that it calls.

The fake instances report no usage samples, so that their link bytes lack those.

--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -1,9 +1,13 @@
+import pathlib
+
 import anyio
 import anyio.abc
 import testtools
 
 from persimmonsail import catalogue
+from persimmonsail import links
 from tests import base
+from tools import slope_fakes
 from tools import slope_fit
 from tools import slope_meter
 from tools import slope_series
@@ -77,7 +81,42 @@
         self.assertGreater(fleet.spread, fleet.workers / 2)
 
 
+class StillBench:
+    """Takes callers' requests, and measures nothing."""
+
+    def __init__(self):
+        self.posts = 0
+
+    async def post(self, name, workload):
+        self.posts += 1
+
+    def open_meter(self, name):
+        return self
+
+    async def measure(self, window):
+        return slope_meter.Sample()
+
+
 class LoadTest(base.TestCase):
+    async def test_a_fake_sidecar_reports_as_the_shipped_one_does(self):
+        # A series ended on a TypeError as soon as a sidecar's reports
+        # told of interference: the load opened announcers by itself.
+        proxy = slope_meter.CountingProxy()
+        sidecar = slope_fakes.FakeSidecar('fake', 'piedmont-a', proxy)
+        proxy.address = '127.0.0.1:1'
+        with links.Links() as opened:
+            sidecar.open_announcer(['127.0.0.1:2'], opened)
+            self.assertEqual('fake', sidecar.announcer.describe(1).instance)
+
+    async def test_the_holder_and_the_caller_are_measured_under_load(self):
+        # The series of starts ended on a TypeError: the measuring task
+        # bore the name of what it called, and called itself.
+        self.patch(slope_series, 'SETTLE_SECONDS', 0.0)
+        plan = slope_series.Plan(pathlib.Path())
+        bench = StillBench()
+        samples = await slope_series._load(bench, plan, 5, 'a', 'b')
+        self.assertEqual({'a', 'b'}, set(samples))
+
     def test_the_measured_catalogue_is_valid(self):
         text = slope_series.make_catalogue(200)
         found = catalogue.parse('slopes', text)
--- a/tools/slope_fakes.py
+++ b/tools/slope_fakes.py
@@ -16,12 +16,14 @@
 from persimmonsail import addresses
 from persimmonsail import admission
 from persimmonsail import announcer as announcer_module
+from persimmonsail import colocation
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
 from persimmonsail import instance as instance_module
 from persimmonsail import links
 from persimmonsail import refsets
 from persimmonsail import settings as settings_module
+from persimmonsail import workers
 from tools import slope_meter
 
 _SETTINGS = """
@@ -49,6 +51,13 @@
     renewed_at: float
 
 
+class _SilentWorker(workers.Worker):
+    """A worker that is never asked: no fake instance reports usage."""
+
+    def __init__(self) -> None:
+        self.boot = self.incarnation = ''
+
+
 class FakeSidecar(control_grpc.SidecarBase):
     """One instance: admits every task and ends it after its time."""
 
@@ -87,8 +96,15 @@
             entries=', '.join(entries),
         )
         settings = settings_module.parse('fake', text, 'sidecar')
+        limits = settings.sidecar
+        seen = colocation.Colocation(
+            self.own,
+            _SilentWorker(),
+            limits.slots,
+            limits.usage_interval,
+        )
         self.announcer = announcer_module.Announcer(
-            self.own, settings, self.proxy.address, opened
+            self.own, settings, self.proxy.address, opened, seen
         )
 
     async def Execute(self, stream) -> None:
--- a/tools/slope_series.py
+++ b/tools/slope_series.py
@@ -276,7 +276,7 @@
 ) -> dict[str, slope_meter.Sample]:
     samples: dict[str, slope_meter.Sample] = {}
 
-    async def measure(name: str) -> None:
+    async def measure_one(name: str) -> None:
         samples[name] = await measure(bench, plan, name)
 
     async def send(group) -> None:
@@ -294,7 +294,7 @@
             group.start_soon(send, posts)
             async with anyio.create_task_group() as meters:
                 for name in {held, caller}:
-                    meters.start_soon(measure, name)
+                    meters.start_soon(measure_one, name)
             group.cancel_scope.cancel()
     return samples
 
