Apply the measured catalogues, and let no refused command pass

The changes are now based on the head, and a command that fails ends the run. The test was seen failing first.

--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -7,6 +7,7 @@
 from persimmonsail import catalogue
 from persimmonsail import links
 from tests import base
+from tools import slope_commands
 from tools import slope_fakes
 from tools import slope_fit
 from tools import slope_meter
@@ -140,3 +141,12 @@
                     self.assertEqual(b'1234!', await far.receive())
             self.assertEqual(9, proxy.bytes)
             group.cancel_scope.cancel()
+
+    async def test_a_refused_command_is_no_figure(self):
+        # The series of the catalogue measured refusals: since an edit
+        # has to name the revision it began at, only its first point was
+        # a change, and nothing looked at the command's exit code.
+        with testtools.ExpectedException(RuntimeError, 'catalogue ended'):
+            await slope_commands._run_command(
+                'catalogue', 'apply', 'missing.ini', '--store', '127.0.0.1:1'
+            )
--- a/tools/slope_commands.py
+++ b/tools/slope_commands.py
@@ -37,7 +37,9 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(_note_sample, bench, plan, role, count)
                 await anyio.sleep(base.SETTLE_SECONDS + 1)
-                sample = await _run_command('catalogue', 'apply', path, *store)
+                sample = await _run_command(
+                    'catalogue', 'apply', path, *store, '--base', 'head'
+                )
             apply.points.append((count, sample))
             sample = await _run_command('catalogue', 'show', *store)
             show.points.append((count, sample))
@@ -54,7 +56,10 @@
 
 
 async def _run_command(*arguments: object) -> slope_meter.Sample:
-    """Return the whole processor seconds and memory of a command."""
+    """Return the whole processor seconds and memory of a command.
+
+    A refused command costs little, and would pass for a cheap one.
+    """
     program = [sys.executable, '-m', 'persimmonsail']
     handle = psutil.Popen(
         [*program, *map(str, arguments)], stdout=subprocess.DEVNULL
@@ -67,7 +72,8 @@
             await anyio.sleep(_LOOK_SECONDS)
         times = handle.cpu_times()
         cpu = times.user + times.system
-    handle.wait()
+    if handle.wait():
+        raise RuntimeError(f'{arguments[0]} ended with {handle.returncode}')
     return slope_meter.Sample(cpu=cpu, rss_mb=peak / slope_meter.MEGABYTE)
 
 
