--- a/tools/bench/scenarios_placement.py
+++ b/tools/bench/scenarios_placement.py
@@ -131,6 +131,7 @@
     registry.scenario(name, TAIL, ('oracle', 'best-fit'))(run)
 
 
+_register_late('reports 1 s late', 'Usage reports come after 1 s.', 1.0, 0.0)
 _register_late('reports 5 s late', 'Usage reports come after 5 s.', 5.0, 0.0)
 _register_late(
     'reports 30 s late', 'Usage reports come after 30 s.', 30.0, 0.0
