--- a/src/persimmonsail/backoff.py
+++ b/src/persimmonsail/backoff.py
@@ -4,12 +4,12 @@
 import random
 import typing as t
 
+from persimmonsail import reasons
+
 SHORTEST = 0.1
 LONGEST = 5.0
 # Tasks that were refused together come back spread by this part.
 JITTER = 0.25
-# An instance that leaves says nothing about the task or about others.
-_LEAVING = 'leaving'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,7 +72,7 @@
         Wait or None
             None if the task need not wait.
         """
-        if reason == _LEAVING:
+        if reason == reasons.LEAVING:
             return None
         last = self._waits.get(task)
         refusals = 1
--- a/src/persimmonsail/consents.py
+++ b/src/persimmonsail/consents.py
@@ -16,6 +16,7 @@
 from persimmonsail import exceptions
 from persimmonsail import links as links_module
 from persimmonsail import logs
+from persimmonsail import reasons
 from persimmonsail import records
 
 _CALL_TIMEOUT = 1.0
@@ -91,7 +92,7 @@
         if request.id != self.id:
             return 'another process was asked'
         if request.epoch < self._fences.get(request.partition, 0):
-            return 'a later epoch is known'
+            return reasons.LATER_EPOCH
         if self._is_held(request.partition):
             return 'the partition is held here'
         # Whoever can reach the store can take the partition there; the
--- a/src/persimmonsail/renewals.py
+++ b/src/persimmonsail/renewals.py
@@ -13,6 +13,7 @@
 from persimmonsail import fleet as fleet_module
 from persimmonsail import holding as holding_module
 from persimmonsail import logs
+from persimmonsail import reasons
 from persimmonsail import records
 from persimmonsail import refsets
 from persimmonsail import tasks
@@ -21,7 +22,6 @@
 # A task that must not run twice and whose instance is silent waits this
 # many leases for the sidecar's return with an outcome or a checkpoint.
 _EVIDENCE_LEASES = 10
-_LATER_EPOCH = 'a later epoch is known'
 
 
 class Renewer:
@@ -154,7 +154,7 @@
     def _take_reply(
         self, instance: fleet_module.Instance, reply: control_pb2.RenewReply
     ) -> control_pb2.RenewReply | None:
-        if reply.reason == _LATER_EPOCH:
+        if reply.reason == reasons.LATER_EPOCH:
             raise exceptions.NotHolder(f'{instance.name}: {reply.reason}')
         if not reply.accepted:
             logs.write_event(
--- a/src/persimmonsail/supervisor.py
+++ b/src/persimmonsail/supervisor.py
@@ -10,6 +10,7 @@
 from persimmonsail import exceptions
 from persimmonsail import instance as instance_module
 from persimmonsail import logs
+from persimmonsail import reasons
 from persimmonsail import refsets
 from persimmonsail import tasklog
 from persimmonsail import workers
@@ -122,7 +123,7 @@
         if request.incarnation != self._own.incarnation:
             return 'other incarnation'
         if not self._accept_epoch(request.partition, request.epoch):
-            return 'a later epoch is known'
+            return reasons.LATER_EPOCH
         if not self._is_granted(request):
             return 'the lease is over'
         if request.boot != self._worker.boot:
@@ -135,7 +136,7 @@
         if (request.task, request.attempt) in self._bars:
             return 'barred'
         if self._own.leaving:
-            return 'leaving'
+            return reasons.LEAVING
         return self._own.probation.find_refusal(request.canary)
 
     def _accept_epoch(self, partition: int, epoch: int) -> bool:
@@ -204,7 +205,7 @@
         self, request: control_pb2.RenewRequest, reply: control_pb2.RenewReply
     ) -> str:
         if not self._accept_epoch(request.partition, request.epoch):
-            return 'a later epoch is known'
+            return reasons.LATER_EPOCH
         reply.boot = self._worker.boot
         if request.incarnation != self._own.incarnation:
             return 'other incarnation'
@@ -323,7 +324,7 @@
         """Stop one attempt, with a checkpoint if asked for."""
         reply = control_pb2.StopTaskReply()
         if not self._accept_epoch(request.partition, request.epoch):
-            reply.reason = 'a later epoch is known'
+            reply.reason = reasons.LATER_EPOCH
             return reply
         key = (request.task, request.attempt)
         self._bar(key, request.lease_seconds)
--- a/tools/guards_tasks.py
+++ b/tools/guards_tasks.py
@@ -196,7 +196,7 @@
         'later epoch ends the holder',
         'I2',
         'src/persimmonsail/renewals.py',
-        '        if reply.reason == _LATER_EPOCH:',
+        '        if reply.reason == reasons.LATER_EPOCH:',
         '        if False:',
         ('tests/test_holder.py',),
     ),
