--- a/standins/backend.py
+++ b/standins/backend.py
@@ -1,8 +1,10 @@
 """Backend server stand-in: ``python -m standins.backend``.
 
 Answers ``POST /work`` with the request's own number and body. It has 8
-slots; work beyond them waits. ``GET /record`` returns all requests that
-ran, in order. A request's JSON may name ``seconds`` that it takes,
+slots; work beyond them waits. It has 64 connections; a request beyond
+them is refused with 503 and does not run. ``GET /record`` returns all
+requests that ran, in order. A request's JSON may name ``seconds`` that
+it takes,
 ``truncate`` for an answer cut off in its middle, and ``padding``, bytes
 that are added to the answer. ``POST /leave`` makes it leave: its
 ``/health`` then answers 503; ``POST /return`` brings it back.
@@ -20,6 +22,7 @@
 from standins import serving
 
 SLOTS = 8
+CONNECTIONS = 64
 
 
 class BackendServer:
@@ -30,6 +33,7 @@
         self._limiter: anyio.Semaphore | None = None
         self._record: list[dict] = []
         self._leaving = False
+        self._open = 0
         self.app = applications.Starlette(
             routes=[
                 routing.Route('/work', self._work, methods=['POST']),
@@ -41,6 +45,15 @@
         )
 
     async def _work(self, request: requests.Request):
+        if self._open >= CONNECTIONS:
+            return responses.PlainTextResponse('too many connections', 503)
+        self._open += 1
+        try:
+            return await self._run(request)
+        finally:
+            self._open -= 1
+
+    async def _run(self, request: requests.Request):
         body = await request.body()
         wanted = json.loads(body or b'{}')
         number = request.headers.get('request-id', '')
