Do not move a task again for an instance it has left

A renewal that timed out gave up all tasks of the list it was sent with; one of them had meanwhile been started on another instance, and was started a third time while that one still ran (I2). Ruled out: the lease arithmetic (the first move came after the whole lease and margin), the fakes (the ledger shows the release of attempt 2 with the silence of attempt 1's instance). Before: FoundTest fails, a watcher in two places; after: passes. Conclusion: the give-up asks where the task is now.

--- a/src/persimmonsail/renewals.py
+++ b/src/persimmonsail/renewals.py
@@ -230,6 +230,10 @@
         patience = _EVIDENCE_LEASES * self._holding.lease_seconds
         async with anyio.create_task_group() as group:
             for task in claimed:
+                # The call took its time: the task may have moved on, and
+                # this instance's silence says nothing of the next one.
+                if task.instance != name:
+                    continue
                 waits = silence < patience and not (
                     task.cancel_asked or self._endings.is_restartable(task)
                 )
--- a/tests/test_stateful.py
+++ b/tests/test_stateful.py
@@ -14,6 +14,7 @@
 from persimmonsail import httpstore
 from standins.virtual import fleet as fleet_module
 from standins.virtual import world as world_module
+from tests import base
 from tests import invariants
 
 EXAMPLES = int(os.environ.get('PERSIMMONSAIL_FUZZ_EXAMPLES', '5'))
@@ -334,6 +335,25 @@
         faults.silent_watches = False
 
 
+class FoundTest(base.TestCase):
+    """What the machine found, as tests of their own."""
+
+    def test_old_call_does_not_move_a_watcher_a_second_time(self):
+        """A watcher runs twice.
+
+        Its instance is cut off; its lease is over, and it starts on
+        another one. A renewal sent to the first instance before that
+        ends only now, and gave up all tasks of its own old list.
+        """
+        machine = SystemMachine()
+        self.addCleanup(machine.world.__exit__)
+        machine.send_quick('entry-1', 4)
+        machine.submit_build_at_both_entries(0.5)
+        machine.stop_store(1.0)
+        machine.isolate('three', 8.0)
+        machine.promises_hold()
+
+
 SystemTest = SystemMachine.TestCase
 SystemTest.settings = hypothesis.settings(
     max_examples=EXAMPLES,
