Keep a library's cancellation out of the caller's task

Cause: the library ends a stream on a closed link by cancelling the task that uses it, and never takes that back. The probe of a silent link ran in the caller's own task, so a scope there took it for a cancellation from outside and passed it on; the caller got a bare status 500 with no event. Ruled out: the settlement (no 'answer-lost' event came at all).

--- a/src/persimmonsail/links.py
+++ b/src/persimmonsail/links.py
@@ -200,10 +200,17 @@
                 errors.append(error)
             group.cancel_scope.cancel()
 
-        async with anyio.create_task_group() as group:
-            group.start_soon(make_call)
+        async def watch_link() -> None:
             await link.watch(self._limits)
             group.cancel_scope.cancel()
+
+        # The library ends a broken stream by a plain cancellation of the
+        # task that uses it, and never takes it back. In the caller's own
+        # task a scope would take that for a cancellation from outside and
+        # pass it on: the caller would get a bare status 500.
+        async with anyio.create_task_group() as group:
+            group.start_soon(make_call)
+            group.start_soon(watch_link)
         if replies:
             link.note_heard()
             return replies[0]
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 
 import anyio
@@ -82,6 +83,38 @@
             reply = await settle(opened, middle.address)
             self.assertEqual('here', reply.reason)
 
+    async def test_link_closed_during_its_probe_cancels_no_caller(self):
+        """A caller gets a bare status 500 when a sidecar is killed.
+
+        Two calls share its link. One finds it broken and closes it while
+        the other probes it; the library cancels the probing task, and
+        the cancellation goes on into whoever made the call.
+        """
+        probed = anyio.Event()
+        async with open_site() as (sidecar, middle, opened):
+
+            async def close_while_probed() -> None:
+                await sidecar.began.wait()
+                middle.set_mode('freeze')
+                link = opened._links[middle.address]
+                send_probe = link._probe
+
+                async def note_probe(limits):
+                    probed.set()
+                    await send_probe(limits)
+
+                link._probe = note_probe
+                await probed.wait()
+                await anyio.sleep(LIMITS.probe / 4)
+                opened.drop(middle.address)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(close_while_probed)
+                with self.assertRaises(exceptions.LinkLost):
+                    await settle(opened, middle.address, 600)
+                self.assertEqual(0, asyncio.current_task().cancelling())
+            middle.set_mode('pass')
+
     async def test_slow_answer_on_a_live_link_is_waited_for(self):
         async with open_site() as (sidecar, middle, opened):
 
