Count a stopped worker's tasks as paused in the fuzzing's oracle

The check is as strict: a stretch ends when the worker is stopped, and a new one begins if it goes on within its lease; any overlap still breaks.

--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -5,7 +5,10 @@
 
 WATCHER = 'watcher'
 BUILD = 'build'
-_ENDS = ('succeeded', 'failed', 'evicted', 'stopped', 'died')
+PAUSED = 'paused'
+CONTINUED = 'continued'
+_STARTS = ('started', CONTINUED)
+_ENDS = ('succeeded', 'failed', 'evicted', 'stopped', 'died', PAUSED)
 
 
 class Broken(AssertionError):
@@ -13,29 +16,43 @@
 
 
 def find_runs(records: t.Mapping[str, list[dict]]) -> list[dict]:
-    """Return each start of a task, with when and how it ended."""
+    """Return each stretch in which a task ran, and how it ended.
+
+    A worker that is stopped like by SIGSTOP runs nothing meanwhile; what
+    goes on when it wakes is a stretch of its own.
+    """
     runs = []
     for instance, record in records.items():
-        active: dict[tuple[str, int], dict] = {}
+        latest: dict[tuple[str, int], dict] = {}
         for event in record:
             key = (event['task'], event['attempt'])
-            if event['event'] == 'started':
-                run = {
-                    'instance': instance,
-                    'task': event['task'],
-                    'attempt': event['attempt'],
-                    'workload': event['workload'],
-                    'start': event['at'],
-                    'end': float('inf'),
-                    'how': 'active',
-                }
-                active[key] = run
-                runs.append(run)
-            elif event['event'] in _ENDS and key in active:
-                active[key].update(end=event['at'], how=event['event'])
+            if event['event'] in _STARTS:
+                latest[key] = _begin_run(instance, event, latest.get(key))
+                runs.append(latest[key])
+            elif event['event'] in _ENDS and key in latest:
+                _end_run(latest[key], event)
     return sorted(runs, key=lambda run: run['start'])
 
 
+def _begin_run(instance: str, event: dict, before: dict | None) -> dict:
+    return {
+        'instance': instance,
+        'task': event['task'],
+        'attempt': event['attempt'],
+        'workload': before['workload'] if before else event['workload'],
+        'start': event['at'],
+        'end': float('inf'),
+        'how': 'active',
+    }
+
+
+def _end_run(run: dict, event: dict) -> None:
+    if run['how'] == 'active':
+        run.update(end=event['at'], how=event['event'])
+    elif run['how'] == PAUSED:
+        run['how'] = event['event']
+
+
 def check_single_place(runs: list[dict]) -> None:
     """I2: no task is active in two places at once."""
     for task, found in _by_task(runs).items():
@@ -50,7 +67,8 @@
         if task not in builds:
             continue
         for before, after in zip(found, found[1:], strict=False):
-            if before['how'] != 'evicted':
+            same = before['attempt'] == after['attempt']
+            if before['how'] != 'evicted' and not same:
                 raise Broken(f'I6: {task} ran again: {before} {after}')
 
 
--- a/tests/test_stateful.py
+++ b/tests/test_stateful.py
@@ -138,13 +138,13 @@
 
     @hypothesis.stateful.rule(name=NAMES, frozen=st.booleans())
     def freeze(self, name, frozen):
-        self.world.freeze(name, frozen)
+        self._freeze(name, frozen)
 
     @hypothesis.stateful.rule(name=NAMES, seconds=PAUSES)
     def pause(self, name, seconds):
-        self.world.freeze(name)
+        self._freeze(name, True)
         self.world.run_for(seconds)
-        self.world.freeze(name, False)
+        self._freeze(name, False)
 
     @hypothesis.stateful.rule(name=ROLES, seconds=PAUSES)
     def isolate(self, name, seconds):
@@ -213,8 +213,8 @@
     def _settle(self):
         self._heal_store()
         self.world.cut.clear()
-        for process in self.world.processes.values():
-            process.frozen = False
+        for name in self.world.processes:
+            self._freeze(name, False)
         self.world.run_for(STOP_SECONDS)
         for name, process in list(self.world.processes.items()):
             if process.dead or process.main.done():
@@ -301,21 +301,31 @@
                 if error := process.main.exception():
                     raise error
 
+    def _freeze(self, name, frozen):
+        process = self.world.processes[name]
+        if process.frozen != frozen and not process.dead:
+            event = invariants.PAUSED if frozen else invariants.CONTINUED
+            self._note_runs(name, event)
+        self.world.freeze(name, frozen)
+
     def _note_death(self, name):
+        if not self.world.processes[name].dead:
+            self._note_runs(name, 'died')
+
+    def _note_runs(self, name, event):
         instance = name.removeprefix('worker-')
-        server = self.fleet.workers.get(instance)
-        if instance == name or server is None:
-            return
-        if self.world.processes[name].dead:
+        if instance == name or instance not in self.fleet.workers:
             return
-        for run in server._runs.values():
-            if run.phase == 'active':
+        now = self.world.clock.now
+        for run in self.fleet.workers[instance]._runs.values():
+            lapsed = event == invariants.CONTINUED and run.deadline <= now
+            if run.phase == 'active' and not lapsed:
                 self.fleet.records[instance].append(
                     {
-                        'event': 'died',
+                        'event': event,
                         'task': run.task,
                         'attempt': run.attempt,
-                        'at': self.world.clock.now,
+                        'at': now,
                     }
                 )
 
