--- a/src/persimmonsail/control_grpc.py
+++ b/src/persimmonsail/control_grpc.py
@@ -38,6 +38,10 @@
     async def Status(self, stream: 'grpclib.server.Stream[persimmonsail.control_pb2.StatusQuery, persimmonsail.control_pb2.StatusReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Digest(self, stream: 'grpclib.server.Stream[persimmonsail.control_pb2.DigestQuery, persimmonsail.control_pb2.DigestReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/persimmonsail.Entry/Link': grpclib.const.Handler(
@@ -76,6 +80,12 @@
                 persimmonsail.control_pb2.StatusQuery,
                 persimmonsail.control_pb2.StatusReply,
             ),
+            '/persimmonsail.Entry/Digest': grpclib.const.Handler(
+                self.Digest,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonsail.control_pb2.DigestQuery,
+                persimmonsail.control_pb2.DigestReply,
+            ),
         }
 
 
@@ -118,6 +128,12 @@
             persimmonsail.control_pb2.StatusQuery,
             persimmonsail.control_pb2.StatusReply,
         )
+        self.Digest = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonsail.Entry/Digest',
+            persimmonsail.control_pb2.DigestQuery,
+            persimmonsail.control_pb2.DigestReply,
+        )
 
 
 class SidecarBase(abc.ABC):
--- a/src/persimmonsail/entry.py
+++ b/src/persimmonsail/entry.py
@@ -16,6 +16,7 @@
 from persimmonsail import consents
 from persimmonsail import control_grpc
 from persimmonsail import control_pb2
+from persimmonsail import digests
 from persimmonsail import fleet as fleet_module
 from persimmonsail import follower as follower_module
 from persimmonsail import forwarding
@@ -26,11 +27,13 @@
 from persimmonsail import ledger
 from persimmonsail import links as links_module
 from persimmonsail import logs
+from persimmonsail import pacing
 from persimmonsail import partitions as partitions_module
 from persimmonsail import peers as peers_module
 from persimmonsail import planner
 from persimmonsail import problems
 from persimmonsail import quick
+from persimmonsail import reports
 from persimmonsail import revisions
 from persimmonsail import settings as settings_module
 from persimmonsail import shutdown
@@ -52,6 +55,8 @@
         self.view = revisions.View(settings.entry.freshness)
         self.fleet = fleet_module.Fleet(settings.links.silence)
         self.knowledge = planner.Knowledge()
+        self.pace = pacing.Pace(settings.links.silence)
+        self.digest = digests.DigestSource(self.fleet, settings.process.zone)
         self.links = links_module.Links(
             links_module.describe_limits(settings.links)
         )
@@ -108,6 +113,18 @@
                 revisions.watch_freshness, self.view, _FRESHNESS_PERIOD
             )
 
+    async def follow_zones(self) -> None:
+        """Learn the instances of other zones, until cancelled."""
+        process = self.settings.process
+        follower = digests.DigestFollower(
+            process.name,
+            process.zone,
+            self.fleet,
+            self.links,
+            lambda: self.partitions.entries,
+        )
+        await follower.run()
+
     def check_serving(self) -> None:
         """Refuse work that this entry may not admit now.
 
@@ -176,22 +193,26 @@
     async def _follow_link(self, stream) -> None:
         # A sidecar's link can go silent for good; its sidecar connects
         # anew, and this end must not be kept for ever.
-        silence = _LINK_SILENCES * self.settings.links.silence
-        while True:
-            with anyio.move_on_after(silence):
-                report = await stream.recv_message()
-                if report is None:
-                    return
-                await self._note_report(report, stream)
-                continue
-            logs.write_event('link-silent', address='a sidecar')
-            return
-
-    async def _note_report(self, report, stream) -> None:
+        limits = self.settings.links
+        link = reports.EntryEnd()
+        with self.pace.track():
+            while True:
+                silence = _LINK_SILENCES * self.pace.choose_silence()
+                with anyio.move_on_after(max(silence, limits.silence)):
+                    report = await stream.recv_message()
+                    if report is None:
+                        return
+                    await self._note_report(link, report, stream)
+                    continue
+                logs.write_event('link-silent', address='a sidecar')
+                return
+
+    async def _note_report(self, link: reports.EntryEnd, report, stream):
+        report = link.restore(report)
         known = self.fleet.find(report.instance)
-        incarnation = known.incarnation if known else ''
+        incarnation = known.incarnation if known and known.linked else ''
         was_leaving = known is not None and _is_leaving(known)
-        found = self.fleet.note_report(report)
+        found = self.fleet.note_report(report, self.pace.choose_silence())
         if incarnation != report.incarnation:
             logs.write_event(
                 'announced',
@@ -202,15 +223,16 @@
         if _is_leaving(found) != was_leaving:
             event = 'serving' if was_leaving else 'leaving'
             logs.write_event(event, instance=report.instance)
-        entries = [e.control for e in self.partitions.entries.values()]
-        await stream.send_message(
-            control_pb2.EntryNotice(
-                revision=self.view.revision,
-                entries=entries,
-                sequence=report.sequence,
-                fresh=self.view.is_fresh,
-            )
+        notice = control_pb2.EntryNotice(
+            revision=self.view.revision,
+            sequence=report.sequence,
+            fresh=self.view.is_fresh,
+        )
+        near, far = partitions_module.split_by_zone(
+            self.partitions.entries.values(), report.zone
         )
+        interval = self.pace.choose_interval()
+        await stream.send_message(link.shorten(notice, near, far, interval))
 
     async def Submit(self, stream) -> None:
         """Accept a task of a partition held here."""
@@ -241,6 +263,11 @@
         await stream.recv_message()
         await stream.send_message(status.describe_entry(self))
 
+    async def Digest(self, stream) -> None:
+        """Tell an entry of another zone the instances of this one."""
+        query = await stream.recv_message()
+        await stream.send_message(self.digest.describe(query))
+
     async def Peer(self, stream) -> None:
         """Tell another entry the catalogue in force here."""
         query = await stream.recv_message()
@@ -303,6 +330,7 @@
                     )
                     group.start_soon(entry.follow_catalogue)
                     group.start_soon(entry.partitions.run)
+                    group.start_soon(entry.follow_zones)
                     await anext(aiter(signals))
                     logs.write_event('stopping')
                     entry.leaving = True
--- a/src/persimmonsail/fleet.py
+++ b/src/persimmonsail/fleet.py
@@ -7,6 +7,8 @@
 from persimmonsail import control_pb2
 
 FORGET_SECONDS = 900.0
+# Two machines' monotonic clocks may run at slightly different rates.
+_CLOCK_RATE = 0.998
 
 
 @dataclasses.dataclass
@@ -18,6 +20,9 @@
     not yet begun well, see ``persimmonsail.quarantine``. ``shares``
     has the part of the cores that each batch class uses, ``demand`` the
     part of the slots that each latency-critical class keeps busy.
+    ``outstanding`` counts this entry's own requests there; ``linked``
+    tells whether its sidecar reports to this entry itself, or another
+    zone's entry told of it; ``silence`` is how long it may be silent.
     """
 
     name: str
@@ -43,6 +48,9 @@
     demand: dict[str, float] = dataclasses.field(default_factory=dict)
     failures: int = 0
     unproved: int = 0
+    silence: float = 0.0
+    linked: bool = True
+    report: control_pb2.SidecarReport | None = None
 
 
 class Fleet:
@@ -62,7 +70,12 @@
         self._forgot_at = time.monotonic()
         self._instances: dict[str, Instance] = {}
 
-    def note_report(self, report: control_pb2.SidecarReport) -> Instance:
+    def note_report(
+        self,
+        report: control_pb2.SidecarReport,
+        silence: float = 0.0,
+        linked: bool = True,
+    ) -> Instance:
         """Take a sidecar's announcement or change in."""
         before = self._instances.get(report.instance)
         if before is not None and _is_late(report, before):
@@ -88,6 +101,9 @@
             revision=report.revision,
             failures=report.load.failures,
             unproved=report.load.unproved,
+            silence=max(silence, self._silence),
+            linked=linked,
+            report=report,
         )
         self._forget_silent()
         if before is None:
@@ -99,6 +115,34 @@
         vars(before).update(vars(instance))
         return before
 
+    def note_far(self, report: control_pb2.SidecarReport) -> None:
+        """Take in what another zone's entry tells of an instance."""
+        before = self._instances.get(report.instance)
+        if before is None or not self._is_linked(before):
+            self.note_report(report, linked=False)
+
+    def confirm_far(self, name: str, silence: float) -> None:
+        """Note that another zone's entry still hears of an instance."""
+        instance = self._instances.get(name)
+        if instance is None or instance.linked:
+            return
+        now = time.monotonic()
+        # Behind the sidecar's own clock for sure: the report was on its
+        # way before it was first known here.
+        elapsed_ms = (now - instance.reported_at) * 1000 * _CLOCK_RATE
+        instance.clock_ms += int(elapsed_ms)
+        instance.reported_at = now
+        instance.silence = max(silence, self._silence)
+
+    def list_linked(self) -> list[Instance]:
+        """Return the instances whose sidecars report here."""
+        found = self._instances.values()
+        return [instance for instance in found if self._is_linked(instance)]
+
+    def _is_linked(self, instance: Instance) -> bool:
+        silent = time.monotonic() - instance.reported_at
+        return instance.linked and silent <= instance.silence
+
     def note_load(self, name: str, load: control_pb2.Load) -> None:
         """Take in the load that came with a reply."""
         instance = self._instances.get(name)
@@ -152,11 +196,11 @@
         service : str, optional
             Only instances whose backend server offers this.
         """
-        oldest = time.monotonic() - self._silence
+        now = time.monotonic()
         return [
             instance
             for instance in self._instances.values()
-            if instance.reported_at >= oldest
+            if now - instance.reported_at <= instance.silence
             and not instance.leaving
             and (not service or _serves(instance, service))
         ]
--- a/src/persimmonsail/partitions.py
+++ b/src/persimmonsail/partitions.py
@@ -59,12 +59,12 @@
     return zlib.crc32(team.encode()) % partitions
 
 
-def prefer_entry(partition: int, names: t.Iterable[str]) -> str:
+def prefer_entry(partition: int | str, names: t.Iterable[str]) -> str:
     """Return the entry that should hold a partition, by rendezvous."""
     return max(names, key=lambda name: _weigh(partition, name), default='')
 
 
-def _weigh(partition: int, name: str) -> bytes:
+def _weigh(partition: int | str, name: str) -> bytes:
     return hashlib.sha256(f'{partition}/{name}'.encode()).digest()
 
 
@@ -77,6 +77,16 @@
     ]
 
 
+def split_by_zone(
+    entries: t.Iterable[LiveEntry], zone: str
+) -> tuple[list[str], list[str]]:
+    """Return the addresses of a zone's entries, and of all others."""
+    near, far = [], []
+    for entry in entries:
+        (near if entry.zone == zone else far).append(entry.control)
+    return near, far
+
+
 class Partitions:
     """An entry's lease, its partitions, and where the others are."""
 
--- a/tools/slope_fakes.py
+++ b/tools/slope_fakes.py
@@ -20,7 +20,9 @@
 from persimmonsail import control_pb2
 from persimmonsail import instance as instance_module
 from persimmonsail import links
+from persimmonsail import pacing
 from persimmonsail import refsets
+from persimmonsail import reports
 from persimmonsail import settings as settings_module
 from tools import slope_meter
 
@@ -39,6 +41,7 @@
 """
 CORES = 64.0
 MEMORY_GB = 250.0
+ZONE_LINKS = 120
 
 
 @dataclasses.dataclass
@@ -261,10 +264,14 @@
 
     async def Link(self, stream) -> None:
         """Answer each report."""
+        link = reports.EntryEnd()
+        interval = pacing.choose_interval(ZONE_LINKS, pacing.SHORTEST_INTERVAL)
         async for report in stream:
-            await stream.send_message(
-                control_pb2.EntryNotice(revision=1, sequence=report.sequence)
+            link.restore(report)
+            notice = control_pb2.EntryNotice(
+                revision=1, sequence=report.sequence, fresh=True
             )
+            await stream.send_message(link.shorten(notice, (), (), interval))
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         return {
