Choose the next instance of a quick request in one place

Cause: the loops for keyed and other requests each spelt out whether a further try is paid for, which instance it goes to and whether time is left. Behaviour is unchanged: same order of the checks, no test touched.

--- a/src/persimmonsail/quick.py
+++ b/src/persimmonsail/quick.py
@@ -141,10 +141,8 @@
         refusals: list[control_pb2.ExecuteReply] = []
         may_have_run = False
         for _ in range(_MAX_ATTEMPTS):
-            if refusals and not self._may_retry(refusals[-1]):
-                break
-            instance = self._choose(request, tried)
-            if instance is None or request.left <= 0:
+            instance = self._choose_next(request, tried, refusals)
+            if instance is None:
                 break
             if tried:
                 metrics.RETRIES.increase(request.workload)
@@ -165,6 +163,17 @@
             raise _outcome_unknown(refusals[-1].reason)
         raise _not_run(refusals)
 
+    def _choose_next(
+        self,
+        request: QuickRequest,
+        tried: set[str],
+        refusals: list[control_pb2.ExecuteReply],
+    ) -> fleet_module.Instance | None:
+        if refusals and not self._may_retry(refusals[-1]):
+            return None
+        instance = self._choose(request, tried)
+        return instance if request.left > 0 else None
+
     def _may_retry(self, reply: control_pb2.ExecuteReply) -> bool:
         free = (
             reply.verdict == control_pb2.NOT_RUN and reply.reason in _NOT_LOAD
@@ -178,10 +187,8 @@
         refusals: list[control_pb2.ExecuteReply] = []
         replaced = None
         for _ in range(_MAX_ATTEMPTS):
-            if refusals and not self._may_retry(refusals[-1]):
-                break
-            instance = self._choose(request, tried)
-            if instance is None or request.left <= 0:
+            instance = self._choose_next(request, tried, refusals)
+            if instance is None:
                 break
             tried.add(instance.name)
             wanted = _make_claim(instance, fingerprint)
