--- a/Makefile
+++ b/Makefile
@@ -51,8 +51,9 @@
 	  $(BIN)/python tools/demo.py dist/persimmonsail
 
 proto: env
-	cd src && ../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
-	  --grpclib_python_out=. persimmonsail/control.proto
+	cd src && PATH="$(CURDIR)/$(BIN):$$PATH" python -m grpc_tools.protoc \
+	  -I. --python_out=. --grpclib_python_out=. \
+	  persimmonsail/control.proto persimmonsail/jobs/fleet.proto
 
 fuzz: env
 	PYTHONPATH=. $(BIN)/python tools/fuzz.py $(FUZZ)
--- a/src/persimmonsail/cli.py
+++ b/src/persimmonsail/cli.py
@@ -191,10 +191,16 @@
     logs.configure(settings.process.name)
     # Only the role that runs is imported, to stay small in memory.
     importlib.import_module('persimmonsail.httpstore')
-    role = importlib.import_module(f'persimmonsail.{arguments.command}')
     crashes.install_hooks()
     try:
-        anyio.run(role.run, settings)
+        if settings.jobs is not None:
+            roles = importlib.import_module('persimmonsail.platform.roles')
+            anyio.run(roles.run, settings, arguments.command)
+        else:
+            role = importlib.import_module(
+                f'persimmonsail.{arguments.command}'
+            )
+            anyio.run(role.run, settings)
     except Exception as error:
         if crashes.report_unstarted(error):
             return exits.INVALID_INPUT
--- a/src/persimmonsail/exceptions.py
+++ b/src/persimmonsail/exceptions.py
@@ -22,6 +22,28 @@
         self.actual = actual
 
 
+class CallRefused(StoreUnavailable):
+    """The store said that it did nothing, so the call may be repeated."""
+
+
+class TransactionConflict(StoreError):
+    """A transaction found a key at another revision than expected.
+
+    Attributes
+    ----------
+    found : dict of str to persimmonsail.store.Item
+        The keys of the conditions that exist, as they are now.
+    """
+
+    def __init__(self, found: dict) -> None:
+        super().__init__(f'found {sorted(found)} changed')
+        self.found = found
+
+
+class HistoryLost(StoreError):
+    """The store has forgotten the changes that a watch asked for."""
+
+
 class LeaseExpired(StoreError):
     """The store no longer knows the lease."""
 
@@ -130,3 +152,23 @@
 
 class SettingsMismatch(PersimmonsailError):
     """Settings contradict what the store keeps."""
+
+
+class Deposed(PersimmonsailError):
+    """Another process leads now; nothing more may be committed."""
+
+
+class WorkerBootChanged(PersimmonsailError):
+    """The worker's agent was started anew; what ran on it has ended."""
+
+
+class OrderRefused(PersimmonsailError):
+    """The worker's agent refused an order and did nothing."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class JobInvalid(PersimmonsailError):
+    """A submission can't be taken; nothing of it was stored."""
--- a/src/persimmonsail/httpserver.py
+++ b/src/persimmonsail/httpserver.py
@@ -11,15 +11,26 @@
 from persimmonsail import addresses
 
 
+_IDLE_SECONDS = 5.0
+
+
 class HttpServer:
     """Serves one application while its context is open.
 
     Leaving the context refuses new connections and waits for requests
-    in flight, at most ``drain`` seconds.
+    in flight, at most ``drain`` seconds. A kept connection is closed
+    after ``idle`` seconds without a request.
     """
 
-    def __init__(self, app: t.Any, address: str, drain: float) -> None:
+    def __init__(
+        self,
+        app: t.Any,
+        address: str,
+        drain: float,
+        idle: float = _IDLE_SECONDS,
+    ) -> None:
         self._app = app
+        self._idle = idle
         self._socket = addresses.bind(address)
         self.address = addresses.name_of(self._socket)
         self._drain = drain
@@ -44,6 +55,7 @@
         config = hypercorn.config.Config()
         config.bind = [f'fd://{self._socket.detach()}']
         config.graceful_timeout = self._drain
+        config.keep_alive_timeout = self._idle
         config.accesslog = None
         config.errorlog = logging.getLogger('hypercorn.error')
         config.include_server_header = False
--- /dev/null
+++ b/src/persimmonsail/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of several steps, from their acceptance to their end."""
--- /dev/null
+++ b/src/persimmonsail/jobs/agent.py
@@ -0,0 +1,451 @@
+"""The sidecar's side of jobs: orders of the leader, leases of runs.
+
+The sidecar decides nothing but whether an order may be carried out. It
+renews the leases of what runs beside it only as long as the leader's
+latest word allows it: each report carries the sidecar's own clock, the
+leader sends the latest one back, and leases may be extended until that
+time and the lease. So a leader knows the end of every lease that a
+sidecar out of its reach can have granted, however late calls arrive.
+"""
+
+import contextlib
+import typing as t
+
+import anyio
+import anyio.abc
+import grpclib
+import grpclib.const
+import grpclib.exceptions
+
+from persimmonsail import exceptions
+from persimmonsail.jobs import clock
+from persimmonsail.jobs import fleet_grpc
+from persimmonsail.jobs import fleet_pb2
+from persimmonsail.jobs import life as life_module
+from persimmonsail.jobs import specification
+from persimmonsail.jobs import worker as worker_module
+from persimmonsail import logs
+
+# Leases are renewed four times before the leader's word of 2 s ago runs
+# out, and a report leaves at least as often.
+_PERIOD_SECONDS = 0.45
+# Reports of many ends at once are sent together.
+_GATHER_SECONDS = 0.01
+# How long a look waits for an end; the agent allows 2 s.
+_WAIT_SECONDS = 1.5
+# A link over which no orders came for so long has gone silent.
+_SILENCE_SECONDS = 2.0
+_RETRY_SECONDS = 0.1
+# An order that a worker leaves unanswered is repeated at once; the
+# repetition finds what the first one started.
+_ORDER_PAUSE_SECONDS = 0.03
+
+
+class _Link:
+    """One leader's link to this sidecar."""
+
+    def __init__(self) -> None:
+        self.seen = 0
+        self.scope = anyio.CancelScope()
+        self.barred: list[fleet_pb2.Barred] = []
+
+
+class Agent(fleet_grpc.AgentBase):
+    """Carries out a leader's orders at one worker's agent.
+
+    Parameters
+    ----------
+    worker : persimmonsail.jobs.worker.Worker
+        How that agent is reached.
+    lease_seconds : float
+        How long a run goes on after the leader's last word.
+    """
+
+    def __init__(
+        self, worker: worker_module.Worker, lease_seconds: float
+    ) -> None:
+        self._worker = worker
+        self._lease_seconds = lease_seconds
+        self._epoch = 0
+        self._authority_until = 0.0
+        self._life: life_module.Life | None = None
+        self._over: set[str] = set()
+        self._link: _Link | None = None
+        self._changed = anyio.Event()
+        self._renew = anyio.Event()
+        self._group: anyio.abc.TaskGroup
+        self.attached_at = clock.read()
+
+    def note_heartbeat(self, heartbeat: worker_module.Heartbeat) -> None:
+        """Take in what the worker's agent says of itself."""
+        life = self._life
+        if heartbeat.boot in self._over:
+            # A heartbeat that was held up on its way outlives its sender.
+            logs.write_event('heartbeat-late', boot=heartbeat.boot)
+            return
+        if life is not None and life.boot == heartbeat.boot:
+            if heartbeat.sequence <= life.heartbeat.sequence:
+                return
+            if heartbeat.leaving and not life.heartbeat.leaving:
+                logs.write_event(
+                    'worker-leaving',
+                    boot=heartbeat.boot,
+                    remaining=heartbeat.remaining_seconds,
+                )
+            life.heartbeat = heartbeat
+        else:
+            self.note_boot_over(life.boot if life else '')
+            self._life = life_module.Life(heartbeat)
+            logs.write_event(
+                'worker-boot',
+                boot=heartbeat.boot,
+                service=heartbeat.service,
+                millicores=heartbeat.capacity.millicores,
+            )
+            self._renew.set()
+        self._notify()
+
+    def note_boot_over(self, boot: str) -> None:
+        """Note that a boot of the worker's agent has ended."""
+        if not boot:
+            return
+        self._over.add(boot)
+        if self._life is not None and self._life.boot == boot:
+            logs.write_event('worker-gone', boot=boot)
+            self._life.over = True
+            self._life = None
+            self._notify()
+
+    async def run(self) -> None:
+        """Renew leases and read ends, until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._keep_renewing)
+            group.start_soon(self._keep_waiting)
+            await anyio.sleep_forever()
+
+    async def Attach(self, stream: t.Any) -> None:
+        """Serve one leader; a later leader's link ends this one."""
+        first = await stream.recv_message()
+        if first is None:
+            return
+        if first.epoch < self._epoch:
+            # A deposed leader that does not know it yet.
+            logs.write_event(
+                'leader-stale', epoch=first.epoch, known=self._epoch
+            )
+            raise grpclib.exceptions.GRPCError(
+                grpclib.const.Status.FAILED_PRECONDITION, 'stale epoch'
+            )
+        if self._link is not None:
+            self._link.scope.cancel()
+        link = self._link = _Link()
+        self._epoch = first.epoch
+        logs.write_event('leader-attached', epoch=first.epoch)
+        with link.scope:
+            self._take(link, first)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._send_reports, link, stream)
+                with contextlib.suppress(TimeoutError):
+                    await self._receive(link, stream)
+                group.cancel_scope.cancel()
+        if self._link is link:
+            self._link = None
+            logs.write_warning('leader-lost', epoch=first.epoch)
+
+    async def _receive(self, link: _Link, stream: t.Any) -> None:
+        while True:
+            with anyio.fail_after(_SILENCE_SECONDS):
+                orders = await stream.recv_message()
+            if orders is None:
+                return
+            self._take(link, orders)
+
+    async def _send_reports(self, link: _Link, stream: t.Any) -> None:
+        while True:
+            self._changed = anyio.Event()
+            await stream.send_message(self._describe(link))
+            with anyio.move_on_after(_PERIOD_SECONDS):
+                await self._changed.wait()
+                await anyio.sleep(_GATHER_SECONDS)
+
+    def _describe(self, link: _Link) -> fleet_pb2.Report:
+        report = fleet_pb2.Report(ticket=clock.read(), seen=link.seen)
+        report.barred.extend(link.barred)
+        link.barred.clear()
+        life = self._life
+        if life is None:
+            return report
+        heartbeat = life.heartbeat
+        report.boot = life.boot
+        report.looked = life.looked
+        report.fenced = life.fenced_epoch >= self._epoch
+        report.service = heartbeat.service
+        report.rack = heartbeat.rack
+        report.labels.extend(heartbeat.labels)
+        report.capacity.millicores = heartbeat.capacity.millicores
+        report.capacity.memory_mib = heartbeat.capacity.memory_mib
+        report.capacity.accelerators = heartbeat.capacity.accelerators
+        report.leaving = heartbeat.leaving
+        report.remaining_seconds = heartbeat.remaining_seconds
+        for row in life.running.values():
+            report.running.add(
+                task=row.task,
+                run=row.run,
+                checkpoint=row.checkpoint,
+                percent=row.percent,
+                gauge=row.gauge,
+            )
+        for ended in life.ended.values():
+            report.ended.add(
+                number=ended.number,
+                task=ended.task,
+                run=ended.run,
+                how=ended.how,
+                checkpoint=ended.checkpoint,
+            )
+        for task, run in life.pending:
+            report.pending.add(task=task, run=run)
+        return report
+
+    def _notify(self) -> None:
+        self._changed.set()
+
+    def _take(self, link: _Link, orders: fleet_pb2.Orders) -> None:
+        self.attached_at = clock.read()
+        link.seen = orders.sequence
+        if orders.ticket:
+            until = orders.ticket + self._lease_seconds
+            self._authority_until = max(self._authority_until, until)
+        life = self._life
+        if life is None:
+            for start in orders.starts:
+                self._bar(start.task, start.run, 'no-worker')
+            return
+        # Ends are numbered anew in each boot: a number of an earlier one
+        # would have the agent forget ends that nobody has seen.
+        same = orders.boot == life.boot
+        if same and orders.acknowledged > life.acknowledged:
+            life.acknowledged = orders.acknowledged
+            self._renew.set()
+        for start in (*orders.known, *orders.starts):
+            life.sizes[start.task, start.run] = _read_size(start.size)
+        for start in orders.starts:
+            self._admit(life, start)
+        for stop in orders.stops:
+            key = (stop.task, stop.run)
+            life.pending[key] = life.sizes.get(key, specification.Size())
+            self._group.start_soon(self._stop, life, key)
+        for pace in orders.paces:
+            self._group.start_soon(self._set_pace, life, pace)
+
+    def _admit(self, life: life_module.Life, start: fleet_pb2.Start) -> None:
+        key = (start.task, start.run)
+        size = life.sizes.pop(key)
+        if start.boot != life.boot:
+            self._bar(start.task, start.run, 'boot-changed')
+            return
+        if key in life.pending or key in life.running:
+            life.sizes[key] = size
+            return
+        free = life.measure_free()
+        reason = ''
+        if life.heartbeat.leaving:
+            reason = 'leaving'
+        elif not size.fits(free):
+            reason = 'room'
+        if reason:
+            logs.write_event(
+                'start-refused',
+                task=start.task,
+                run=start.run,
+                reason=reason,
+                free_millicores=free.millicores,
+                free_mib=free.memory_mib,
+            )
+            self._bar(start.task, start.run, reason)
+            return
+        life.sizes[key] = size
+        life.pending[key] = size
+        self._group.start_soon(self._start, life, start)
+
+    def _bar(self, task: str, run: int, reason: str) -> None:
+        if self._link is not None:
+            barred = fleet_pb2.Barred(task=task, run=run, reason=reason)
+            self._link.barred.append(barred)
+        self._notify()
+
+    async def _start(
+        self, life: life_module.Life, start: fleet_pb2.Start
+    ) -> None:
+        key = (start.task, start.run)
+        unanswered = False
+        while not life.over:
+            now = clock.read()
+            until = life.to_agent_clock(self._authority_until)
+            if until is None or self._authority_until <= now:
+                # Without the leader's word no lease can be granted.
+                await self._settle(life, key, 'no-authority', unanswered)
+                return
+            order = worker_module.StartOrder(
+                start.task, start.run, start.payload, start.checkpoint, until
+            )
+            try:
+                clock_ms = await self._worker.start(
+                    life.boot, self._epoch, order
+                )
+            except exceptions.WorkerBootChanged:
+                self.note_boot_over(life.boot)
+                return
+            except exceptions.OrderRefused as error:
+                await self._settle(life, key, error.reason, unanswered)
+                return
+            except exceptions.WorkerUnavailable as error:
+                unanswered = True
+                logs.write_event(
+                    'start-unanswered',
+                    task=start.task,
+                    run=start.run,
+                    error=error,
+                )
+                await anyio.sleep(_ORDER_PAUSE_SECONDS)
+                continue
+            life.note_started(order, clock_ms, clock.read())
+            life.pending.pop(key, None)
+            logs.write_event('started', task=start.task, run=start.run)
+            self._notify()
+            return
+
+    async def _settle(
+        self,
+        life: life_module.Life,
+        key: life_module.RunId,
+        reason: str,
+        unanswered: bool,
+    ) -> None:
+        """Tell the leader that a run never starts, once that is certain.
+
+        An order without an answer may be carried out seconds later. Only
+        a stop that was answered keeps it from starting then; without it
+        the leader would start the task elsewhere and it would run twice.
+        """
+        task, run = key
+        logs.write_event(
+            'start-refused',
+            task=task,
+            run=run,
+            reason=reason,
+            settled=not unanswered,
+        )
+        if unanswered:
+            await self._stop(life, key)
+            return
+        life.pending.pop(key, None)
+        self._bar(task, run, reason)
+
+    async def _stop(
+        self, life: life_module.Life, key: life_module.RunId
+    ) -> None:
+        task, run = key
+        while not life.over:
+            try:
+                await self._worker.stop(life.boot, self._epoch, task, run)
+                await self._look(life)
+            except exceptions.WorkerBootChanged:
+                self.note_boot_over(life.boot)
+                return
+            except exceptions.OrderRefused as error:
+                logs.write_event(
+                    'stop-refused', task=task, run=run, reason=error.reason
+                )
+                await anyio.sleep(_RETRY_SECONDS)
+                continue
+            except exceptions.WorkerUnavailable as error:
+                logs.write_event(
+                    'stop-unanswered', task=task, run=run, error=error
+                )
+                await anyio.sleep(_ORDER_PAUSE_SECONDS)
+                continue
+            if key not in life.running:
+                break
+            await anyio.sleep(_RETRY_SECONDS)
+        life.pending.pop(key, None)
+        logs.write_event('stopped-run', task=task, run=run)
+        if not life.has_ended(key):
+            self._bar(task, run, 'absent')
+        self._notify()
+
+    async def _set_pace(
+        self, life: life_module.Life, pace: fleet_pb2.Pace
+    ) -> None:
+        try:
+            await self._worker.set_pace(
+                life.boot, self._epoch, pace.task, pace.run, pace.percent
+            )
+        except exceptions.WorkerBootChanged:
+            self.note_boot_over(life.boot)
+        except (
+            exceptions.OrderRefused,
+            exceptions.WorkerUnavailable,
+        ) as error:
+            # The leader sends it again while the gauges ask for it.
+            logs.write_event('pace-failed', task=pace.task, error=error)
+
+    async def _keep_renewing(self) -> None:
+        """Extend leases; nothing else may hold this task up."""
+        while True:
+            self._renew = anyio.Event()
+            if self._life is not None:
+                await self._try_look(self._life, extend=True)
+            with anyio.move_on_after(_PERIOD_SECONDS):
+                await self._renew.wait()
+
+    async def _keep_waiting(self) -> None:
+        """Read ends at the moment they happen."""
+        while True:
+            life = self._life
+            if life is None or not life.looked:
+                await anyio.sleep(_RETRY_SECONDS)
+            elif not await self._try_look(life, wait=_WAIT_SECONDS):
+                await anyio.sleep(_RETRY_SECONDS)
+
+    async def _try_look(
+        self, life: life_module.Life, extend: bool = False, wait: float = 0.0
+    ) -> bool:
+        try:
+            await self._look(life, extend, wait)
+        except exceptions.WorkerBootChanged:
+            self.note_boot_over(life.boot)
+        except (
+            exceptions.OrderRefused,
+            exceptions.WorkerUnavailable,
+        ) as error:
+            logs.write_event('look-failed', boot=life.boot, error=error)
+        else:
+            return True
+        return False
+
+    async def _look(
+        self, life: life_module.Life, extend: bool = False, wait: float = 0.0
+    ) -> None:
+        until = None
+        if extend and self._authority_until > clock.read():
+            until = life.to_agent_clock(self._authority_until)
+        epoch = self._epoch
+        look = await self._worker.look(
+            life.boot, epoch, life.acknowledged, until, wait
+        )
+        life.fenced_epoch = max(life.fenced_epoch, epoch)
+        first = not life.looked
+        if life.note_look(look, clock.read()):
+            self._notify()
+        if first:
+            # The agent's clock is known from now on, so leases can be
+            # extended at once.
+            self._renew.set()
+
+
+def _read_size(size: fleet_pb2.Size) -> specification.Size:
+    return specification.Size(
+        size.millicores, size.memory_mib, size.accelerators
+    )
--- /dev/null
+++ b/src/persimmonsail/jobs/election.py
@@ -0,0 +1,200 @@
+"""Which entry leads: the one that holds a key of the store.
+
+Being elected twice does no harm: only one process can move the head (see
+``ledger``), and leases of runs that a former leader may have allowed are
+waited out. So any entry may take over from a leader whose process it
+knows to have ended, without waiting for its lease.
+"""
+
+import contextlib
+import random
+import typing as t
+import uuid
+
+import anyio
+import pydantic
+
+from persimmonsail import exceptions
+from persimmonsail.jobs import ledger
+from persimmonsail.jobs import record
+from persimmonsail import logs
+from persimmonsail import store as store_module
+
+# A leader whose machine is gone is replaced after this time; the store
+# at its slowest (0.3 s an answer) still renews it thrice.
+LEASE_SECONDS = 2.0
+RENEW_SECONDS = 0.5
+_WATCH_SECONDS = 1.0
+_RETRY_SECONDS = 0.2
+# Entries that see the same key end don't all write at once.
+_JITTER_SECONDS = 0.08
+
+IsAlive = t.Callable[[str], t.Awaitable[bool]]
+Lead = t.Callable[[ledger.Ledger], t.Awaitable[None]]
+
+
+class Candidate:
+    """Takes part in elections; runs ``lead`` for each term it wins.
+
+    Parameters
+    ----------
+    store : persimmonsail.store.TransactionalStore
+        Where the leader's key is.
+    name, address : str
+        This entry, and where other entries reach it.
+    is_alive : callable
+        Asks whether a process still listens at an address; false only
+        if that is certain.
+    lead : callable
+        Leads until it is cancelled or deposed.
+    """
+
+    def __init__(
+        self,
+        store: store_module.TransactionalStore,
+        name: str,
+        address: str,
+        is_alive: IsAlive,
+        lead: Lead,
+    ) -> None:
+        self._store = store
+        self._name = name
+        self._address = address
+        self._is_alive = is_alive
+        self._lead = lead
+        self._random = random.Random(address)
+        self._id = ''
+        self.leader = ''
+
+    async def run(self) -> None:
+        """Follow the leader's key, until cancelled."""
+        while True:
+            try:
+                await self._take_part()
+            except exceptions.StoreError as error:
+                logs.write_event('election-failed', error=error)
+                await anyio.sleep(_RETRY_SECONDS)
+
+    async def _take_part(self) -> None:
+        item = await self._store.get(record.LEADER)
+        if item is None:
+            await anyio.sleep(self._random.random() * _JITTER_SECONDS)
+            await self._stand(0)
+            return
+        known = _read_leader(item)
+        self._note_leader(known)
+        if known.address == self._address:
+            # Left by an earlier life of this very process.
+            await self._stand(item.revision)
+            return
+        if not await self._is_alive(known.address):
+            logs.write_event('leader-dead', name=known.name)
+            await self._stand(item.revision)
+            return
+        with contextlib.suppress(exceptions.HistoryLost):
+            await self._store.follow(
+                record.LEADER, item.revision, _WATCH_SECONDS
+            )
+
+    def _note_leader(self, known: ledger.LeaderItem) -> None:
+        if self._id != known.id:
+            self._id = known.id
+            logs.write_event(
+                'leader-known', name=known.name, address=known.address
+            )
+        self.leader = known.address
+
+    async def _stand(self, expected: int) -> None:
+        term = await self._take_term(expected)
+        if term is None:
+            return
+        logs.write_event('leading', epoch=term.epoch)
+        self.leader = self._address
+        try:
+            await self._serve_term(ledger.Ledger(self._store, term))
+        finally:
+            self.leader = ''
+
+    async def _serve_term(self, own: ledger.Ledger) -> None:
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._renew, own)
+                await self._lead(own)
+                group.cancel_scope.cancel()
+        except* exceptions.Deposed as errors:
+            logs.write_warning(
+                'deposed', epoch=own.term.epoch, error=errors.exceptions[0]
+            )
+        except* exceptions.StoreError as errors:
+            logs.write_warning(
+                'term-ended', epoch=own.term.epoch, error=errors.exceptions[0]
+            )
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._resign(own.term)
+
+    async def _resign(self, term: ledger.Term) -> None:
+        # Others then take over at once instead of after the lease.
+        try:
+            with anyio.move_on_after(LEASE_SECONDS):
+                await self._store.revoke_lease(term.lease)
+        except exceptions.StoreError as error:
+            logs.write_event('resign-failed', error=error)
+        else:
+            logs.write_event('resigned', epoch=term.epoch)
+
+    async def _take_term(self, expected: int) -> ledger.Term | None:
+        lease = await self._store.grant_lease(LEASE_SECONDS)
+        id = uuid.uuid4().hex
+        leader = ledger.LeaderItem(
+            id=id, name=self._name, address=self._address
+        )
+        head = ledger.Head(leader=id, writes=0)
+        writes = [
+            store_module.Write(record.LEADER, leader.model_dump_json(), lease),
+            store_module.Write(record.HEAD, head.model_dump_json()),
+        ]
+        try:
+            epoch = await self._store.commit({record.LEADER: expected}, writes)
+        except exceptions.TransactionConflict:
+            logs.write_event('election-lost')
+            return None
+        except exceptions.CallRefused:
+            raise
+        except exceptions.StoreUnavailable as error:
+            # It may have taken effect all the same.
+            logs.write_event('election-unknown', error=error)
+            item = await self._store.get(record.HEAD)
+            if item is None or item.value != writes[1].value:
+                return None
+            epoch = item.revision
+        return ledger.Term(id, epoch, lease)
+
+    async def _renew(self, own: ledger.Ledger) -> None:
+        while True:
+            await anyio.sleep(RENEW_SECONDS)
+            try:
+                await self._store.renew_lease(own.term.lease)
+                await own.confirm()
+            except exceptions.LeaseExpired:
+                await self._take_key_again(own)
+            except exceptions.StoreUnavailable as error:
+                logs.write_event('renew-failed', error=error)
+
+    async def _take_key_again(self, own: ledger.Ledger) -> None:
+        """Check who leads after the store took the key away.
+
+        The store may end leases while it is away. The term itself goes
+        on until another entry takes one: only the head decides.
+        """
+        await own.confirm()
+        raise exceptions.Deposed("the lease of the leader's key has ended")
+
+
+def _read_leader(item: store_module.Item) -> ledger.LeaderItem:
+    try:
+        return ledger.LeaderItem.model_validate_json(item.value)
+    except pydantic.ValidationError as error:
+        raise exceptions.StoreUnavailable(
+            f'{item.key}: not readable'
+        ) from error
--- /dev/null
+++ b/src/persimmonsail/jobs/instances.py
@@ -0,0 +1,164 @@
+"""The leader's view of each instance and of what runs there."""
+
+import dataclasses
+import enum
+
+from persimmonsail.jobs import specification
+
+
+class RunPhase(enum.Enum):
+    """How far the leader knows a run to be."""
+
+    ORDERED = 'ordered'
+    RUNNING = 'running'
+    STOPPING = 'stopping'
+
+
+@dataclasses.dataclass
+class Run:
+    """One run that takes, or may take, room of an instance.
+
+    Attributes
+    ----------
+    task : str
+        The task's full name.
+    number : int
+        Which of the task's runs.
+    boot : str
+        The life of the worker's agent that it was claimed for.
+    step : persimmonsail.jobs.specification.Step
+        What the task needs.
+    queue : str
+        The job's queue.
+    phase : RunPhase
+        How far it is known to be.
+    order : int
+        The number of the orders that told its start or its stop; 0 for
+        none by this leader.
+    ordered_at, seen_at : float
+        When the start was claimed, and when it was first seen running;
+        0 before. Seconds of the leader's clock.
+    percent : float
+        How much of its work is done; for a long-running task whether it
+        is at work.
+    moved_at : float
+        When ``percent`` last rose.
+    gauge : float
+        Tail latency in milliseconds for a task that serves, else
+        millicores in use.
+    pace : int
+        The share of its speed that it was told to work at.
+    over_since : float
+        Since when it has been over its latency target; 0 if it is not.
+    """
+
+    task: str
+    number: int
+    boot: str
+    step: specification.Step
+    queue: str
+    phase: RunPhase = RunPhase.ORDERED
+    order: int = 0
+    ordered_at: float = 0.0
+    seen_at: float = 0.0
+    percent: float = 0.0
+    moved_at: float = 0.0
+    gauge: float = 0.0
+    pace: int = 100
+    over_since: float = 0.0
+
+    @property
+    def serves(self) -> bool:
+        """Whether the run has a latency target of its own."""
+        return self.step.latency_target_ms > 0
+
+    @property
+    def step_name(self) -> str:
+        """Names job, occurrence and step."""
+        return self.task.rpartition('.')[0]
+
+
+RunId = tuple[str, int]
+
+
+@dataclasses.dataclass
+class Instance:
+    """One instance, found under its sidecar's address.
+
+    Attributes
+    ----------
+    address : str
+        Where its sidecar takes orders.
+    name, zone : str
+        From its registration.
+    service, boot, rack, labels, capacity
+        From its worker's agent; empty until that is known.
+    leaving : bool
+        Whether it gets no new work.
+    gone_at : float
+        When a leaving one may end; 0 if it is not known.
+    attached : bool
+        Whether this leader has a link to it.
+    trusted_until : float
+        Until when its runs may hold leases, by whatever leader: runs may
+        be started elsewhere only after it.
+    suspect_until : float
+        Until when it gets no work after it failed what it ran.
+    committed : persimmonsail.jobs.specification.Size
+        What all runs take, those that are being stopped too.
+    processed : int
+        The last end of this boot that was taken in.
+    committed_end, acknowledged : int
+        The last one that is committed, and told to the sidecar.
+    """
+
+    address: str
+    name: str = ''
+    zone: str = ''
+    service: str = ''
+    boot: str = ''
+    rack: str = ''
+    labels: tuple[str, ...] = ()
+    capacity: specification.Size = specification.Size()
+    leaving: bool = False
+    gone_at: float = 0.0
+    attached: bool = False
+    trusted_until: float = 0.0
+    suspect_until: float = 0.0
+    runs: dict[RunId, Run] = dataclasses.field(default_factory=dict)
+    committed: specification.Size = specification.Size()
+    processed: int = 0
+    committed_end: int = 0
+    acknowledged: int = 0
+
+    def add_run(self, run: Run) -> None:
+        """Count a run, from its claim on."""
+        self.drop_run((run.task, run.number))
+        self.runs[run.task, run.number] = run
+        self.committed = self.committed + run.step.committed
+
+    def drop_run(self, key: RunId) -> Run | None:
+        """Count a run no more; its room is free."""
+        run = self.runs.pop(key, None)
+        if run is not None:
+            self.committed = self.committed - run.step.committed
+        return run
+
+    @property
+    def free(self) -> specification.Size:
+        """What is left of the capacity."""
+        return self.capacity - self.committed
+
+    @property
+    def serving(self) -> list[Run]:
+        """The runs that have a latency target."""
+        return [run for run in self.runs.values() if run.serves]
+
+    @property
+    def fillers(self) -> list[Run]:
+        """The runs that take what others leave unused."""
+        return [r for r in self.runs.values() if r.step.best_effort_cpu]
+
+    def count_step(self, step_name: str) -> int:
+        """Return how many tasks of a step run here."""
+        return sum(run.step_name == step_name for run in self.runs.values())
--- /dev/null
+++ b/src/persimmonsail/jobs/intake.py
@@ -0,0 +1,293 @@
+"""What any entry does for callers, whoever leads.
+
+A job is accepted by one write of its own key, which only takes effect if
+the key is absent: two entries, or a repeated request, make one job.
+"""
+
+import enum
+import json
+import time
+import typing as t
+
+import anyio
+import pydantic
+
+from persimmonsail import exceptions
+from persimmonsail.jobs import clock
+from persimmonsail.jobs import fleet_grpc
+from persimmonsail.jobs import fleet_pb2
+from persimmonsail.jobs import leader as leader_module
+from persimmonsail.jobs import record
+from persimmonsail.jobs import specification as specification_module
+from persimmonsail import links as links_module
+from persimmonsail import logs
+from persimmonsail import store as store_module
+
+_MILLISECONDS = 1000
+_PAUSE_SECONDS = 0.1
+# How long another entry may take; the caller still waits for the store.
+_PEER_SECONDS = 0.6
+# A count of pending jobs that was asked for so lately is used again.
+_COUNT_AGE_SECONDS = 0.5
+
+
+class Outcome(enum.Enum):
+    """What became of a request.
+
+    ``REFUSED`` says that nothing was stored; ``UNKNOWN`` that it may
+    have been, so that the caller has to ask again with the same id.
+    """
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+    ABSENT = 'absent'
+
+
+class Intake:
+    """Accepts, cancels and finds jobs.
+
+    Parameters
+    ----------
+    store : persimmonsail.store.TransactionalStore
+        Where accepted jobs are kept.
+    links : persimmonsail.links.Links
+        To the leader's entry.
+    find_leader : callable
+        Returns the leader's address; empty while none is known.
+    get_own : callable
+        Returns the leader if it runs in this process.
+    """
+
+    def __init__(
+        self,
+        store: store_module.TransactionalStore,
+        links: links_module.Links,
+        find_leader: t.Callable[[], str],
+        get_own: t.Callable[[], leader_module.Leader | None],
+    ) -> None:
+        self._store = store
+        self._links = links
+        self._find_leader = find_leader
+        self._get_own = get_own
+        self._counts: dict[str, tuple[float, int]] = {}
+
+    async def submit(
+        self,
+        id: str,
+        queue: str,
+        specification: specification_module.Specification,
+        until: float,
+    ) -> Outcome:
+        """Store a job, once.
+
+        Parameters
+        ----------
+        id, queue : str
+            The caller's name for it, and where it belongs.
+        specification : persimmonsail.jobs.specification.Specification
+            A checked one.
+        until : float
+            When the caller stops waiting, on ``clock``.
+        """
+        key = record.JOBS + id
+        text = json.dumps(
+            {
+                'queue': queue,
+                'accepted_ms': round(time.time() * _MILLISECONDS),
+                'specification': specification_module.encode(specification),
+            },
+            separators=(',', ':'),
+        )
+        sent = False
+        while True:
+            try:
+                await self._store.put(key, text, expected=0)
+            except exceptions.Conflict:
+                return Outcome.ACCEPTED
+            except exceptions.CallRefused as error:
+                # Nothing of this call; an earlier one may yet take effect.
+                logs.write_event('submit-refused', job=id, error=error)
+                if not sent:
+                    return Outcome.REFUSED
+            except exceptions.StoreUnavailable as error:
+                sent = True
+                logs.write_event('submit-unanswered', job=id, error=error)
+            else:
+                own = self._get_own()
+                if own is not None and own.loaded:
+                    own.note_job(id, text)
+                return Outcome.ACCEPTED
+            if clock.read() + _PAUSE_SECONDS >= until:
+                return Outcome.UNKNOWN
+            await anyio.sleep(_PAUSE_SECONDS)
+
+    async def cancel(self, id: str, until: float) -> Outcome:
+        """Mark a job as cancelled, for good."""
+        while True:
+            try:
+                return await self._cancel_once(id)
+            except exceptions.StoreUnavailable as error:
+                logs.write_event('cancel-unanswered', job=id, error=error)
+            if clock.read() + _PAUSE_SECONDS >= until:
+                return Outcome.UNKNOWN
+            await anyio.sleep(_PAUSE_SECONDS)
+
+    async def _cancel_once(self, id: str) -> Outcome:
+        if await self._store.get(record.JOBS + id) is None:
+            return Outcome.ABSENT
+        try:
+            await self._store.put(record.CANCELS + id, '{}', expected=0)
+        except exceptions.Conflict:
+            return Outcome.ACCEPTED
+        own = self._get_own()
+        if own is not None and own.loaded:
+            own.note_cancel(id)
+        return Outcome.ACCEPTED
+
+    async def find_phase(
+        self, id: str, until: float
+    ) -> record.JobPhase | Outcome:
+        """Return a job's committed phase.
+
+        ``ABSENT`` is only returned when the store itself has no such job;
+        ``UNKNOWN`` when neither store nor leader could be asked in time.
+        """
+        while True:
+            try:
+                return await self._read_phase(id)
+            except exceptions.StoreUnavailable as error:
+                logs.write_event('find-unanswered', job=id, error=error)
+            found = await self._ask_leader(id)
+            if found is not None:
+                return found
+            if clock.read() + _PAUSE_SECONDS >= until:
+                return Outcome.UNKNOWN
+            await anyio.sleep(_PAUSE_SECONDS)
+
+    async def _read_phase(self, id: str) -> record.JobPhase | Outcome:
+        own = self._get_own()
+        if own is not None and own.loaded and id in own.board.jobs:
+            phase = own.board.jobs[id].committed_phase
+            if phase.is_final:
+                return phase
+        item = await self._store.get(record.PROGRESS + id)
+        if item is not None:
+            try:
+                return record.decode_phase(item.value)
+            except pydantic.ValidationError as error:
+                raise exceptions.StoreUnavailable(
+                    f'{item.key}: not readable'
+                ) from error
+        if await self._store.get(record.JOBS + id) is not None:
+            return record.JobPhase.QUEUED
+        return Outcome.ABSENT
+
+    async def _ask_leader(self, id: str) -> record.JobPhase | None:
+        own = self._get_own()
+        if own is not None:
+            job = own.board.jobs.get(id)
+            return job.committed_phase if job else None
+        address = self._find_leader()
+        if not address:
+            return None
+        try:
+            reply = await self._links.call(
+                address,
+                fleet_grpc.LeaderStub,
+                'FindJob',
+                fleet_pb2.JobQuery(job=id),
+                _PEER_SECONDS,
+            )
+        except exceptions.LinkLost as error:
+            logs.write_event('leader-unheard', error=error)
+            return None
+        if not reply.known:
+            return None
+        return record.JobPhase(reply.phase)
+
+    async def count_pending(self, queue: str) -> int | None:
+        """Return how many jobs of a queue wait for their first task.
+
+        Nothing is returned when neither leader nor store answers.
+        """
+        own = self._get_own()
+        if own is not None and own.loaded:
+            return own.board.count_pending(queue)
+        asked_at, count = self._counts.get(queue, (0.0, 0))
+        now = clock.read()
+        if asked_at and now - asked_at < _COUNT_AGE_SECONDS:
+            return count
+        found = await self._ask_count(queue)
+        if found is None:
+            found = await self._scan_count(queue)
+        if found is not None:
+            self._counts[queue] = (now, found)
+        return found
+
+    async def _ask_count(self, queue: str) -> int | None:
+        address = self._find_leader()
+        if not address:
+            return None
+        try:
+            reply = await self._links.call(
+                address,
+                fleet_grpc.LeaderStub,
+                'CountPending',
+                fleet_pb2.QueueQuery(queue=queue),
+                _PEER_SECONDS,
+            )
+        except exceptions.LinkLost as error:
+            logs.write_event('leader-unheard', error=error)
+            return None
+        return reply.pending if reply.leads else None
+
+    async def _scan_count(self, queue: str) -> int | None:
+        try:
+            jobs = await self._store.scan(record.JOBS)
+            progress = await self._store.scan(record.PROGRESS)
+        except exceptions.StoreUnavailable as error:
+            logs.write_event('count-unanswered', queue=queue, error=error)
+            return None
+        begun = {
+            item.key.removeprefix(record.PROGRESS)
+            for item in progress.items
+            if record.decode_phase(item.value) is not record.JobPhase.QUEUED
+        }
+        return sum(
+            item.key.removeprefix(record.JOBS) not in begun
+            and json.loads(item.value)['queue'] == queue
+            for item in jobs.items
+        )
+
+
+class LeaderService(fleet_grpc.LeaderBase):
+    """Answers other entries' questions to the leader."""
+
+    def __init__(
+        self, get_own: t.Callable[[], leader_module.Leader | None]
+    ) -> None:
+        self._get_own = get_own
+
+    async def FindJob(self, stream: t.Any) -> None:
+        """Return a job's committed phase."""
+        query = await stream.recv_message()
+        reply = fleet_pb2.JobReply()
+        own = self._get_own()
+        if own is not None:
+            reply.leads = own.loaded
+            job = own.board.jobs.get(query.job)
+            if job is not None:
+                reply.known = True
+                reply.phase = job.committed_phase.value
+        await stream.send_message(reply)
+
+    async def CountPending(self, stream: t.Any) -> None:
+        """Return how many jobs of a queue wait for their first task."""
+        query = await stream.recv_message()
+        reply = fleet_pb2.QueueReply()
+        own = self._get_own()
+        if own is not None and own.loaded:
+            reply.leads = True
+            reply.pending = own.board.count_pending(query.queue)
+        await stream.send_message(reply)
--- /dev/null
+++ b/src/persimmonsail/jobs/ledger.py
@@ -0,0 +1,158 @@
+"""The leader's writes to the store, fenced by one key.
+
+Every write names the revision of the head that the write before it left,
+and moves the head on. A leader that was replaced finds the head moved by
+its successor and can write nothing more; a write that the store carries
+out seconds late finds it moved by this leader's next one.
+"""
+
+import dataclasses
+import typing as t
+
+import anyio
+import pydantic
+
+from persimmonsail import exceptions
+from persimmonsail.jobs import clock
+from persimmonsail.jobs import record
+from persimmonsail import logs
+from persimmonsail import store as store_module
+
+# The store takes 32 rows in one transaction; the head is two of them.
+MAX_WRITES = 28
+_RETRY_SECONDS = 0.05
+_LONGEST_RETRY_SECONDS = 0.4
+
+
+class Head(pydantic.BaseModel):
+    """Who may write, and how often it has."""
+
+    leader: str
+    writes: int
+
+
+class LeaderItem(pydantic.BaseModel):
+    """Who leads, and where it is reached by other entries."""
+
+    id: str
+    name: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Term:
+    """One process's time as the leader.
+
+    Attributes
+    ----------
+    id : str
+        Unique to this term.
+    epoch : int
+        Rises with each term; workers obey no lower one.
+    lease : str
+        The store's lease that the leader's key is under.
+    """
+
+    id: str
+    epoch: int
+    lease: str
+
+
+class Ledger:
+    """Commits progress while this process leads.
+
+    Parameters
+    ----------
+    store : persimmonsail.store.TransactionalStore
+        Where progress is kept.
+    term : Term
+        The term that this process has taken.
+    """
+
+    def __init__(
+        self, store: store_module.TransactionalStore, term: Term
+    ) -> None:
+        self._store = store
+        self.term = term
+        self._revision = term.epoch
+        self._writes = 0
+        # When this process last knew that nobody else leads.
+        self.confirmed_at = clock.read()
+
+    async def commit(
+        self,
+        writes: t.Sequence[store_module.Write],
+        removals: t.Sequence[str] = (),
+    ) -> None:
+        """Write all or nothing, however long the store takes.
+
+        The same transaction is sent again until its outcome is known:
+        one of its copies may still take effect, and a different one in
+        its place could then be lost.
+
+        Raises
+        ------
+        persimmonsail.exceptions.Deposed
+            If another process leads now.
+        """
+        self._writes += 1
+        head = Head(leader=self.term.id, writes=self._writes)
+        rows = [
+            store_module.Write(record.HEAD, head.model_dump_json()),
+            *writes,
+        ]
+        pause = _RETRY_SECONDS
+        while True:
+            begun = clock.read()
+            try:
+                self._revision = await self._store.commit(
+                    {record.HEAD: self._revision}, rows, removals
+                )
+            except exceptions.TransactionConflict as error:
+                self._take_conflict(error, head)
+            except exceptions.StoreUnavailable as error:
+                logs.write_warning(
+                    'commit-retried',
+                    writes=self._writes,
+                    rows=len(rows),
+                    error=error,
+                )
+                await anyio.sleep(pause)
+                pause = min(2 * pause, _LONGEST_RETRY_SECONDS)
+                continue
+            self.confirmed_at = max(self.confirmed_at, begun)
+            return
+
+    async def confirm(self) -> None:
+        """Read the head and note that this process still leads.
+
+        Raises
+        ------
+        persimmonsail.exceptions.Deposed
+            If another process leads now.
+        persimmonsail.exceptions.StoreUnavailable
+            If the store gave no answer.
+        """
+        begun = clock.read()
+        item = await self._store.get(record.HEAD)
+        if item is None or _read_head(item).leader != self.term.id:
+            raise exceptions.Deposed("the head is another leader's")
+        self.confirmed_at = max(self.confirmed_at, begun)
+
+    def _take_conflict(
+        self, error: exceptions.TransactionConflict, head: Head
+    ) -> None:
+        item = error.found.get(record.HEAD)
+        if item is None or _read_head(item) != head:
+            raise exceptions.Deposed('the head was moved') from error
+        # An earlier copy, whose answer was lost, has taken effect.
+        self._revision = item.revision
+
+
+def _read_head(item: store_module.Item) -> Head:
+    try:
+        return Head.model_validate_json(item.value)
+    except pydantic.ValidationError as error:
+        raise exceptions.StoreUnavailable(
+            f'{item.key}: not readable'
+        ) from error
--- /dev/null
+++ b/src/persimmonsail/jobs/life.py
@@ -0,0 +1,131 @@
+"""What a sidecar knows of one life of its worker's agent."""
+
+import dataclasses
+
+from persimmonsail.jobs import specification
+from persimmonsail.jobs import worker as worker_module
+
+RunId = tuple[str, int]
+
+_MILLISECONDS = 1000
+
+
+@dataclasses.dataclass
+class _Provisional:
+    """A start that was answered; a look made before it misses it."""
+
+    clock_ms: int
+    row: worker_module.RunningRow
+
+
+class Life:
+    """Runs, ends and clock of one boot of the worker's agent.
+
+    Attributes
+    ----------
+    heartbeat : persimmonsail.jobs.worker.Heartbeat
+        The latest one.
+    acknowledged : int
+        Ends up to this number are committed by the leader.
+    pending : dict
+        The sizes of runs whose orders are not settled.
+    looked : bool
+        Whether its runs were read at all.
+    fenced_epoch : int
+        The highest epoch that the agent has seen in a look.
+    over : bool
+        Whether the boot has ended.
+    """
+
+    def __init__(self, heartbeat: worker_module.Heartbeat) -> None:
+        self.heartbeat = heartbeat
+        self.acknowledged = 0
+        self.pending: dict[RunId, specification.Size] = {}
+        self.sizes: dict[RunId, specification.Size] = {}
+        self.running: dict[RunId, worker_module.RunningRow] = {}
+        self.ended: dict[int, worker_module.EndedRow] = {}
+        self.looked = False
+        self.fenced_epoch = 0
+        self.over = False
+        self._provisional: dict[RunId, _Provisional] = {}
+        self._clock_ms = 0
+        self._clock_read_at = 0.0
+        self._looked_ms = 0
+
+    @property
+    def boot(self) -> str:
+        """The agent's life that this is."""
+        return self.heartbeat.boot
+
+    def note_clock(self, clock_ms: int, now: float) -> None:
+        """Note the agent's clock, read before ``now``."""
+        if clock_ms >= self._clock_ms:
+            self._clock_ms = clock_ms
+            self._clock_read_at = now
+
+    def to_agent_clock(self, moment: float) -> int | None:
+        """Translate a moment to the agent's clock, rather too early.
+
+        The clock was read before its answer arrived, so the result is
+        never later than the moment itself.
+        """
+        if not self._clock_ms:
+            return None
+        ahead = moment - self._clock_read_at
+        return self._clock_ms + int(ahead * _MILLISECONDS)
+
+    def note_look(self, look: worker_module.Look, now: float) -> bool:
+        """Take a look in; tell whether runs or ends changed.
+
+        Answers on different connections overtake each other, so an older
+        look than the last one is passed over.
+        """
+        if self.looked and look.clock_ms < self._looked_ms:
+            return False
+        self._looked_ms = look.clock_ms
+        self.note_clock(look.clock_ms, now)
+        running = {(row.task, row.run): row for row in look.running}
+        self._provisional = {
+            key: kept
+            for key, kept in self._provisional.items()
+            if kept.clock_ms > look.clock_ms and key not in running
+        }
+        for key, kept in self._provisional.items():
+            running[key] = kept.row
+        ended = {
+            row.number: row
+            for row in look.ended
+            if row.number > self.acknowledged
+        }
+        changed = (
+            not self.looked
+            or running.keys() != self.running.keys()
+            or ended.keys() != self.ended.keys()
+        )
+        self.running = running
+        self.ended = ended
+        self.looked = True
+        known = running.keys() | self.pending.keys()
+        self.sizes = {k: s for k, s in self.sizes.items() if k in known}
+        return changed
+
+    def note_started(
+        self, order: worker_module.StartOrder, clock_ms: int, now: float
+    ) -> None:
+        """Note that a start was answered."""
+        key = (order.task, order.run)
+        row = worker_module.RunningRow(order.task, order.run, order.checkpoint)
+        self.note_clock(clock_ms, now)
+        self._provisional[key] = _Provisional(clock_ms, row)
+        self.running.setdefault(key, row)
+
+    def has_ended(self, key: RunId) -> bool:
+        """Tell whether an end of a run waits to be acknowledged."""
+        return any((r.task, r.run) == key for r in self.ended.values())
+
+    def measure_free(self) -> specification.Size:
+        """Return the capacity that no run and no open order takes."""
+        free = self.heartbeat.capacity
+        for key in self.running.keys() | self.pending.keys():
+            free = free - self.sizes.get(key, specification.Size())
+        return free
--- /dev/null
+++ b/src/persimmonsail/jobs/record.py
@@ -0,0 +1,177 @@
+"""What the store keeps of a job's progress."""
+
+import dataclasses
+import enum
+import typing as t
+
+import pydantic
+
+from persimmonsail.jobs import specification as specification_module
+
+# The keys of the store, and what lies under them. Entries write below
+# the inbox; only the leader writes progress.
+INBOX = 'inbox/'
+JOBS = INBOX + 'job/'
+CANCELS = INBOX + 'cancel/'
+INSTANCES = INBOX + 'instance/'
+PROGRESS = 'progress/'
+LEADER = 'leader'
+HEAD = 'head'
+
+
+class JobPhase(enum.StrEnum):
+    """How far a job is; the last three are final."""
+
+    QUEUED = 'queued'
+    ACTIVE = 'active'
+    COMPLETE = 'complete'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the job has ended."""
+        return self not in (JobPhase.QUEUED, JobPhase.ACTIVE)
+
+
+class TaskPhase(enum.StrEnum):
+    """How far a task is."""
+
+    WAITING = 'waiting'
+    PLACED = 'placed'
+    DONE = 'done'
+
+
+class TaskKey(t.NamedTuple):
+    """Which of a job's tasks."""
+
+    occurrence: int
+    step: int
+    index: int
+
+    def __str__(self) -> str:
+        return f'{self.occurrence}.{self.step}.{self.index}'
+
+
+def parse_task_name(name: str) -> tuple[str, TaskKey] | None:
+    """Return job and key of a task's full name, or nothing."""
+    job, _, rest = name.partition('.')
+    parts = rest.split('.')
+    if len(parts) != 3 or not all(part.isdecimal() for part in parts):
+        return None
+    return job, TaskKey(*(int(part) for part in parts))
+
+
+@dataclasses.dataclass
+class TaskRecord:
+    """A task's state.
+
+    Attributes
+    ----------
+    phase : TaskPhase
+        Whether it waits, has a place, or is done.
+    run : int
+        The number of its last start; 0 before the first.
+    instance, boot : str
+        Where that start was claimed: the instance's address, and the
+        life of its worker's agent.
+    failures : int
+        Runs that ended as failed.
+    checkpoint : str
+        The newest one known; empty for none.
+    """
+
+    phase: TaskPhase = TaskPhase.WAITING
+    run: int = 0
+    instance: str = ''
+    boot: str = ''
+    failures: int = 0
+    checkpoint: str = ''
+
+
+_Row = tuple[str, str, int, str, str, int, str]
+
+
+class _StoredProgress(pydantic.BaseModel):
+    phase: JobPhase
+    ended_ms: int
+    tasks: list[_Row]
+
+
+class StoredSubmission(pydantic.BaseModel):
+    """An accepted job as an entry wrote it to the inbox."""
+
+    queue: str
+    accepted_ms: int
+    specification: t.Any
+
+    def read_specification(self) -> specification_module.Specification:
+        """Return what was submitted."""
+        return specification_module.decode(self.specification)
+
+
+class StoredInstance(pydantic.BaseModel):
+    """Where a sidecar listens, as it wrote it to the inbox."""
+
+    name: str
+    zone: str
+
+
+@dataclasses.dataclass
+class Progress:
+    """A job's phase and its tasks' states.
+
+    Attributes
+    ----------
+    phase : JobPhase
+        How far the job is.
+    ended_ms : int
+        When it ended, in milliseconds since the epoch; 0 before.
+    tasks : dict of TaskKey to TaskRecord
+        Tasks that were never touched are left out.
+    """
+
+    phase: JobPhase = JobPhase.QUEUED
+    ended_ms: int = 0
+    tasks: dict[TaskKey, TaskRecord] = dataclasses.field(default_factory=dict)
+
+    def encode(self) -> str:
+        """Return the text that the store keeps."""
+        rows = [
+            (
+                str(key),
+                task.phase.value,
+                task.run,
+                task.instance,
+                task.boot,
+                task.failures,
+                task.checkpoint,
+            )
+            for key, task in self.tasks.items()
+        ]
+        return _StoredProgress(
+            phase=self.phase, ended_ms=self.ended_ms, tasks=rows
+        ).model_dump_json()
+
+
+def decode_progress(text: str) -> Progress:
+    """Read what ``Progress.encode`` returned.
+
+    Raises
+    ------
+    pydantic.ValidationError
+        If it is something else.
+    """
+    stored = _StoredProgress.model_validate_json(text)
+    tasks = {}
+    for name, phase, run, instance, boot, failures, checkpoint in stored.tasks:
+        key = TaskKey(*(int(part) for part in name.split('.')))
+        tasks[key] = TaskRecord(
+            TaskPhase(phase), run, instance, boot, failures, checkpoint
+        )
+    return Progress(stored.phase, stored.ended_ms, tasks)
+
+
+def decode_phase(text: str) -> JobPhase:
+    """Return only the phase of a stored progress."""
+    return _StoredProgress.model_validate_json(text).phase
--- /dev/null
+++ b/src/persimmonsail/jobs/reports.py
@@ -0,0 +1,332 @@
+"""What a sidecar's report changes in the leader's view."""
+
+import dataclasses
+import typing as t
+
+from persimmonsail.jobs import board as board_module
+from persimmonsail.jobs import fleet_pb2
+from persimmonsail.jobs import instances
+from persimmonsail.jobs import pace
+from persimmonsail.jobs import record
+from persimmonsail.jobs import specification
+from persimmonsail import logs
+from persimmonsail import quarantine
+
+# An instance that fails several jobs gets nothing for so long, then one
+# task at a time; troubles of that kind last some seconds.
+SUSPECT_SECONDS = 4.0
+# A refused start is tried again after this time, not in the same round.
+_REFUSED_PAUSE_SECONDS = 0.1
+
+_UNKNOWN_STEP = specification.Step(count=1)
+
+
+@dataclasses.dataclass
+class Reaction:
+    """What has to be told to the sidecar that reported.
+
+    Attributes
+    ----------
+    stops : list of persimmonsail.jobs.instances.Run
+        Runs that nobody wants, or whose fate is open.
+    paces : list of persimmonsail.jobs.pace.Change
+        New paces of best-effort runs.
+    replan : bool
+        Whether work may be placed now that could not be before.
+    """
+
+    stops: list[instances.Run] = dataclasses.field(default_factory=list)
+    paces: list[pace.Change] = dataclasses.field(default_factory=list)
+    replan: bool = False
+
+
+class Reader:
+    """Takes reports of all instances in.
+
+    Parameters
+    ----------
+    board : persimmonsail.jobs.board.Board
+        The leader's jobs.
+    tracker : persimmonsail.quarantine.Tracker
+        Tells a bad instance from a bad job.
+    get_attempts : callable
+        Returns how often a task of a queue may fail.
+    """
+
+    def __init__(
+        self,
+        board: board_module.Board,
+        tracker: quarantine.Tracker,
+        get_attempts: t.Callable[[str], int],
+    ) -> None:
+        self._board = board
+        self._tracker = tracker
+        self._get_attempts = get_attempts
+
+    def read(
+        self,
+        instance: instances.Instance,
+        report: fleet_pb2.Report,
+        now: float,
+    ) -> Reaction:
+        """Take one report in and return what follows from it."""
+        reaction = Reaction()
+        if not report.boot:
+            return reaction
+        self._note_boot(instance, report, reaction)
+        _note_description(instance, report, now, reaction)
+        if not report.looked:
+            return reaction
+        for ended in report.ended:
+            if ended.number > instance.processed:
+                self._note_end(instance, ended, now)
+                reaction.replan = True
+        for row in report.running:
+            self._note_running(instance, row, now, reaction)
+        for barred in report.barred:
+            self._note_barred(instance, barred, now)
+            reaction.replan = True
+        self._settle_absent(instance, report, reaction)
+        reaction.paces = pace.decide(instance, now)
+        return reaction
+
+    def drop_runs(self, instance: instances.Instance, reason: str) -> None:
+        """Give up all runs of an instance: none of them can be left."""
+        for run in list(instance.runs.values()):
+            self._drop_run(instance, run, reason)
+
+    def _drop_run(
+        self, instance: instances.Instance, run: instances.Run, reason: str
+    ) -> None:
+        instance.drop_run((run.task, run.number))
+        task = self._board.find(run.task)
+        logs.write_event(
+            'run-lost',
+            task=run.task,
+            run=run.number,
+            instance=instance.address,
+            reason=reason,
+        )
+        if task is not None:
+            self._end(task, run.number, board_module.End.LOST, '')
+
+    def _end(
+        self,
+        task: board_module.Task,
+        run: int,
+        end: board_module.End,
+        checkpoint: str,
+    ) -> bool:
+        attempts = self._get_attempts(task.job.queue)
+        return self._board.note_end(task, run, end, checkpoint, attempts)
+
+    def _note_boot(
+        self,
+        instance: instances.Instance,
+        report: fleet_pb2.Report,
+        reaction: Reaction,
+    ) -> None:
+        if instance.boot == report.boot:
+            return
+        for run in list(instance.runs.values()):
+            # What an earlier boot ran has ended with it.
+            if run.boot != report.boot:
+                self._drop_run(instance, run, 'boot-changed')
+        logs.write_event(
+            'instance-boot',
+            instance=instance.address,
+            boot=report.boot,
+            before=instance.boot,
+        )
+        instance.boot = report.boot
+        instance.processed = 0
+        instance.committed_end = 0
+        instance.acknowledged = 0
+        instance.suspect_until = 0.0
+        reaction.replan = True
+
+    def _note_end(
+        self,
+        instance: instances.Instance,
+        ended: fleet_pb2.Ended,
+        now: float,
+    ) -> None:
+        instance.processed = ended.number
+        run = instance.drop_run((ended.task, ended.run))
+        task = self._board.find(ended.task)
+        end = board_module.End(ended.how)
+        used = False
+        if task is not None:
+            used = self._end(task, ended.run, end, ended.checkpoint)
+        logs.write_event(
+            'run-ended',
+            task=ended.task,
+            run=ended.run,
+            how=ended.how,
+            instance=instance.address,
+            number=ended.number,
+            seconds=now - run.seen_at if run and run.seen_at else -1,
+            used=used,
+        )
+        if task is not None and end in _JUDGED:
+            self._judge(instance, task, end, now)
+
+    def _judge(
+        self,
+        instance: instances.Instance,
+        task: board_module.Task,
+        end: board_module.End,
+        now: float,
+    ) -> None:
+        failed = end is board_module.End.FAILED
+        self._tracker.note(task.job.id, instance.address, failed)
+        verdict = self._tracker.judge(instance.address)
+        if failed and verdict.is_bad:
+            instance.suspect_until = now + SUSPECT_SECONDS
+            logs.write_warning(
+                'instance-suspect',
+                instance=instance.address,
+                log_odds=verdict.log_odds,
+                streak=verdict.streak,
+                jobs=verdict.jobs,
+            )
+
+    def _note_running(
+        self,
+        instance: instances.Instance,
+        row: fleet_pb2.Running,
+        now: float,
+        reaction: Reaction,
+    ) -> None:
+        task = self._board.find(row.task)
+        run = instance.runs.get((row.task, row.run))
+        if run is None:
+            run = _adopt(instance, row, task, now)
+        _note_progress(run, row, now)
+        if not _is_wanted(task, run, instance):
+            if run.phase is not instances.RunPhase.STOPPING:
+                reaction.stops.append(run)
+            return
+        if row.checkpoint:
+            task.state.checkpoint = row.checkpoint
+
+    def _note_barred(
+        self,
+        instance: instances.Instance,
+        barred: fleet_pb2.Barred,
+        now: float,
+    ) -> None:
+        instance.drop_run((barred.task, barred.run))
+        task = self._board.find(barred.task)
+        if task is None:
+            return
+        end = board_module.End.NOT_STARTED
+        used = self._end(task, barred.run, end, '')
+        task.not_before = now + _REFUSED_PAUSE_SECONDS
+        logs.write_event(
+            'run-barred',
+            task=barred.task,
+            run=barred.run,
+            instance=instance.address,
+            reason=barred.reason,
+            used=used,
+        )
+
+    def _settle_absent(
+        self,
+        instance: instances.Instance,
+        report: fleet_pb2.Report,
+        reaction: Reaction,
+    ) -> None:
+        """Have runs barred that should be there and are not.
+
+        A start whose answer was lost may be carried out seconds later;
+        only a stop that the agent answered makes it certain that it is
+        not, so that the task can be placed again.
+        """
+        there = {(row.task, row.run) for row in report.running}
+        there |= {(ref.task, ref.run) for ref in report.pending}
+        for key, run in instance.runs.items():
+            if key not in there and run.order <= report.seen:
+                reaction.stops.append(run)
+
+
+_JUDGED = (board_module.End.DONE, board_module.End.FAILED)
+
+
+def _is_wanted(
+    task: board_module.Task | None,
+    run: instances.Run,
+    instance: instances.Instance,
+) -> bool:
+    return (
+        task is not None
+        and not task.job.phase.is_final
+        and task.state.phase is record.TaskPhase.PLACED
+        and task.state.run == run.number
+        and task.state.instance == instance.address
+    )
+
+
+def _adopt(
+    instance: instances.Instance,
+    row: fleet_pb2.Running,
+    task: board_module.Task | None,
+    now: float,
+) -> instances.Run:
+    """Count a run that is there although no claim named it here."""
+    run = instances.Run(
+        task=row.task,
+        number=row.run,
+        boot=instance.boot,
+        step=task.step if task else _UNKNOWN_STEP,
+        queue=task.job.queue if task else '',
+        ordered_at=now,
+    )
+    instance.add_run(run)
+    return run
+
+
+def _note_progress(
+    run: instances.Run, row: fleet_pb2.Running, now: float
+) -> None:
+    if run.phase is instances.RunPhase.ORDERED:
+        run.phase = instances.RunPhase.RUNNING
+    if not run.seen_at:
+        run.seen_at = now
+        run.moved_at = now
+    if row.percent != run.percent:
+        run.moved_at = now
+    run.percent = row.percent
+    run.gauge = row.gauge
+    if not run.serves or row.gauge <= run.step.latency_target_ms:
+        run.over_since = 0.0
+    elif not run.over_since:
+        run.over_since = now
+
+
+def _note_description(
+    instance: instances.Instance,
+    report: fleet_pb2.Report,
+    now: float,
+    reaction: Reaction,
+) -> None:
+    capacity = specification.Size(
+        report.capacity.millicores,
+        report.capacity.memory_mib,
+        report.capacity.accelerators,
+    )
+    if report.leaving and not instance.leaving:
+        instance.gone_at = now + report.remaining_seconds
+        logs.write_event(
+            'instance-leaving',
+            instance=instance.address,
+            remaining=report.remaining_seconds,
+        )
+    if capacity != instance.capacity or report.leaving != instance.leaving:
+        reaction.replan = True
+    instance.service = report.service
+    instance.rack = report.rack
+    instance.labels = tuple(report.labels)
+    instance.capacity = capacity
+    instance.leaving = report.leaving
--- /dev/null
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -0,0 +1,115 @@
+"""One round of placing waiting tasks; no input or output."""
+
+import dataclasses
+import typing as t
+
+from persimmonsail.jobs import board as board_module
+from persimmonsail.jobs import instances
+from persimmonsail.jobs import order
+from persimmonsail.jobs import placement
+from persimmonsail.jobs import queues
+from persimmonsail import logs
+
+_MILLISECONDS = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """A run that was placed and has to be committed, then ordered."""
+
+    task: board_module.Task
+    run: instances.Run
+    instance: instances.Instance
+
+
+def plan(
+    board: board_module.Board,
+    fleet: t.Collection[instances.Instance],
+    configuration: queues.Configuration,
+    now: float,
+    wall: float,
+) -> list[Claim]:
+    """Claim room for as many waiting tasks as possible.
+
+    Parameters
+    ----------
+    board : persimmonsail.jobs.board.Board
+        The jobs; claimed tasks are marked as placed.
+    fleet : collection of persimmonsail.jobs.instances.Instance
+        The instances; claimed runs are counted there.
+    configuration : persimmonsail.jobs.queues.Configuration
+        The queues in force.
+    now : float
+        Seconds of the leader's clock.
+    wall : float
+        Seconds since the epoch.
+    """
+    claims = []
+    # Tasks of one step need the same; when one found no room, no other
+    # will in this round.
+    full: set[tuple[str, int, int]] = set()
+    for task, queue in _sort(board, configuration, now, wall):
+        step = (task.job.id, task.key.occurrence, task.key.step)
+        if step in full:
+            continue
+        instance = placement.choose(task, fleet, queue.service, now)
+        if instance is None:
+            full.add(step)
+            continue
+        claims.append(_claim(board, task, instance, now))
+    return claims
+
+
+def _sort(
+    board: board_module.Board,
+    configuration: queues.Configuration,
+    now: float,
+    wall: float,
+) -> list[tuple[board_module.Task, queues.Queue]]:
+    known = {queue.name: queue for queue in configuration.queues}
+    rated = []
+    for job in board.jobs.values():
+        queue = known.get(job.queue)
+        if queue is None or not job.waiting:
+            continue
+        for task in job.waiting.values():
+            if task.not_before <= now:
+                urgency = order.rate(task, queue, wall * _MILLISECONDS, 1.0)
+                rated.append((urgency.sort_key, task, queue))
+    rated.sort(key=lambda row: row[0])
+    return [(task, queue) for _, task, queue in rated]
+
+
+def _claim(
+    board: board_module.Board,
+    task: board_module.Task,
+    instance: instances.Instance,
+    now: float,
+) -> Claim:
+    number = board.place(task, instance.address, instance.boot)
+    run = instances.Run(
+        task=task.name,
+        number=number,
+        boot=instance.boot,
+        step=task.step,
+        queue=task.job.queue,
+        # Not sent yet: no report can have seen it.
+        order=_NOT_SENT,
+        ordered_at=now,
+    )
+    logs.write_event(
+        'placed',
+        task=run.task,
+        run=number,
+        instance=instance.address,
+        unused=placement.estimate_unused(instance),
+        free_millicores=instance.free.millicores,
+        free_mib=instance.free.memory_mib,
+        serving=len(instance.serving),
+        resumes=bool(task.state.checkpoint),
+    )
+    instance.add_run(run)
+    return Claim(task, run, instance)
+
+
+_NOT_SENT = 1 << 62
--- /dev/null
+++ b/src/persimmonsail/jobs/specification.py
@@ -0,0 +1,242 @@
+"""What a job consists of, as its caller submitted it."""
+
+import dataclasses
+import functools
+import typing as t
+
+import pydantic
+
+from persimmonsail import exceptions
+
+MAX_PAYLOAD_BYTES = 4000
+# A step of more tasks would not fit into one value of the store with
+# every task's state (about 60 bytes each).
+MAX_TASKS = 5000
+MAX_STEPS = 200
+
+
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """What one task needs, or an instance has.
+
+    Attributes
+    ----------
+    millicores : int
+        Processors, in thousandths of a core.
+    memory_mib : int
+        Memory, in MiB.
+    accelerators : int
+        Whole accelerators.
+    """
+
+    millicores: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: 'Size') -> 'Size':
+        return Size(
+            self.millicores + other.millicores,
+            self.memory_mib + other.memory_mib,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: 'Size') -> 'Size':
+        return Size(
+            self.millicores - other.millicores,
+            self.memory_mib - other.memory_mib,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits(self, room: 'Size') -> bool:
+        """Tell whether this much is free in ``room``."""
+        return (
+            self.millicores <= room.millicores
+            and self.memory_mib <= room.memory_mib
+            and self.accelerators <= room.accelerators
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """Tasks of one kind, which may start once earlier steps are done.
+
+    Attributes
+    ----------
+    count : int
+        How many tasks the step has.
+    size : Size
+        What each of them needs.
+    estimate_ms : int
+        The caller's rough estimate of a task's duration.
+    after : tuple of int
+        Earlier steps, counted from 0, that must be done first.
+    checkpoints : bool
+        Whether a task saves its progress and can resume from it.
+    gang : bool
+        Whether the tasks work only while all of them run.
+    same_rack : bool
+        Whether a gang is slower on more than one rack.
+    label : str
+        A label that the instance must have; empty for any.
+    data_rack : str
+        The rack where the data lies; empty for none.
+    most_per_instance : int
+        At most so many tasks of the step on one instance; 0 for any.
+    speculative : bool
+        Whether copies of a task may run in parallel.
+    long_running : bool
+        Whether the tasks run until the job is cancelled.
+    image : str
+        What the tasks run; tasks of one image behave alike.
+    latency_target_ms : int
+        The tail latency that a serving task has to stay below; 0: none.
+    best_effort_cpu : bool
+        Whether the tasks only take processors that others leave unused.
+    disruption_budget : int
+        How many of its tasks may be away at once by our own doing; 0
+        where the caller sets no such budget.
+    """
+
+    count: int
+    size: Size = Size()
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ''
+    data_rack: str = ''
+    most_per_instance: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ''
+    latency_target_ms: int = 0
+    best_effort_cpu: bool = False
+    disruption_budget: int = 0
+
+    @functools.cached_property
+    def committed(self) -> Size:
+        """What a task takes of an instance's capacity."""
+        if self.best_effort_cpu:
+            return dataclasses.replace(self.size, millicores=0)
+        return self.size
+
+
+@dataclasses.dataclass(frozen=True)
+class Specification:
+    """A job: its steps, and how often they run.
+
+    Attributes
+    ----------
+    payload : str
+        Handed to every task as it is.
+    steps : tuple of Step
+        In the order in which they were submitted.
+    occurrences : int
+        How often the steps run; 0 for a job without a schedule.
+    first_ms, interval_ms : int
+        When the first occurrence is due, in milliseconds since the
+        epoch, and the time between two of them.
+    """
+
+    payload: str
+    steps: tuple[Step, ...]
+    occurrences: int = 0
+    first_ms: int = 0
+    interval_ms: int = 0
+
+    @property
+    def task_count(self) -> int:
+        """How many tasks the job has over all occurrences."""
+        each = sum(step.count for step in self.steps)
+        return each * max(1, self.occurrences)
+
+    @functools.cached_property
+    def critical_path_ms(self) -> int:
+        """The estimated time of the longest chain of steps."""
+        ends: list[int] = []
+        for step in self.steps:
+            begun = max((ends[index] for index in step.after), default=0)
+            ends.append(begun + step.estimate_ms)
+        return max(ends, default=0)
+
+    @functools.cached_property
+    def work_core_ms(self) -> float:
+        """The estimated processor time of all tasks, in core-ms."""
+        return sum(
+            step.count * step.size.millicores / 1000 * step.estimate_ms
+            for step in self.steps
+        )
+
+
+_ADAPTER = pydantic.TypeAdapter(Specification)
+
+
+def encode(specification: Specification) -> dict[str, t.Any]:
+    """Return a specification as plain data, without defaults."""
+    return _ADAPTER.dump_python(
+        specification, mode='json', exclude_defaults=True
+    )
+
+
+def decode(data: t.Any) -> Specification:
+    """Read what ``encode`` returned.
+
+    Raises
+    ------
+    pydantic.ValidationError
+        If it is something else.
+    """
+    return _ADAPTER.validate_python(data)
+
+
+def check(specification: Specification) -> None:
+    """Raise one error that names everything wrong with a submission.
+
+    Raises
+    ------
+    persimmonsail.exceptions.JobInvalid
+        With each finding and its place.
+    """
+    findings = [*_check_job(specification)]
+    for index, step in enumerate(specification.steps):
+        findings += [
+            f'steps[{index}].{text}' for text in _check_step(index, step)
+        ]
+    if findings:
+        raise exceptions.JobInvalid('; '.join(findings))
+
+
+def _check_job(specification: Specification) -> t.Iterator[str]:
+    if len(specification.payload.encode()) > MAX_PAYLOAD_BYTES:
+        yield f'payload: more than {MAX_PAYLOAD_BYTES} bytes'
+    if not 0 < len(specification.steps) <= MAX_STEPS:
+        yield f'steps: not between 1 and {MAX_STEPS}'
+    if specification.occurrences < 0:
+        yield 'occurrences: below 0'
+    if specification.occurrences > 0:
+        yield 'occurrences: recurring jobs are not supported yet'
+    elif specification.task_count > MAX_TASKS:
+        yield f'steps: more than {MAX_TASKS} tasks together'
+
+
+def _check_step(index: int, step: Step) -> t.Iterator[str]:
+    if step.count < 1:
+        yield 'count: below 1'
+    for name, value in (
+        ('millicores', step.size.millicores),
+        ('memory_mib', step.size.memory_mib),
+        ('accelerators', step.size.accelerators),
+        ('estimate_ms', step.estimate_ms),
+        ('most_per_instance', step.most_per_instance),
+        ('latency_target_ms', step.latency_target_ms),
+        ('disruption_budget', step.disruption_budget),
+    ):
+        if value < 0:
+            yield f'{name}: below 0'
+    # Only earlier steps may be named, so that no cycle can be written.
+    for earlier in step.after:
+        if not 0 <= earlier < index:
+            yield f'after: {earlier} is no earlier step'
+    if step.gang:
+        yield 'gang: gangs are not supported yet'
--- /dev/null
+++ b/src/persimmonsail/platform/front.py
@@ -0,0 +1,236 @@
+"""Callers' calls about jobs, and whether this entry takes any."""
+
+import re
+import time
+import typing as t
+
+from persimmonsail import exceptions
+from persimmonsail.jobs import clock
+from persimmonsail.jobs import intake as intake_module
+from persimmonsail.jobs import queues
+from persimmonsail.jobs import record
+from persimmonsail import logs
+from persimmonsail import metrics
+from persimmonsail.platform import http
+from persimmonsail.platform import submissions
+
+_ID = re.compile(r'[0-9a-f]{16}')
+_MILLISECONDS = 1000
+# What callers wait who do not say so.
+_DEFAULT_WAIT_MS = 3000
+# The part of a caller's time that the store may take; the rest is for
+# the answer's way.
+_SHARE = 0.75
+# A caller that was turned away since the store is out of reach: outages
+# last seconds, and another entry may reach it.
+_RETRY_AFTER_SECONDS = 1
+
+_STATES = {
+    record.JobPhase.QUEUED: 'queued',
+    record.JobPhase.ACTIVE: 'active',
+    record.JobPhase.COMPLETE: 'complete',
+    record.JobPhase.FAILED: 'failed',
+    record.JobPhase.CANCELLED: 'canceled',
+}
+
+
+class Front:
+    """The ASGI application behind the platform's balancer."""
+
+    def __init__(
+        self, intake: intake_module.Intake, view: queues.View
+    ) -> None:
+        self._intake = intake
+        self._view = view
+
+    async def __call__(
+        self, scope: t.Any, receive: http.Receive, send: http.Send
+    ) -> None:
+        """Serve one request."""
+        if scope['type'] == 'lifespan':
+            await http.serve_lifespan(receive, send)
+        elif scope['type'] == 'http':
+            await self._serve(_Request(scope, receive, send))
+
+    async def _serve(self, request: '_Request') -> None:
+        configuration = self._view.current
+        if configuration is None:
+            await request.drain(queues.Limits().body_bytes)
+            await request.refuse(503, 'no configuration yet')
+            return
+        try:
+            body = await http.read_body(
+                request.receive, configuration.limits.body_bytes
+            )
+        except http.BodyTooLarge:
+            limit = configuration.limits.body_bytes
+            await request.refuse(413, f'a body is at most {limit} bytes')
+            return
+        except http.Disconnected:
+            return
+        queue = configuration.find_queue(request.host, request.path)
+        if queue is None:
+            await request.refuse(404, 'no such queue')
+            return
+        rest = request.path.removeprefix(queue.prefix)
+        if not rest and request.method == 'GET':
+            await self._count(request, queue)
+        elif not _ID.fullmatch(rest):
+            await request.refuse(404, 'an id is 16 hexadecimal digits')
+        elif request.method == 'POST':
+            await self._submit(request, queue, rest, body)
+        elif request.method == 'GET':
+            await self._find(request, queue, rest)
+        elif request.method == 'DELETE':
+            await self._cancel(request, queue, rest)
+        else:
+            await request.refuse(405, 'allowed: POST, GET, DELETE')
+
+    async def _submit(
+        self, request: '_Request', queue: queues.Queue, id: str, body: bytes
+    ) -> None:
+        try:
+            if queue.advised:
+                raise exceptions.JobInvalid(
+                    'queues with an advisor are not supported yet'
+                )
+            found = submissions.decode(body)
+        except exceptions.JobInvalid as error:
+            request.log('submit', queue, id, 'invalid', error=error)
+            await request.refuse(400, str(error))
+            return
+        outcome = await self._intake.submit(
+            id, queue.name, found, request.until
+        )
+        request.log(
+            'submit',
+            queue,
+            id,
+            outcome.value,
+            version=self._view.current.version,
+        )
+        if outcome is intake_module.Outcome.ACCEPTED:
+            await request.answer({})
+        elif outcome is intake_module.Outcome.REFUSED:
+            await request.refuse(
+                503, 'not accepted: the store is out of reach'
+            )
+        else:
+            await request.refuse(504, 'unknown whether it was accepted')
+
+    async def _find(
+        self, request: '_Request', queue: queues.Queue, id: str
+    ) -> None:
+        found = await self._intake.find_phase(id, request.until)
+        if isinstance(found, record.JobPhase):
+            request.log('find', queue, id, found.value)
+            await request.answer({'state': _STATES[found]})
+        elif found is intake_module.Outcome.ABSENT:
+            request.log('find', queue, id, 'absent')
+            await request.refuse(410, 'no such job')
+        else:
+            request.log('find', queue, id, 'unknown')
+            await request.refuse(503, 'its state is out of reach')
+
+    async def _cancel(
+        self, request: '_Request', queue: queues.Queue, id: str
+    ) -> None:
+        outcome = await self._intake.cancel(id, request.until)
+        request.log('cancel', queue, id, outcome.value)
+        if outcome is intake_module.Outcome.ACCEPTED:
+            await request.answer({})
+        elif outcome is intake_module.Outcome.ABSENT:
+            await request.refuse(410, 'no such job')
+        else:
+            await request.refuse(504, 'unknown whether it was cancelled')
+
+    async def _count(self, request: '_Request', queue: queues.Queue) -> None:
+        count = await self._intake.count_pending(queue.name)
+        if count is None:
+            await request.refuse(503, 'the count is out of reach')
+        else:
+            await request.answer({'pendingCount': count})
+
+
+class _Request:
+    """One call, with its channel."""
+
+    def __init__(
+        self, scope: t.Any, receive: http.Receive, send: http.Send
+    ) -> None:
+        self.receive = receive
+        self.method: str = scope['method']
+        self.path: str = scope['path']
+        host = http.get_header(scope, b'host')
+        self.host = host.rpartition(':')[0] if ':' in host else host
+        self._send = send
+        self._begun = time.monotonic()
+        wait_ms = http.get_header(scope, b'deadline-ms')
+        wait = int(wait_ms) if wait_ms.isdecimal() else _DEFAULT_WAIT_MS
+        self.until = clock.read() + wait * _SHARE / _MILLISECONDS
+
+    async def drain(self, limit: int) -> None:
+        """Read the body and drop it."""
+        try:
+            await http.read_body(self.receive, limit)
+        except (http.BodyTooLarge, http.Disconnected):
+            # Whoever is left to read it gets the answer all the same.
+            return
+
+    async def answer(self, body: t.Mapping[str, t.Any]) -> None:
+        """Answer with success."""
+        await http.send_json(self._send, 200, body)
+
+    async def refuse(self, status: int, text: str) -> None:
+        """Answer with an error, and when to come back if that helps."""
+        retry_after = _RETRY_AFTER_SECONDS if status == 503 else None
+        await http.send_error(self._send, status, text, retry_after)
+
+    def log(
+        self,
+        call: str,
+        queue: queues.Queue,
+        id: str,
+        outcome: str,
+        **more: object,
+    ) -> None:
+        """Write what became of the call."""
+        seconds = time.monotonic() - self._begun
+        metrics.REQUEST_SECONDS.record(seconds, call, outcome)
+        logs.write_event(
+            'request',
+            call=call,
+            job=id,
+            queue=queue.name,
+            outcome=outcome,
+            seconds=seconds,
+            **more,
+        )
+
+
+class Readiness:
+    """Tells the platform's balancer whether this entry takes calls."""
+
+    def __init__(self, is_ready: t.Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    async def __call__(
+        self, scope: t.Any, receive: http.Receive, send: http.Send
+    ) -> None:
+        """Serve one question."""
+        if scope['type'] == 'lifespan':
+            await http.serve_lifespan(receive, send)
+        elif scope['type'] == 'http':
+            if scope['path'] == '/metrics':
+                await _send_text(send, metrics.render())
+                return
+            ready = self._is_ready()
+            await http.send_json(send, 200 if ready else 503, {})
+
+
+async def _send_text(send: http.Send, text: str) -> None:
+    headers = [(b'content-type', b'text/plain; version=0.0.4')]
+    await send(
+        {'type': 'http.response.start', 'status': 200, 'headers': headers}
+    )
+    await send({'type': 'http.response.body', 'body': text.encode()})
--- /dev/null
+++ b/src/persimmonsail/platform/heartbeats.py
@@ -0,0 +1,102 @@
+"""What the worker's agent on this instance reports about itself."""
+
+import typing as t
+import urllib.parse
+
+import pydantic
+
+from persimmonsail.jobs import agent as agent_module
+from persimmonsail.jobs import specification
+from persimmonsail.jobs import worker
+from persimmonsail import logs
+from persimmonsail.platform import http
+
+_PATH = '/v1/runners/'
+_MAX_BYTES = 1024 * 1024
+_MILLISECONDS = 1000
+
+
+class _Capacity(pydantic.BaseModel):
+    # Thousandths of a core.
+    cpu: int = 0
+    memory_mib: int = pydantic.Field(default=0, alias='memMb')
+    accelerators: int = pydantic.Field(default=0, alias='gpu')
+
+
+class _Report(pydantic.BaseModel):
+    # New fields may come.
+    model_config = pydantic.ConfigDict(extra='ignore')
+
+    service: str
+    # Rises with each report of one boot; the clock may stand still.
+    sequence: int = pydantic.Field(default=0, alias='seq')
+    state: t.Literal['ready', 'draining'] = 'ready'
+    # Only while it leaves: the least time that is left.
+    remaining_ms: int = pydantic.Field(default=0, alias='remainingMs')
+    capacity: _Capacity = _Capacity()
+    # The kind of the instance, then its rack.
+    labels: tuple[str, ...] = ()
+
+    def to_heartbeat(self, boot: str) -> worker.Heartbeat:
+        return worker.Heartbeat(
+            boot=boot,
+            sequence=self.sequence,
+            service=self.service,
+            rack=self.labels[-1] if len(self.labels) > 1 else '',
+            labels=self.labels,
+            capacity=specification.Size(
+                self.capacity.cpu,
+                self.capacity.memory_mib,
+                self.capacity.accelerators,
+            ),
+            leaving=self.state == 'draining',
+            remaining_seconds=self.remaining_ms / _MILLISECONDS,
+        )
+
+
+class Heartbeats:
+    """The ASGI application that takes these reports."""
+
+    def __init__(self, agent: agent_module.Agent) -> None:
+        self._agent = agent
+
+    async def __call__(
+        self, scope: t.Any, receive: http.Receive, send: http.Send
+    ) -> None:
+        """Serve one report."""
+        if scope['type'] == 'lifespan':
+            await http.serve_lifespan(receive, send)
+        elif scope['type'] == 'http':
+            await self._serve(scope, receive, send)
+
+    async def _serve(
+        self, scope: t.Any, receive: http.Receive, send: http.Send
+    ) -> None:
+        try:
+            body = await http.read_body(receive, _MAX_BYTES)
+        except http.BodyTooLarge:
+            await http.send_error(send, 413, 'a report is at most 1 MiB')
+            return
+        except http.Disconnected:
+            return
+        path = scope['path']
+        if not path.startswith(_PATH):
+            await http.send_error(send, 404, 'no such call')
+            return
+        boot = urllib.parse.unquote(path.removeprefix(_PATH))
+        if scope['method'] == 'DELETE':
+            self._agent.note_boot_over(boot)
+        elif scope['method'] == 'PUT':
+            try:
+                report = _Report.model_validate_json(body)
+            except pydantic.ValidationError as error:
+                logs.write_error(
+                    'heartbeat-unreadable', boot=boot, error=error
+                )
+                await http.send_error(send, 400, str(error))
+                return
+            self._agent.note_heartbeat(report.to_heartbeat(boot))
+        else:
+            await http.send_error(send, 405, 'allowed: PUT, DELETE')
+            return
+        await http.send_json(send, 200, {})
--- /dev/null
+++ b/src/persimmonsail/platform/kvstore.py
@@ -0,0 +1,290 @@
+"""The platform's key-value store over its HTTP interface."""
+
+import base64
+import binascii
+import time
+import typing as t
+
+import httpx
+import pydantic
+
+from persimmonsail import exceptions
+from persimmonsail import metrics
+from persimmonsail import store
+
+# A waiting watch is answered late by the network and a slow store; the
+# slowest store that is served takes 0.3 s an answer.
+_WATCH_MARGIN_SECONDS = 1.0
+# The store refuses a watch that waits longer.
+_LONGEST_WATCH_SECONDS = 30.0
+_MILLISECONDS = 1000
+_REFUSED = (
+    httpx.codes.SERVICE_UNAVAILABLE,
+    httpx.codes.TOO_MANY_REQUESTS,
+    httpx.codes.FORBIDDEN,
+)
+_M = t.TypeVar('_M', bound=pydantic.BaseModel)
+
+
+class _Item(pydantic.BaseModel):
+    key: str
+    # Absent in a conflict's answer for a key that does not exist.
+    value: str = ''
+    revision: int = 0
+
+
+class _Event(pydantic.BaseModel):
+    key: str
+    revision: int
+    # Absent when the key was deleted.
+    value: str | None = None
+    deleted: bool = False
+
+
+class _Page(pydantic.BaseModel):
+    items: tuple[_Item, ...]
+    more: bool = pydantic.Field(alias='hasMore')
+    revision: int = pydantic.Field(alias='atRev')
+
+
+class _Events(pydantic.BaseModel):
+    events: tuple[_Event, ...]
+    revision: int = pydantic.Field(alias='atRev')
+
+
+class _Written(pydantic.BaseModel):
+    revision: int
+
+
+class _Conflicting(pydantic.BaseModel):
+    items: tuple[_Item, ...] = ()
+
+
+class _Granted(pydantic.BaseModel):
+    lease: int
+
+
+@store.register('platform')
+class PlatformStore(store.TransactionalStore):
+    """Use with ``kind = platform`` in the settings' ``[store]`` section."""
+
+    def __init__(self, address: str, timeout: float) -> None:
+        self._timeout = timeout
+        self._client = httpx.AsyncClient(
+            base_url=f'http://{address}', timeout=timeout, trust_env=False
+        )
+
+    async def get(self, key: str) -> store.Item | None:
+        """See ``Store.get``."""
+        answer = await self._call('GET', 'kv-key', query={'key': key})
+        if answer.status_code == httpx.codes.NOT_FOUND:
+            return None
+        return _to_item(_read(_Item, answer))
+
+    async def scan(self, prefix: str) -> store.Page:
+        """See ``Store.scan``; changes while it runs may be missing."""
+        items: list[store.Item] = []
+        revision = 0
+        query = {'prefix': prefix}
+        while True:
+            answer = await self._call('GET', 'kv-range', query=query)
+            page = _read(_Page, answer)
+            # Pages are no snapshot: what changes after the first one is
+            # only certain to be seen by a watch from its revision on.
+            revision = revision or page.revision
+            items.extend(_to_item(item) for item in page.items)
+            if not page.more or not page.items:
+                return store.Page(revision, tuple(items))
+            query = {'prefix': prefix, 'after': page.items[-1].key}
+
+    async def put(
+        self,
+        key: str,
+        value: str,
+        expected: int | None = None,
+        lease: str | None = None,
+    ) -> int:
+        """See ``Store.put``."""
+        conditions = {} if expected is None else {key: expected}
+        try:
+            return await self.commit(
+                conditions, [store.Write(key, value, lease)]
+            )
+        except exceptions.TransactionConflict as error:
+            raise _to_conflict(key, error) from error
+
+    async def delete(self, key: str, expected: int | None = None) -> None:
+        """See ``Store.delete``."""
+        conditions = {} if expected is None else {key: expected}
+        try:
+            await self.commit(conditions, (), [key])
+        except exceptions.TransactionConflict as error:
+            raise _to_conflict(key, error) from error
+
+    async def commit(
+        self,
+        conditions: t.Mapping[str, int],
+        writes: t.Sequence[store.Write],
+        removals: t.Sequence[str] = (),
+    ) -> int:
+        """See ``TransactionalStore.commit``."""
+        body = {
+            'precondition': [
+                {'key': key, 'revision': revision}
+                for key, revision in conditions.items()
+            ],
+            'puts': [_encode_write(write) for write in writes],
+            'remove': list(removals),
+        }
+        answer = await self._call('POST', 'kv-txn', body=body)
+        if answer.status_code == httpx.codes.PRECONDITION_FAILED:
+            found = _read(_Conflicting, answer).items
+            raise exceptions.TransactionConflict(
+                {item.key: _to_item(item) for item in found if item.revision}
+            )
+        if answer.status_code == httpx.codes.NOT_FOUND:
+            raise exceptions.LeaseExpired('a lease of the transaction')
+        return _read(_Written, answer).revision
+
+    async def grant_lease(self, seconds: float) -> str:
+        """See ``Store.grant_lease``."""
+        body = {'ttlMs': round(seconds * _MILLISECONDS)}
+        answer = await self._call('POST', 'kv-lease', body=body)
+        return str(_read(_Granted, answer).lease)
+
+    async def renew_lease(self, lease: str) -> None:
+        """See ``Store.renew_lease``."""
+        answer = await self._call('POST', 'kv-keep', lease, body={})
+        if answer.status_code == httpx.codes.NOT_FOUND:
+            raise exceptions.LeaseExpired(lease)
+
+    async def revoke_lease(self, lease: str) -> None:
+        """See ``Store.revoke_lease``."""
+        await self._call('DELETE', 'kv-lease-end', lease)
+
+    async def follow(
+        self, prefix: str, after: int, wait: float
+    ) -> store.Changes:
+        """See ``TransactionalStore.follow``."""
+        seconds = min(wait, _LONGEST_WATCH_SECONDS)
+        query = {
+            'prefix': prefix,
+            'after': after,
+            'waitMs': round(seconds * _MILLISECONDS),
+        }
+        timeout = seconds + self._timeout + _WATCH_MARGIN_SECONDS
+        answer = await self._call(
+            'GET', 'kv-watch', query=query, timeout=timeout
+        )
+        if answer.status_code == httpx.codes.GONE:
+            raise exceptions.HistoryLost(prefix)
+        events = _read(_Events, answer)
+        return store.Changes(
+            events.revision,
+            tuple(_to_change(event) for event in events.events),
+        )
+
+    async def watch(self, prefix: str, after: int, wait: float) -> store.Page:
+        """See ``Store.watch``."""
+        found = await self.follow(prefix, after, wait)
+        return store.Page(
+            found.revision,
+            tuple(
+                store.Item(change.key, change.value, change.revision)
+                for change in found.changes
+                if change.value is not None
+            ),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def _call(
+        self,
+        method: str,
+        name: str,
+        detail: str = '',
+        *,
+        query: dict[str, t.Any] | None = None,
+        body: dict[str, t.Any] | None = None,
+        timeout: float | None = None,
+    ) -> httpx.Response:
+        path = f'/v1/{name}/{detail}' if detail else f'/v1/{name}'
+        begun = time.monotonic()
+        try:
+            answer = await self._client.request(
+                method,
+                path,
+                params=query,
+                json=body,
+                timeout=timeout or self._timeout,
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            metrics.STORE_CALLS.increase(name, 'not-sent')
+            raise exceptions.CallRefused(
+                f'{name}: {type(error).__name__}'
+            ) from error
+        except httpx.HTTPError as error:
+            metrics.STORE_CALLS.increase(name, 'no-answer')
+            raise exceptions.StoreUnavailable(
+                f'{name}: {type(error).__name__}'
+            ) from error
+        metrics.STORE_CALLS.increase(name, str(answer.status_code))
+        # A watch waits on purpose; its time says nothing of the store.
+        if name != 'kv-watch':
+            metrics.STORE_SECONDS.record(time.monotonic() - begun, name)
+        if answer.status_code in _REFUSED:
+            raise exceptions.CallRefused(f'{name}: {answer.status_code}')
+        if answer.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
+            raise exceptions.StoreUnavailable(f'{name}: {answer.status_code}')
+        return answer
+
+
+def _encode_write(write: store.Write) -> dict[str, t.Any]:
+    row: dict[str, t.Any] = {
+        'key': write.key,
+        'value': base64.b64encode(write.value.encode()).decode('ascii'),
+    }
+    if write.lease is not None:
+        row['lease'] = int(write.lease)
+    return row
+
+
+def _decode_value(text: str, key: str) -> str:
+    try:
+        return base64.b64decode(text, validate=True).decode('utf-8')
+    except (binascii.Error, UnicodeDecodeError) as error:
+        raise exceptions.StoreUnavailable(
+            f'{key}: the value is no base64 of UTF-8'
+        ) from error
+
+
+def _to_item(item: _Item) -> store.Item:
+    value = _decode_value(item.value, item.key)
+    return store.Item(item.key, value, item.revision)
+
+
+def _to_change(event: _Event) -> store.Change:
+    value = None
+    if not event.deleted and event.value is not None:
+        value = _decode_value(event.value, event.key)
+    return store.Change(event.key, value, event.revision)
+
+
+def _to_conflict(
+    key: str, error: exceptions.TransactionConflict
+) -> exceptions.Conflict:
+    item = error.found.get(key)
+    return exceptions.Conflict(key, item.revision if item else 0)
+
+
+def _read(model: type[_M], answer: httpx.Response) -> _M:
+    # Something between the two ends may answer in the store's place,
+    # with a page of its own; a write may have taken effect all the same.
+    try:
+        return model.model_validate_json(answer.content)
+    except pydantic.ValidationError as error:
+        raise exceptions.StoreUnavailable(
+            f'{answer.status_code}: not an answer of the store'
+        ) from error
--- /dev/null
+++ b/src/persimmonsail/platform/runner.py
@@ -0,0 +1,160 @@
+"""Calls to the worker's agent on this instance."""
+
+import typing as t
+
+import httpx
+import pydantic
+
+from persimmonsail import exceptions
+from persimmonsail.jobs import worker
+
+# An order is answered within milliseconds; one that takes longer was
+# lost, and is found again by its repetition.
+_ORDER_SECONDS = 0.6
+_MILLISECONDS = 1000
+# The agent refuses to wait longer.
+_LONGEST_WAIT_SECONDS = 2.0
+_BOOT_HEADER = 'Expected-Instance'
+_UNHEALTHY = (
+    httpx.codes.TOO_MANY_REQUESTS,
+    httpx.codes.SERVICE_UNAVAILABLE,
+)
+_M = t.TypeVar('_M', bound=pydantic.BaseModel)
+
+
+class _Clocked(pydantic.BaseModel):
+    # The agent's own steady clock.
+    clock_ms: int = pydantic.Field(alias='clockMs')
+
+
+class _Refused(pydantic.BaseModel):
+    reason: str = 'unknown'
+
+
+class _Held(_Clocked):
+    # Rows of task, run, checkpoint, percent and a gauge whose meaning
+    # depends on the task; older agents leave the gauge out.
+    running: tuple[tuple[t.Any, ...], ...] = ()
+    # Rows of number, task, run, how it ended, and checkpoint.
+    finished: tuple[tuple[int, str, int, str, str], ...] = ()
+
+    def to_look(self) -> worker.Look:
+        return worker.Look(
+            self.clock_ms,
+            tuple(_read_running(row) for row in self.running),
+            tuple(worker.EndedRow(*row) for row in self.finished),
+        )
+
+
+def _read_running(row: tuple[t.Any, ...]) -> worker.RunningRow:
+    task, run, checkpoint, percent, *more = row
+    gauge = more[0] if more else 0
+    return worker.RunningRow(
+        str(task), int(run), checkpoint or '', float(percent), float(gauge)
+    )
+
+
+class Runner(worker.Worker):
+    """The worker's agent over HTTP."""
+
+    def __init__(self, address: str) -> None:
+        self._client = httpx.AsyncClient(
+            base_url=f'http://{address}',
+            timeout=_ORDER_SECONDS,
+            trust_env=False,
+        )
+
+    async def start(
+        self, boot: str, epoch: int, order: worker.StartOrder
+    ) -> int:
+        """See ``Worker.start``."""
+        body = {
+            'task': order.task,
+            'run': order.run,
+            'spec': order.payload,
+            'untilMs': order.until_ms,
+            'fencingToken': epoch,
+        }
+        if order.checkpoint:
+            body['checkpoint'] = order.checkpoint
+        answer = await self._call('run-start', boot, body)
+        return _read(_Clocked, answer).clock_ms
+
+    async def stop(self, boot: str, epoch: int, task: str, run: int) -> None:
+        """See ``Worker.stop``."""
+        body = {'task': task, 'run': run, 'fencingToken': epoch}
+        await self._call('run-stop', boot, body)
+
+    async def set_pace(
+        self, boot: str, epoch: int, task: str, run: int, percent: int
+    ) -> None:
+        """See ``Worker.set_pace``."""
+        body = {
+            'task': task,
+            'run': run,
+            'percent': percent,
+            'fencingToken': epoch,
+        }
+        await self._call('pace', boot, body)
+
+    async def look(
+        self,
+        boot: str,
+        epoch: int,
+        acknowledged: int,
+        until_ms: int | None = None,
+        wait_seconds: float = 0.0,
+    ) -> worker.Look:
+        """See ``Worker.look``."""
+        body = {'fencingToken': epoch, 'acked': acknowledged}
+        if until_ms is not None:
+            body['untilMs'] = until_ms
+        wait = min(wait_seconds, _LONGEST_WAIT_SECONDS)
+        if wait:
+            body['waitMs'] = round(wait * _MILLISECONDS)
+        answer = await self._call('hold', boot, body, _ORDER_SECONDS + wait)
+        return _read(_Held, answer).to_look()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def _call(
+        self,
+        name: str,
+        boot: str,
+        body: dict[str, t.Any],
+        timeout: float = _ORDER_SECONDS,
+    ) -> httpx.Response:
+        try:
+            answer = await self._client.post(
+                f'/v1/{name}',
+                json=body,
+                headers={_BOOT_HEADER: boot},
+                timeout=timeout,
+            )
+        except httpx.HTTPError as error:
+            raise exceptions.WorkerUnavailable(
+                f'{name}: {type(error).__name__}'
+            ) from error
+        status = answer.status_code
+        if status == httpx.codes.OK:
+            return answer
+        if status == httpx.codes.MISDIRECTED_REQUEST:
+            raise exceptions.WorkerBootChanged(boot)
+        if status == httpx.codes.CONFLICT:
+            raise exceptions.OrderRefused(_read(_Refused, answer).reason)
+        if status in _UNHEALTHY:
+            raise exceptions.OrderRefused('unhealthy')
+        if status == httpx.codes.BAD_REQUEST:
+            raise exceptions.OrderRefused('malformed')
+        raise exceptions.WorkerUnavailable(f'{name}: status {status}')
+
+
+def _read(model: type[_M], answer: httpx.Response) -> _M:
+    try:
+        return model.model_validate_json(answer.content)
+    except pydantic.ValidationError as error:
+        raise exceptions.WorkerUnavailable(
+            f'{answer.status_code}: not an answer of the agent'
+        ) from error
--- /dev/null
+++ b/src/persimmonsail/platform/submissions.py
@@ -0,0 +1,108 @@
+"""Callers' jobs as they come over the wire."""
+
+import typing as t
+
+import pydantic
+
+from persimmonsail import exceptions
+from persimmonsail.jobs import specification
+
+
+class _Wire(pydantic.BaseModel):
+    # A field that isn't known may change what a job means; to run the
+    # job without it would be worse than a clear answer.
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+
+class _Phase(_Wire):
+    # On the wire a job's steps are its phases.
+    count: int = 0
+    # Thousandths of a core.
+    cpu: int = 0
+    memory_mib: int = pydantic.Field(default=0, alias='memMb')
+    accelerators: int = pydantic.Field(default=0, alias='gpu')
+    estimate_ms: int = pydantic.Field(default=0, alias='estimateMs')
+    after: tuple[int, ...] = ()
+    checkpoints: bool = pydantic.Field(default=False, alias='checkpointing')
+    gang: bool = False
+    same_rack: bool = pydantic.Field(default=False, alias='sameRack')
+    # A label of the instance; selects nothing else.
+    label: str = pydantic.Field(default='', alias='selector')
+    # The rack of the data, no wish to be near other tasks.
+    data_rack: str = pydantic.Field(default='', alias='affinity')
+    most_per_instance: int = pydantic.Field(default=0, alias='maxPerServer')
+    speculative: bool = False
+    long_running: bool = pydantic.Field(default=False, alias='longRunning')
+    image: str = ''
+    # Of the tail latency, no target for the job's own time.
+    latency_target_ms: int = pydantic.Field(default=0, alias='targetMs')
+    # A flag despite its name: the step's processors are not committed.
+    best_effort_cpu: bool = pydantic.Field(default=False, alias='fillCount')
+    disruption_budget: int = pydantic.Field(
+        default=0, alias='disruptionBudget'
+    )
+
+    def to_step(self) -> specification.Step:
+        return specification.Step(
+            count=self.count,
+            size=specification.Size(
+                self.cpu, self.memory_mib, self.accelerators
+            ),
+            estimate_ms=self.estimate_ms,
+            after=self.after,
+            checkpoints=self.checkpoints,
+            gang=self.gang,
+            same_rack=self.same_rack,
+            label=self.label,
+            data_rack=self.data_rack,
+            most_per_instance=self.most_per_instance,
+            speculative=self.speculative,
+            long_running=self.long_running,
+            image=self.image,
+            latency_target_ms=self.latency_target_ms,
+            best_effort_cpu=self.best_effort_cpu,
+            disruption_budget=self.disruption_budget,
+        )
+
+
+class _Submission(_Wire):
+    # Opaque to the system: handed to every task as it is.
+    payload: str = pydantic.Field(default='', alias='spec')
+    phases: tuple[_Phase, ...] = ()
+    occurrences: int = pydantic.Field(default=0, alias='repeatCount')
+    first_ms: int = pydantic.Field(default=0, alias='firstMs')
+    interval_ms: int = pydantic.Field(default=0, alias='intervalMs')
+
+
+def decode(body: bytes) -> specification.Specification:
+    """Read and check a submission.
+
+    Raises
+    ------
+    persimmonsail.exceptions.JobInvalid
+        With every field that is wrong, and its place.
+    """
+    try:
+        found = _Submission.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        raise exceptions.JobInvalid(_describe(error)) from error
+    decoded = specification.Specification(
+        payload=found.payload,
+        steps=tuple(phase.to_step() for phase in found.phases),
+        occurrences=found.occurrences,
+        first_ms=found.first_ms,
+        interval_ms=found.interval_ms,
+    )
+    specification.check(decoded)
+    return decoded
+
+
+def _describe(error: pydantic.ValidationError) -> str:
+    return '; '.join(
+        f'{_name_place(detail["loc"])}: {detail["msg"]}'
+        for detail in error.errors(include_input=False, include_url=False)
+    )
+
+
+def _name_place(place: t.Iterable[t.Any]) -> str:
+    return '.'.join(str(part) for part in place) or 'body'
--- a/src/persimmonsail/settings.py
+++ b/src/persimmonsail/settings.py
@@ -115,6 +115,22 @@
     connect: Seconds = 1.0
 
 
+class Jobs(Section):
+    """Jobs on the users' platform, for both roles.
+
+    A file with this section runs the roles of ``platform/``.
+    """
+
+    readiness: Address | None = None
+    worker: Address | None = None
+    heartbeats: Address | None = None
+    # How long what runs goes on after the leader's last word. The
+    # worker's agent grants no longer leases than 6 s.
+    lease: Seconds = 5.8
+    # How long callers may ask for an ended job, and some more.
+    retention: LongSeconds = 150.0
+
+
 class Settings(Section):
     """All sections of one file."""
 
@@ -123,6 +139,9 @@
     entry: Entry = Entry()
     sidecar: Sidecar | None = None
     links: Links = Links()
+    jobs: Jobs | None = None
+    # The file's path.
+    source: str = ''
 
 
 _MODELS: dict[str, type[Section]] = {
@@ -131,11 +150,22 @@
     'entry': Entry,
     'sidecar': Sidecar,
     'links': Links,
+    'jobs': Jobs,
 }
 _NEEDED = {
     'entry': ('process', 'store'),
     'sidecar': ('process', 'sidecar'),
 }
+# With jobs a sidecar needs the store and the worker's agent, and no
+# backend server of its own.
+_NEEDED_FOR_JOBS = {
+    'entry': ('process', 'store'),
+    'sidecar': ('process', 'store'),
+}
+_ADDRESSES_FOR_JOBS = {
+    'entry': ('readiness',),
+    'sidecar': ('worker', 'heartbeats'),
+}
 
 
 def load(path: pathlib.Path, role: str) -> Settings:
@@ -181,7 +211,8 @@
             sections[name] = model.model_validate(dict(parser[name]))
         except pydantic.ValidationError as error:
             collector.add_validation(places, name, error, model)
-    for name in _NEEDED[role]:
+    with_jobs = 'jobs' in parser.sections()
+    for name in (_NEEDED_FOR_JOBS if with_jobs else _NEEDED)[role]:
         if name not in parser.sections():
             collector.add(
                 findings.Place(file, section=name),
@@ -189,8 +220,20 @@
             )
     _check_store_kind(sections.get('store'), places, collector)
     _check_advertised(sections.get('process'), places, collector)
+    _check_jobs(sections.get('jobs'), role, places, collector)
     collector.raise_if_any()
-    return Settings.model_validate(sections)
+    return Settings.model_validate({**sections, 'source': file})
+
+
+def _check_jobs(section, role, places, collector) -> None:
+    if section is None:
+        return
+    for name in _ADDRESSES_FOR_JOBS[role]:
+        if getattr(section, name) is None:
+            collector.add(
+                places.find('jobs', name),
+                f'option is missing; the {role} role needs it',
+            )
 
 
 def _check_store_kind(section, places, collector) -> None:
--- a/src/persimmonsail/store.py
+++ b/src/persimmonsail/store.py
@@ -28,6 +28,40 @@
     items: tuple[Item, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class Write:
+    """One key that a transaction sets.
+
+    Attributes
+    ----------
+    key, value : str
+        What is written.
+    lease : str, optional
+        The key is deleted when this lease ends.
+    """
+
+    key: str
+    value: str
+    lease: str | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """One change that a watch reports; no value for a deleted key."""
+
+    key: str
+    value: str | None
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """What changed below a prefix, and the revision to go on from."""
+
+    revision: int
+    changes: tuple[Change, ...]
+
+
 class Store(abc.ABC):
     """What the system asks of the platform's store.
 
@@ -111,10 +145,55 @@
         """Release connections."""
 
 
+class TransactionalStore(Store):
+    """A store that also writes several keys at once, under conditions."""
+
+    @abc.abstractmethod
+    async def commit(
+        self,
+        conditions: t.Mapping[str, int],
+        writes: t.Sequence[Write],
+        removals: t.Sequence[str] = (),
+    ) -> int:
+        """Write all keys, or none; return the new revision.
+
+        Parameters
+        ----------
+        conditions : mapping of str to int
+            The revision at which each key has to be; 0 means absent.
+        writes : sequence of Write
+            What to set.
+        removals : sequence of str
+            Keys to delete.
+
+        Raises
+        ------
+        persimmonsail.exceptions.TransactionConflict
+            If a key is at another revision.
+        persimmonsail.exceptions.LeaseExpired
+            If the store does not know a lease.
+        persimmonsail.exceptions.CallRefused
+            If the store said that nothing was written.
+        persimmonsail.exceptions.StoreUnavailable
+            If no answer came; it may take effect now or seconds later.
+        """
+
+    @abc.abstractmethod
+    async def follow(self, prefix: str, after: int, wait: float) -> Changes:
+        """Wait for changes below a prefix, deletions among them.
+
+        Raises
+        ------
+        persimmonsail.exceptions.HistoryLost
+            If the store has forgotten what came after that revision; the
+            prefix has to be scanned anew.
+        """
+
+
 KINDS: dict[str, t.Callable[..., Store]] = {}
 
 
-_MODULES = ('persimmonsail.httpstore',)
+_MODULES = ('persimmonsail.httpstore', 'persimmonsail.platform.kvstore')
 
 
 def load_kinds() -> dict[str, t.Callable[..., Store]]:
