Learn how images disturb each other, and pace by it

Now coefficients come from differences between instances, and what a serving task bears goes to the jobs due first.

--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -313,6 +313,13 @@
             life.note_started(order, clock_ms, clock.read())
             life.pending.pop(key, None)
             logs.write_event('started', task=start.task, run=start.run)
+            if start.percent:
+                # At once: a run that begins at full speed is felt by what
+                # serves beside it until the leader's first look.
+                pace = fleet_pb2.Pace(
+                    task=start.task, run=start.run, percent=start.percent
+                )
+                self._group.start_soon(self._set_pace, life, pace)
             self._notify()
             return
 
@@ -406,6 +413,12 @@
             life = self._life
             if life is None or not life.looked:
                 await anyio.sleep(_RETRY_SECONDS)
+            elif life.ended:
+                # The agent answers at once while ends are not
+                # acknowledged; asking on took a tenth of the processor.
+                with anyio.move_on_after(_RETRY_SECONDS):
+                    await self._renew.wait()
+                await anyio.sleep(_GATHER_SECONDS)
             elif not await self._try_look(life, wait=_WAIT_SECONDS):
                 await anyio.sleep(_RETRY_SECONDS)
 
--- a/src/persimmonsail/jobs/election.py
+++ b/src/persimmonsail/jobs/election.py
@@ -76,7 +76,10 @@
                 await anyio.sleep(_RETRY_SECONDS)
 
     async def _take_part(self) -> None:
-        item = await self._store.get(record.LEADER)
+        # The key may be older than the store's history; a watch from the
+        # page's own revision is answered by what changes from now on.
+        page = await self._store.scan(record.LEADER)
+        item = page.items[0] if page.items else None
         if item is None:
             await anyio.sleep(self._random.random() * _JITTER_SECONDS)
             await self._stand(0)
@@ -93,7 +96,7 @@
             return
         with contextlib.suppress(exceptions.HistoryLost):
             await self._store.follow(
-                record.LEADER, item.revision, _WATCH_SECONDS
+                record.LEADER, page.revision, _WATCH_SECONDS
             )
 
     def _note_leader(self, known: ledger.LeaderItem) -> None:
--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -38,6 +38,9 @@
     ordered_at, seen_at : float
         When the start was claimed, and when it was first seen running;
         0 before. Seconds of the leader's clock.
+    due : float
+        When its job's objective is missed, in seconds of the leader's
+        clock; 0 if it has none.
     percent : float
         How much of its work is done; for a long-running task whether it
         is at work.
@@ -48,6 +51,8 @@
         millicores in use.
     pace : int
         The share of its speed that it was told to work at.
+    paced_at : float
+        When it was told so; 0 for never.
     over_since : float
         Since when it has been over its latency target; 0 if it is not.
     """
@@ -61,10 +66,12 @@
     order: int = 0
     ordered_at: float = 0.0
     seen_at: float = 0.0
+    due: float = 0.0
     percent: float = 0.0
     moved_at: float = 0.0
     gauge: float = 0.0
     pace: int = 100
+    paced_at: float = 0.0
     over_since: float = 0.0
 
     @property
--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -19,6 +19,7 @@
 from persimmonsail.jobs import evacuation
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
+from persimmonsail.jobs import interference
 from persimmonsail.jobs import ledger as ledger_module
 from persimmonsail.jobs import link as link_module
 from persimmonsail.jobs import queues
@@ -84,8 +85,12 @@
         self._links: dict[str, link_module.InstanceLink] = {}
         self._wake = anyio.Event()
         self._group: anyio.abc.TaskGroup
+        self._model = interference.Model()
         self._reader = reports.Reader(
-            self.board, quarantine.Tracker(), self._get_attempts
+            self.board,
+            quarantine.Tracker(),
+            self._model,
+            self._get_attempts,
         )
 
     async def run(self) -> None:
@@ -328,6 +333,7 @@
             percent=percent,
         )
         run.pace = percent
+        run.paced_at = clock.read()
         orders = self._links[instance.address].edit()
         orders.paces.add(task=run.task, run=run.number, percent=percent)
 
@@ -341,6 +347,7 @@
                     self.board,
                     self.fleet.values(),
                     self._view.current,
+                    self._model,
                     clock.read(),
                     time.time(),
                 )
@@ -417,6 +424,8 @@
         _fill_start(start, claim.run)
         start.payload = claim.task.job.specification.payload
         start.checkpoint = claim.task.state.checkpoint
+        if claim.run.pace < 100:
+            start.percent = claim.run.pace
 
     def _acknowledge(self) -> None:
         for instance in self.fleet.values():
--- a/src/persimmonsail/jobs/life.py
+++ b/src/persimmonsail/jobs/life.py
@@ -8,6 +8,9 @@
 RunId = tuple[str, int]
 
 _MILLISECONDS = 1000
+# A look that was made just before a start may be answered after it; what
+# a look this much later still misses is not there.
+_OVERTAKEN_MS = 100
 
 
 @dataclasses.dataclass
@@ -85,10 +88,13 @@
         self._looked_ms = look.clock_ms
         self.note_clock(look.clock_ms, now)
         running = {(row.task, row.run): row for row in look.running}
+        ended_keys = {(row.task, row.run) for row in look.ended}
+        seen = running.keys() | ended_keys
         self._provisional = {
             key: kept
             for key, kept in self._provisional.items()
-            if kept.clock_ms > look.clock_ms and key not in running
+            if key not in seen
+            and look.clock_ms <= kept.clock_ms + _OVERTAKEN_MS
         }
         for key, kept in self._provisional.items():
             running[key] = kept.row
--- a/src/persimmonsail/jobs/order.py
+++ b/src/persimmonsail/jobs/order.py
@@ -61,8 +61,7 @@
         How much longer tasks of this queue take than estimated.
     """
     job = task.job
-    path_ms = job.specification.critical_path_ms * stretch
-    objective_ms = queue.slack_factor * path_ms + queue.target_ms
+    objective_ms = find_objective_ms(job, queue, stretch)
     remaining_ms = job.tails_ms[task.key.step] * stretch
     age_ms = now_ms - job.accepted_ms
     spare_ms = objective_ms - age_ms - remaining_ms
@@ -70,3 +69,11 @@
         return Urgency(queue.priority, 0, spare_ms)
     late = age_ms + remaining_ms <= _LATE_FACTOR * objective_ms
     return Urgency(queue.priority, 1 if late else 2, remaining_ms)
+
+
+def find_objective_ms(
+    job: board.Job, queue: queues.Queue, stretch: float
+) -> float:
+    """Return how long a job may take from its acceptance to its end."""
+    path_ms = job.specification.critical_path_ms * stretch
+    return queue.slack_factor * path_ms + queue.target_ms
--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -2,23 +2,33 @@
 
 Load pattern: serving tasks declare most of the fleet's processors and
 use about half of them; heavy best-effort tasks take what is left and
-disturb the serving tasks beside them. So serving tasks are packed where
-the fewest best-effort tasks are, and best-effort tasks go where nothing
-serves, as long as there is room; a short task goes where most is unused.
+disturb about half of the images that serve. An instance where only one
+image serves can still take every second best-effort image at full speed,
+one with five images almost none; so serving tasks are placed beside
+their own image, and best-effort tasks where they may work fastest. A
+short task goes where most is unused.
 """
 
 import typing as t
 
 from persimmonsail.jobs import board
 from persimmonsail.jobs import instances
+from persimmonsail.jobs import interference
 from persimmonsail.jobs import specification
 
 # The part of its declared processors that a serving task uses: its load
 # is 0.42 in the mean and swings by half of that.
 SERVING_USE = 0.5
-# A best-effort task is started where it gets at least this part of its
-# processors; with less it holds its memory for longer than it helps.
-FILL_SHARE = 0.75
+# A best-effort task waits for an instance where it would work at least
+# at this part of its speed; on a worse one it stays for longer than the
+# wait for a better one takes.
+_LEAST_SPEED = 0.5
+# Kept free below the point where a serving task misses its target.
+_MARGIN = 0.08
+
+# The mean of the highest load among one, two, three or more steps whose
+# loads swing by half around 0.42, each in its own time.
+_HIGHEST_LOADS = (0.42, 0.5, 0.54, 0.57)
 
 _Score = tuple[float, ...]
 
@@ -27,6 +37,7 @@
     task: board.Task,
     fleet: t.Iterable[instances.Instance],
     service: str,
+    model: interference.Model,
     now: float,
 ) -> instances.Instance | None:
     """Return the best instance that has room for a task, or nothing.
@@ -39,6 +50,8 @@
         All instances.
     service : str
         The service that runs the task's queue.
+    model : persimmonsail.jobs.interference.Model
+        What is known of the images.
     now : float
         Seconds of the leader's clock.
     """
@@ -49,6 +62,8 @@
         and is_usable(instance, now)
         and has_room(task, instance)
     ]
+    if task.step.best_effort_cpu:
+        return _choose_fastest(task, fitting, model)
     return min(fitting, key=lambda i: _score(task, i), default=None)
 
 
@@ -73,8 +88,6 @@
         step_name = task.name.rpartition('.')[0]
         if instance.count_step(step_name) >= step.most_per_instance:
             return False
-    if step.best_effort_cpu:
-        return _fits_unused(step, instance)
     return True
 
 
@@ -86,27 +99,87 @@
     return unused
 
 
+def estimate_speed(
+    step: specification.Step,
+    instance: instances.Instance,
+    model: interference.Model,
+) -> float:
+    """Return at which part of its speed a best-effort task would work.
+
+    Bounded by the processors that are left, and by the pressure that the
+    serving tasks bear at their mean load with all that is there already.
+    """
+    if not step.size.millicores:
+        return 1.0
+    speed = estimate_unused(instance) / step.size.millicores
+    for serving in instance.serving:
+        speed = min(speed, _estimate_pace(serving, step, instance, model))
+    return min(max(speed, 0.0), 1.0)
+
+
+def _estimate_pace(
+    serving: instances.Run,
+    step: specification.Step,
+    instance: instances.Instance,
+    model: interference.Model,
+) -> float:
+    image = serving.step.image
+    if model.get_coefficient(image, step.image) < interference.PRESSES:
+        return 1.0
+    capacity = max(instance.capacity.millicores, 1)
+    beside = [run.step for run in instance.fillers]
+    pressure = sum(
+        model.get_coefficient(image, each.image)
+        * each.size.millicores
+        / capacity
+        for each in (*beside, step)
+    )
+    room = model.estimate_limit(serving) - _MARGIN - _expect_load(instance)
+    return max(room, 0.0) / pressure
+
+
+def _expect_load(instance: instances.Instance) -> float:
+    """Return the highest load of several steps that swing each alone."""
+    steps = len({run.step_name for run in instance.serving})
+    return _HIGHEST_LOADS[min(steps, len(_HIGHEST_LOADS)) - 1]
+
+
+def _choose_fastest(
+    task: board.Task,
+    fitting: t.Iterable[instances.Instance],
+    model: interference.Model,
+) -> instances.Instance | None:
+    best: instances.Instance | None = None
+    best_score: _Score = ()
+    for instance in fitting:
+        speed = estimate_speed(task.step, instance, model)
+        if speed < _LEAST_SPEED:
+            continue
+        remote = _is_remote(task, instance)
+        avoided = instance.address in task.avoid
+        score = (avoided, remote, -speed, -estimate_unused(instance))
+        if best is None or score < best_score:
+            best = instance
+            best_score = score
+    return best
+
+
 def _estimate_use(run: instances.Run) -> float:
     if run.serves:
         return run.step.size.millicores * SERVING_USE
-    return run.step.size.millicores * run.pace / 100
+    return run.step.size.millicores
 
 
-def _fits_unused(
-    step: specification.Step, instance: instances.Instance
-) -> bool:
-    wanted = min(step.size.millicores, instance.capacity.millicores)
-    return estimate_unused(instance) >= wanted * FILL_SHARE
+def _is_remote(task: board.Task, instance: instances.Instance) -> bool:
+    return bool(task.step.data_rack) and task.step.data_rack != instance.rack
 
 
 def _score(task: board.Task, instance: instances.Instance) -> _Score:
-    step = task.step
     avoided = instance.address in task.avoid
-    remote = bool(step.data_rack) and step.data_rack != instance.rack
-    unused = estimate_unused(instance)
-    if step.latency_target_ms:
-        pressure = sum(r.step.size.millicores for r in instance.fillers)
-        return (avoided, remote, pressure, -len(instance.serving))
-    if step.best_effort_cpu:
-        return (avoided, remote, len(instance.serving), -unused)
-    return (avoided, remote, -unused)
+    remote = _is_remote(task, instance)
+    if task.step.latency_target_ms:
+        images = {run.step.image for run in instance.serving}
+        others = len(images - {task.step.image})
+        size = 0 if images else instance.capacity.millicores
+        return (avoided, remote, others, not images, size)
+    return (avoided, remote, -estimate_unused(instance))
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -6,6 +6,7 @@
 from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
+from persimmonsail.jobs import interference
 from persimmonsail.jobs import pace
 from persimmonsail.jobs import record
 from persimmonsail.jobs import specification
@@ -49,6 +50,8 @@
         The leader's jobs.
     tracker : persimmonsail.quarantine.Tracker
         Tells a bad instance from a bad job.
+    model : persimmonsail.jobs.interference.Model
+        Learns from each report how images disturb each other.
     get_attempts : callable
         Returns how often a task of a queue may fail.
     """
@@ -57,10 +60,12 @@
         self,
         board: board_module.Board,
         tracker: quarantine.Tracker,
+        model: interference.Model,
         get_attempts: t.Callable[[str], int],
     ) -> None:
         self._board = board
         self._tracker = tracker
+        self._model = model
         self._get_attempts = get_attempts
 
     def read(
@@ -87,7 +92,8 @@
             self._note_barred(instance, barred, now)
             reaction.replan = True
         self._settle_absent(instance, report, reaction)
-        reaction.paces = pace.decide(instance, now)
+        self._model.learn(instance, now)
+        reaction.paces = pace.decide(instance, self._model, now)
         return reaction
 
     def drop_runs(self, instance: instances.Instance, reason: str) -> None:
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -5,7 +5,9 @@
 
 from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import instances
+from persimmonsail.jobs import interference
 from persimmonsail.jobs import order
+from persimmonsail.jobs import pace
 from persimmonsail.jobs import placement
 from persimmonsail.jobs import queues
 from persimmonsail import logs
@@ -26,6 +28,7 @@
     board: board_module.Board,
     fleet: t.Collection[instances.Instance],
     configuration: queues.Configuration,
+    model: interference.Model,
     now: float,
     wall: float,
 ) -> list[Claim]:
@@ -39,6 +42,8 @@
         The instances; claimed runs are counted there.
     configuration : persimmonsail.jobs.queues.Configuration
         The queues in force.
+    model : persimmonsail.jobs.interference.Model
+        What is known of the images.
     now : float
         Seconds of the leader's clock.
     wall : float
@@ -52,11 +57,14 @@
         step = (task.job.id, task.key.occurrence, task.key.step)
         if step in full:
             continue
-        instance = placement.choose(task, fleet, queue.service, now)
+        instance = placement.choose(task, fleet, queue.service, model, now)
         if instance is None:
             full.add(step)
             continue
-        claims.append(_claim(board, task, instance, now))
+        objective_ms = order.find_objective_ms(task.job, queue, 1.0)
+        age_ms = wall * _MILLISECONDS - task.job.accepted_ms
+        due = now + (objective_ms - age_ms) / _MILLISECONDS
+        claims.append(_claim(board, task, instance, due, model, now))
     return claims
 
 
@@ -84,6 +92,8 @@
     board: board_module.Board,
     task: board_module.Task,
     instance: instances.Instance,
+    due: float,
+    model: interference.Model,
     now: float,
 ) -> Claim:
     number = board.place(task, instance.address, instance.boot)
@@ -96,7 +106,11 @@
         # Not sent yet: no report can have seen it.
         order=_NOT_SENT,
         ordered_at=now,
+        due=due,
     )
+    if task.step.best_effort_cpu:
+        run.pace = pace.choose_first_percent(run, instance, model, now)
+        run.paced_at = now
     logs.write_event(
         'placed',
         task=run.task,
@@ -106,6 +120,7 @@
         free_millicores=instance.free.millicores,
         free_mib=instance.free.memory_mib,
         serving=len(instance.serving),
+        percent=run.pace,
         resumes=bool(task.state.checkpoint),
     )
     instance.add_run(run)
--- a/src/persimmonsail/platform/configuration.py
+++ b/src/persimmonsail/platform/configuration.py
@@ -102,6 +102,8 @@
         self._store = store
         self._view = view
         self._revision = 0
+        # Up to where the store's history is known.
+        self._followed = 0
         self._heard = True
         self.loaded = anyio.Event()
 
@@ -114,14 +116,16 @@
     async def _poll(self) -> None:
         while True:
             try:
-                item = await self._store.get(_KEY)
+                page = await self._store.scan(_KEY)
             except exceptions.StoreUnavailable as error:
                 self._note_contact(False, error)
                 await anyio.sleep(_RETRY_SECONDS)
                 continue
             self._note_contact(True)
-            if item is not None:
-                self._take(item.value, item.revision)
+            for item in page.items:
+                if item.key == _KEY:
+                    self._take(item.value, item.revision)
+            self._followed = max(self._followed, page.revision)
             await anyio.sleep(_POLL_SECONDS)
 
     async def _watch(self) -> None:
@@ -129,12 +133,13 @@
         while True:
             try:
                 found = await self._store.follow(
-                    _KEY, self._revision, _WATCH_SECONDS
+                    _KEY, self._followed, _WATCH_SECONDS
                 )
             except exceptions.StoreError:
                 # The poll tells of lost contact, and goes on meanwhile.
                 await anyio.sleep(_RETRY_SECONDS)
                 continue
+            self._followed = max(self._followed, found.revision)
             for change in found.changes:
                 if change.key == _KEY and change.value is not None:
                     self._take(change.value, change.revision)
