--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -313,7 +313,7 @@
             life.note_started(order, clock_ms, clock.read())
             life.pending.pop(key, None)
             logs.write_event('started', task=start.task, run=start.run)
-            if start.percent:
+            if start.HasField('percent'):
                 # At once: a run that begins at full speed is felt by what
                 # serves beside it until the leader's first look.
                 pace = fleet_pb2.Pace(
--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -14,7 +14,7 @@
     STOPPING = 'stopping'
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class Run:
     """One run that takes, or may take, room of an instance.
 
@@ -88,7 +88,7 @@
 RunId = tuple[str, int]
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class Instance:
     """One instance, found under its sidecar's address.
 
--- a/src/persimmonsail/jobs/interference.py
+++ b/src/persimmonsail/jobs/interference.py
@@ -78,13 +78,33 @@
             return PRIOR_COEFFICIENT
         return fit.get(filling)
 
-    def estimate_load(self, step_name: str, now: float) -> float:
-        """Return what a serving step's load will be in a moment."""
-        load = self._loads.get(step_name)
+    def estimate_load(
+        self, run: instances.Run, address: str, now: float
+    ) -> float:
+        """Return what a serving run's load will be in a moment.
+
+        Read from its own instance's last gauges: what a coefficient is
+        wrong by is then made good by the next look, as it would not be
+        with the load that other instances show.
+
+        Parameters
+        ----------
+        run : persimmonsail.jobs.instances.Run
+            The serving run.
+        address : str
+            Its instance.
+        now : float
+            Seconds of the leader's clock.
+        """
+        load = self._loads.get(run.step_name)
         if load is None or now - load.read_at > _LOAD_SECONDS:
             return MEAN_LOAD
-        ahead = now - load.read_at + _AHEAD_SECONDS
-        return max(load.value + load.slope * ahead, _LOWEST_LOAD)
+        value = load.value
+        sample = self._samples[run.step_name].get(address)
+        if sample is not None and now - sample.read_at < _LOAD_SECONDS:
+            pressure = self._press(run.step.image, sample.parts)
+            value = max(sample.fullness - pressure, 0.0)
+        return value + max(load.slope, 0.0) * _AHEAD_SECONDS
 
     def estimate_limit(self, run: instances.Run) -> float:
         """Return the fullness at which a run just meets its target."""
--- a/src/persimmonsail/jobs/pace.py
+++ b/src/persimmonsail/jobs/pace.py
@@ -94,7 +94,7 @@
     for serving in instance.serving:
         if serving.phase is not instances.RunPhase.RUNNING:
             continue
-        room = _measure_room(serving, model, now)
+        room = _measure_room(serving, instance.address, model, now)
         blamed = _blame(fillers, serving, model)
         for i in ranked:
             if i not in blamed:
@@ -113,9 +113,12 @@
 
 
 def _measure_room(
-    serving: instances.Run, model: interference.Model, now: float
+    serving: instances.Run,
+    address: str,
+    model: interference.Model,
+    now: float,
 ) -> float:
-    load = model.estimate_load(serving.step_name, now)
+    load = model.estimate_load(serving, address, now)
     return max(model.estimate_limit(serving) - _MARGIN - load, 0.0)
 
 
--- /dev/null
+++ b/tests/jobs/cases.py
@@ -0,0 +1,78 @@
+"""Jobs, instances and reports that several tests build."""
+
+from persimmonsail.jobs import board
+from persimmonsail.jobs import fleet_pb2
+from persimmonsail.jobs import instances
+from persimmonsail.jobs import queues
+from persimmonsail.jobs import specification
+
+ID = '00000000000000aa'
+QUEUE = queues.Queue(
+    name='builds',
+    host='jobs',
+    prefix='/builds/',
+    service='planner',
+    max_attempts=2,
+    slack_factor=2.0,
+    target_ms=1000,
+)
+QUEUES = queues.Configuration(version=1, queues=(QUEUE,))
+
+
+def make_step(count=1, **fields) -> specification.Step:
+    """Return a step of one core and 100 MiB a task."""
+    fields.setdefault('size', specification.Size(1000, 100))
+    return specification.Step(count=count, **fields)
+
+
+def make_job(*steps, id=ID, accepted_ms=0) -> board.Job:
+    """Return a job that nothing was done for."""
+    return board.Job(
+        id,
+        QUEUE.name,
+        accepted_ms,
+        specification.Specification('payload', steps or (make_step(),)),
+    )
+
+
+def make_instance(address='10.0.0.1:7000', cores=64, **fields):
+    """Return an attached instance with nothing on it."""
+    fields.setdefault('boot', 'boot-1')
+    return instances.Instance(
+        address,
+        service=QUEUE.service,
+        capacity=specification.Size(cores * 1000, 256000),
+        attached=True,
+        **fields,
+    )
+
+
+def add_run(instance, step, task='00000000000000bb.0.0.0', **fields):
+    """Put a running run on an instance."""
+    fields.setdefault('phase', instances.RunPhase.RUNNING)
+    run = instances.Run(
+        task=task,
+        number=1,
+        boot=instance.boot,
+        step=step,
+        queue=QUEUE.name,
+        seen_at=1.0,
+        **fields,
+    )
+    instance.add_run(run)
+    return run
+
+
+def make_report(instance, **fields) -> fleet_pb2.Report:
+    """Return a report of an instance as it stands."""
+    size = instance.capacity
+    report = fleet_pb2.Report(
+        boot=instance.boot,
+        service=instance.service,
+        looked=True,
+        seen=1 << 40,
+        **fields,
+    )
+    report.capacity.millicores = size.millicores
+    report.capacity.memory_mib = size.memory_mib
+    return report
--- /dev/null
+++ b/tests/jobs/test_board.py
@@ -0,0 +1,146 @@
+from persimmonsail.jobs import board
+from persimmonsail.jobs import record
+from tests import base
+from tests.jobs import cases
+
+ATTEMPTS = 2
+
+
+class BoardTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.board = board.Board()
+
+    def add(self, *steps):
+        job = cases.make_job(*steps)
+        self.board.add(job)
+        return job
+
+    def end(self, task, how, checkpoint=''):
+        return self.board.note_end(
+            task, task.state.run, board.End(how), checkpoint, ATTEMPTS
+        )
+
+    def run_all(self, job):
+        for task in list(job.waiting.values()):
+            self.board.place(task, 'a', 'boot')
+            self.end(task, 'done')
+
+    def test_a_step_opens_once_all_tasks_before_it_are_done(self):
+        job = self.add(cases.make_step(2), cases.make_step(1, after=(0,)))
+        first, second = job.waiting.values()
+        self.board.place(first, 'a', 'boot')
+        self.board.place(second, 'a', 'boot')
+        self.end(first, 'done')
+        self.assertEqual({}, job.waiting)
+        self.end(second, 'done')
+        self.assertEqual([record.TaskKey(0, 1, 0)], list(job.waiting))
+
+    def test_a_job_is_complete_with_its_last_task(self):
+        job = self.add(cases.make_step(1), cases.make_step(1, after=(0,)))
+        self.run_all(job)
+        self.assertEqual(record.JobPhase.ACTIVE, job.phase)
+        self.run_all(job)
+        self.assertEqual(record.JobPhase.COMPLETE, job.phase)
+
+    def test_an_end_of_an_earlier_run_changes_nothing(self):
+        """A build is reported done although its second run goes on.
+
+        Its first run was given up with its instance; the instance comes
+        back and reports the end of that run after the second began.
+        """
+        job = self.add()
+        (task,) = job.waiting.values()
+        self.board.place(task, 'a', 'boot')
+        self.end(task, 'lost')
+        self.board.place(task, 'b', 'boot')
+        used = self.board.note_end(task, 1, board.End.DONE, '', ATTEMPTS)
+        self.assertFalse(used)
+        self.assertEqual(record.TaskPhase.PLACED, task.state.phase)
+
+    def test_run_numbers_rise_over_every_kind_of_end(self):
+        job = self.add()
+        (task,) = job.waiting.values()
+        numbers = []
+        for how in ('lost', 'stopped', 'lapsed', 'failed', 'not-started'):
+            numbers.append(self.board.place(task, 'a', 'boot'))
+            self.end(task, how)
+        self.assertEqual([1, 2, 3, 4, 5], numbers)
+
+    def test_a_job_fails_with_the_last_attempt_of_a_task(self):
+        job = self.add()
+        (task,) = job.waiting.values()
+        for _ in range(ATTEMPTS):
+            self.assertFalse(job.phase.is_final)
+            self.board.place(task, 'a', 'boot')
+            self.end(task, 'failed')
+        self.assertEqual(record.JobPhase.FAILED, job.phase)
+        self.assertEqual({}, job.waiting)
+
+    def test_what_lasts_is_started_again_however_it_ends(self):
+        job = self.add(cases.make_step(1, long_running=True))
+        (task,) = job.waiting.values()
+        for how in ('failed', 'failed', 'failed', 'done', 'lost'):
+            self.board.place(task, 'a', 'boot')
+            self.end(task, how)
+            self.assertIn(task.key, job.waiting)
+
+    def test_a_checkpoint_is_kept_for_the_next_run(self):
+        job = self.add(cases.make_step(1, checkpoints=True))
+        (task,) = job.waiting.values()
+        self.board.place(task, 'a', 'boot')
+        self.end(task, 'stopped', 'half')
+        self.board.place(task, 'a', 'boot')
+        self.end(task, 'lost')
+        self.assertEqual('half', task.state.checkpoint)
+
+    def test_nothing_of_a_cancelled_job_waits(self):
+        job = self.add(cases.make_step(2))
+        first, _ = job.waiting.values()
+        self.board.place(first, 'a', 'boot')
+        self.board.cancel(job.id)
+        self.end(first, 'stopped')
+        self.assertEqual({}, job.waiting)
+        self.assertEqual(record.JobPhase.CANCELLED, job.phase)
+
+    def test_a_cancel_may_come_before_its_job(self):
+        """A cancelled watcher runs on for ever.
+
+        The leader reads the mark of the cancel before the job itself,
+        since both are pages of a scan that is no snapshot.
+        """
+        self.board.cancel(cases.ID)
+        job = self.add()
+        self.assertEqual(record.JobPhase.CANCELLED, job.phase)
+
+    def test_a_job_that_has_ended_is_not_cancelled(self):
+        job = self.add()
+        self.run_all(job)
+        self.assertIsNone(self.board.cancel(job.id))
+        self.assertEqual(record.JobPhase.COMPLETE, job.phase)
+
+    def test_only_jobs_without_a_start_are_pending(self):
+        job = self.add()
+        self.assertEqual(1, self.board.count_pending(job.queue))
+        (task,) = job.waiting.values()
+        self.board.place(task, 'a', 'boot')
+        self.assertEqual(0, self.board.count_pending(job.queue))
+
+    def test_progress_is_read_back_as_it_was_written(self):
+        job = self.add(
+            cases.make_step(2, checkpoints=True),
+            cases.make_step(1, after=(0,)),
+        )
+        first, second = job.waiting.values()
+        self.board.place(first, 'a', 'boot')
+        self.end(first, 'done')
+        self.board.place(second, 'b', 'other')
+        self.end(second, 'stopped', 'half')
+        self.board.place(second, 'b', 'other')
+        progress = record.decode_progress(job.progress.encode())
+        self.assertEqual(job.progress, progress)
+        again = board.Job(
+            job.id, job.queue, 0, job.specification, progress
+        )
+        self.assertEqual({}, again.waiting)
+        self.assertEqual([second.key], [t.key for t in again.list_placed()])
--- /dev/null
+++ b/tests/jobs/test_order.py
@@ -0,0 +1,35 @@
+from persimmonsail.jobs import order
+from tests import base
+from tests.jobs import cases
+
+
+class OrderTest(base.TestCase):
+    """Replays a burst of builds on a fleet that is nearly full."""
+
+    def rate(self, age_ms, estimate_ms=4000):
+        job = cases.make_job(cases.make_step(1, estimate_ms=estimate_ms))
+        (task,) = job.waiting.values()
+        return order.rate(task, cases.QUEUE, age_ms, 1.0).sort_key
+
+    def test_what_can_be_on_time_goes_before_what_cannot(self):
+        """Builds that come during a burst all end late.
+
+        The oldest ones, late whatever happens, take the room of those
+        that could still be on time.
+        """
+        self.assertLess(self.rate(age_ms=1000), self.rate(age_ms=8000))
+
+    def test_of_two_on_time_the_one_with_less_to_spare_goes_first(self):
+        self.assertLess(self.rate(age_ms=3000), self.rate(age_ms=0))
+
+    def test_of_two_late_ones_the_shorter_goes_first(self):
+        self.assertLess(
+            self.rate(age_ms=9000, estimate_ms=2000),
+            self.rate(age_ms=20000, estimate_ms=6000),
+        )
+
+    def test_what_earns_nothing_more_goes_last(self):
+        self.assertLess(
+            self.rate(age_ms=12000, estimate_ms=4000),
+            self.rate(age_ms=40000, estimate_ms=2000),
+        )
