Give up silent workers, and stop in time what slows a serving task

Ruled out: taking a refused connection for the worker's end; a cut with resets looks the same, and its tasks run on under their leases.

--- a/src/persimmonsail/exceptions.py
+++ b/src/persimmonsail/exceptions.py
@@ -158,6 +158,10 @@
     """Another process leads now; nothing more may be committed."""
 
 
+class WorkerNotReached(WorkerUnavailable):
+    """No connection to the worker's agent; the order was not sent."""
+
+
 class WorkerBootChanged(PersimmonsailError):
     """The worker's agent was started anew; what ran on it has ended."""
 
--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -36,6 +36,8 @@
 # A link over which no orders came for so long has gone silent.
 _SILENCE_SECONDS = 2.0
 _RETRY_SECONDS = 0.1
+# So many boots that ended are named in each report.
+_KEPT_BOOTS = 8
 # An order that a worker leaves unanswered is repeated at once; the
 # repetition finds what the first one started.
 _ORDER_PAUSE_SECONDS = 0.03
@@ -69,7 +71,7 @@
         self._epoch = 0
         self._authority_until = 0.0
         self._life: life_module.Life | None = None
-        self._over: set[str] = set()
+        self._over: list[str] = []
         self._link: _Link | None = None
         self._changed = anyio.Event()
         self._renew = anyio.Event()
@@ -95,7 +97,7 @@
             life.heartbeat = heartbeat
         else:
             self.note_boot_over(life.boot if life else '')
-            self._life = life_module.Life(heartbeat)
+            self._life = life_module.Life(heartbeat, clock.read())
             logs.write_event(
                 'worker-boot',
                 boot=heartbeat.boot,
@@ -107,9 +109,9 @@
 
     def note_boot_over(self, boot: str) -> None:
         """Note that a boot of the worker's agent has ended."""
-        if not boot:
+        if not boot or boot in self._over:
             return
-        self._over.add(boot)
+        self._over.append(boot)
         if self._life is not None and self._life.boot == boot:
             logs.write_event('worker-gone', boot=boot)
             self._life.over = True
@@ -170,14 +172,18 @@
                 await anyio.sleep(_GATHER_SECONDS)
 
     def _describe(self, link: _Link) -> fleet_pb2.Report:
-        report = fleet_pb2.Report(ticket=clock.read(), seen=link.seen)
+        now = clock.read()
+        report = fleet_pb2.Report(ticket=now, seen=link.seen)
         report.barred.extend(link.barred)
         link.barred.clear()
+        report.over.extend(self._over[-_KEPT_BOOTS:])
         life = self._life
         if life is None:
             return report
         heartbeat = life.heartbeat
         report.boot = life.boot
+        report.silent_seconds = now - life.answered_at
+        report.lapsed = life.is_lapsed(now)
         report.looked = life.looked
         report.fenced = life.fenced_epoch >= self._epoch
         report.service = heartbeat.service
@@ -287,6 +293,7 @@
                 # Without the leader's word no lease can be granted.
                 await self._settle(life, key, 'no-authority', unanswered)
                 return
+            life.granted_until = max(life.granted_until, self._authority_until)
             order = worker_module.StartOrder(
                 start.task, start.run, start.payload, start.checkpoint, until
             )
@@ -298,18 +305,27 @@
                 self.note_boot_over(life.boot)
                 return
             except exceptions.OrderRefused as error:
+                life.answered_at = clock.read()
                 await self._settle(life, key, error.reason, unanswered)
                 return
+            except exceptions.WorkerNotReached as error:
+                if not unanswered:
+                    await self._settle(life, key, str(error), unanswered)
+                    return
+                await anyio.sleep(_RETRY_SECONDS)
+                continue
             except exceptions.WorkerUnavailable as error:
+                if not unanswered:
+                    logs.write_event(
+                        'start-unanswered',
+                        task=start.task,
+                        run=start.run,
+                        error=error,
+                    )
                 unanswered = True
-                logs.write_event(
-                    'start-unanswered',
-                    task=start.task,
-                    run=start.run,
-                    error=error,
-                )
                 await anyio.sleep(_ORDER_PAUSE_SECONDS)
                 continue
+            life.answered_at = clock.read()
             life.note_started(order, clock_ms, clock.read())
             life.pending.pop(key, None)
             logs.write_event('started', task=start.task, run=start.run)
@@ -354,6 +370,7 @@
         self, life: life_module.Life, key: life_module.RunId
     ) -> None:
         task, run = key
+        failures = 0
         while not life.over:
             try:
                 await self._worker.stop(life.boot, self._epoch, task, run)
@@ -368,10 +385,12 @@
                 await anyio.sleep(_RETRY_SECONDS)
                 continue
             except exceptions.WorkerUnavailable as error:
-                logs.write_event(
-                    'stop-unanswered', task=task, run=run, error=error
-                )
-                await anyio.sleep(_ORDER_PAUSE_SECONDS)
+                failures += 1
+                if failures == 1:
+                    logs.write_event(
+                        'stop-unanswered', task=task, run=run, error=error
+                    )
+                await anyio.sleep(_RETRY_SECONDS)
                 continue
             if key not in life.running:
                 break
@@ -433,7 +452,9 @@
             exceptions.OrderRefused,
             exceptions.WorkerUnavailable,
         ) as error:
-            logs.write_event('look-failed', boot=life.boot, error=error)
+            if not life.failing:
+                logs.write_warning('worker-lost', boot=life.boot, error=error)
+            life.failing = True
         else:
             return True
         return False
@@ -442,13 +463,21 @@
         self, life: life_module.Life, extend: bool = False, wait: float = 0.0
     ) -> None:
         until = None
-        if extend and self._authority_until > clock.read():
+        now = clock.read()
+        silent = now - life.answered_at > life_module.SILENT_SECONDS
+        if extend and not silent and self._authority_until > now:
             until = life.to_agent_clock(self._authority_until)
+            life.granted_until = max(life.granted_until, self._authority_until)
         epoch = self._epoch
         look = await self._worker.look(
             life.boot, epoch, life.acknowledged, until, wait
         )
         life.fenced_epoch = max(life.fenced_epoch, epoch)
+        life.answered_at = clock.read()
+        if life.failing:
+            life.failing = False
+            logs.write_event('worker-regained', boot=life.boot)
+            self._renew.set()
         first = not life.looked
         if life.note_look(look, clock.read()):
             self._notify()
--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -55,6 +55,8 @@
         When it was told so; 0 for never.
     over_since : float
         Since when it has been over its latency target; 0 if it is not.
+    under_looks : int
+        How many looks in a row it has been below it since.
     """
 
     task: str
@@ -73,6 +75,7 @@
     pace: int = 100
     paced_at: float = 0.0
     over_since: float = 0.0
+    under_looks: int = 0
 
     @property
     def serves(self) -> bool:
@@ -109,6 +112,10 @@
     trusted_until : float
         Until when its runs may hold leases, by whatever leader: runs may
         be started elsewhere only after it.
+    silent_seconds : float
+        For how long its worker's agent has not answered its sidecar.
+    known : bool
+        Whether its sidecar knows of a worker's agent at all.
     suspect_until : float
         Until when it gets no work after it failed what it ran.
     committed : persimmonsail.jobs.specification.Size
@@ -131,6 +138,8 @@
     gone_at: float = 0.0
     attached: bool = False
     trusted_until: float = 0.0
+    silent_seconds: float = 0.0
+    known: bool = True
     suspect_until: float = 0.0
     runs: dict[RunId, Run] = dataclasses.field(default_factory=dict)
     committed: specification.Size = specification.Size()
--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -193,6 +193,8 @@
                         step=task.step,
                         queue=job.queue,
                         ordered_at=clock.read(),
+                        # Unknown; the first order says what it is to be.
+                        pace=0,
                     )
                 )
 
@@ -361,7 +363,7 @@
         now = clock.read()
         for instance in self.fleet.values():
             if instance.runs and now > instance.trusted_until:
-                if not instance.attached:
+                if not instance.attached or not instance.known:
                     self._reader.drop_runs(instance, 'unreachable')
 
     async def _commit(self, claims: list[scheduling.Claim]) -> None:
--- a/src/persimmonsail/jobs/life.py
+++ b/src/persimmonsail/jobs/life.py
@@ -11,6 +11,12 @@
 # A look that was made just before a start may be answered after it; what
 # a look this much later still misses is not there.
 _OVERTAKEN_MS = 100
+# An agent that has not answered for so long gets no new work and no new
+# leases, until it answers again; it is asked twice in this time.
+SILENT_SECONDS = 1.0
+# Its clock may be slow by 2% of a lease of 6 s, and it notices the end of
+# a lease a little late.
+LAPSE_MARGIN_SECONDS = 0.5
 
 
 @dataclasses.dataclass
@@ -38,9 +44,16 @@
         The highest epoch that the agent has seen in a look.
     over : bool
         Whether the boot has ended.
+    failing : bool
+        Whether the last look failed.
+    answered_at : float
+        When the agent last answered.
+    granted_until : float
+        Until when leases were granted at the most, by orders that were
+        answered or not.
     """
 
-    def __init__(self, heartbeat: worker_module.Heartbeat) -> None:
+    def __init__(self, heartbeat: worker_module.Heartbeat, now: float) -> None:
         self.heartbeat = heartbeat
         self.acknowledged = 0
         self.pending: dict[RunId, specification.Size] = {}
@@ -50,6 +63,9 @@
         self.looked = False
         self.fenced_epoch = 0
         self.over = False
+        self.failing = False
+        self.answered_at = now
+        self.granted_until = now
         self._provisional: dict[RunId, _Provisional] = {}
         self._clock_ms = 0
         self._clock_read_at = 0.0
@@ -77,6 +93,16 @@
         ahead = moment - self._clock_read_at
         return self._clock_ms + int(ahead * _MILLISECONDS)
 
+    def is_lapsed(self, now: float) -> bool:
+        """Tell whether all that ran has ended with its lease.
+
+        An agent that can't be asked may still run everything, until the
+        last lease that any order can have granted is over.
+        """
+        silent = now - self.answered_at
+        bound = self.granted_until + LAPSE_MARGIN_SECONDS
+        return silent > SILENT_SECONDS and now > bound
+
     def note_look(self, look: worker_module.Look, now: float) -> bool:
         """Take a look in; tell whether runs or ends changed.
 
--- a/src/persimmonsail/jobs/link.py
+++ b/src/persimmonsail/jobs/link.py
@@ -151,7 +151,9 @@
             orders.epoch = self._epoch
             orders.sequence = self._sequence
             lease = self._describe_lease()
-            if self._ticket and lease:
+            # A sidecar that knows no worker's agent grants nothing, so
+            # what an earlier one granted can be waited out.
+            if self._ticket and lease and self._instance.known:
                 orders.ticket = self._ticket
                 until = clock.read() + lease
                 trusted = max(self._instance.trusted_until, until)
--- a/src/persimmonsail/jobs/pace.py
+++ b/src/persimmonsail/jobs/pace.py
@@ -19,7 +19,11 @@
 _PERIOD_SECONDS = 0.6
 # Over the target for so long, the tasks beside it stop working: the next
 # look and the worker's own delay stay below the 4 s that are promised.
-_STOP_AFTER_SECONDS = 1.6
+_STOP_AFTER_SECONDS = 1.2
+# And so much later everything else beside it, whatever was learnt; but
+# if the target is missed with all of it stopped, it was not the cause.
+_STOP_ALL_SECONDS = 1.8
+_NOT_THE_CAUSE_SECONDS = 5.0
 # Smaller changes are not worth an order.
 _LEAST_CHANGE = 0.2
 _LEAST_PERCENT = 4
@@ -95,7 +99,7 @@
         if serving.phase is not instances.RunPhase.RUNNING:
             continue
         room = _measure_room(serving, instance.address, model, now)
-        blamed = _blame(fillers, serving, model)
+        blamed = _blame(fillers, serving, model, now)
         for i in ranked:
             if i not in blamed:
                 continue
@@ -126,6 +130,7 @@
     fillers: t.Sequence[instances.Run],
     serving: instances.Run,
     model: interference.Model,
+    now: float,
 ) -> dict[int, float]:
     """Return which runs press on a serving one, and with how much.
 
@@ -138,7 +143,10 @@
         coefficient = model.get_coefficient(image, run.step.image)
         if coefficient >= interference.PRESSES:
             pressing[i] = coefficient * run.step.size.millicores
-    if not pressing and serving.over_since:
+    over = now - serving.over_since if serving.over_since else 0.0
+    if _STOP_ALL_SECONDS <= over < _NOT_THE_CAUSE_SECONDS:
+        return {i: pressing.get(i, 0.0) for i in range(len(fillers))}
+    if not pressing and over:
         return dict.fromkeys(range(len(fillers)), 0.0)
     return pressing
 
--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -23,6 +23,9 @@
 # at this part of its speed; on a worse one it stays for longer than the
 # wait for a better one takes.
 _LEAST_SPEED = 0.5
+# An instance whose worker's agent has not answered its sidecar for so
+# long gets no new work; it is asked twice a second.
+_SILENT_SECONDS = 0.7
 # Kept free below the point where a serving task misses its target.
 _MARGIN = 0.08
 
@@ -73,6 +76,8 @@
         instance.attached
         and bool(instance.boot)
         and not instance.leaving
+        and instance.known
+        and instance.silent_seconds < _SILENT_SECONDS
         and now >= instance.suspect_until
     )
 
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -19,6 +19,11 @@
 # A refused start is tried again after this time, not in the same round.
 _REFUSED_PAUSE_SECONDS = 0.1
 
+# Below this part of its target, or so many looks in a row below it, a
+# serving run counts as within its target again.
+_WELL_UNDER = 0.8
+_UNDER_LOOKS = 2
+
 _UNKNOWN_STEP = specification.Step(count=1)
 
 
@@ -76,12 +81,22 @@
     ) -> Reaction:
         """Take one report in and return what follows from it."""
         reaction = Reaction()
+        self._note_over(instance, report, reaction)
+        instance.known = bool(report.boot)
+        instance.silent_seconds = report.silent_seconds
         if not report.boot:
             return reaction
         self._note_boot(instance, report, reaction)
         _note_description(instance, report, now, reaction)
         if not report.looked:
             return reaction
+        if report.lapsed:
+            # Its worker's agent may be gone for good while the sidecar
+            # lives on, which nothing else would ever tell.
+            if instance.runs:
+                self.drop_runs(instance, 'lapsed')
+                reaction.replan = True
+            return reaction
         for ended in report.ended:
             if ended.number > instance.processed:
                 self._note_end(instance, ended, now)
@@ -126,6 +141,17 @@
         attempts = self._get_attempts(task.job.queue)
         return self._board.note_end(task, run, end, checkpoint, attempts)
 
+    def _note_over(
+        self,
+        instance: instances.Instance,
+        report: fleet_pb2.Report,
+        reaction: Reaction,
+    ) -> None:
+        for run in list(instance.runs.values()):
+            if run.boot in report.over:
+                self._drop_run(instance, run, 'boot-over')
+                reaction.replan = True
+
     def _note_boot(
         self,
         instance: instances.Instance,
@@ -288,6 +314,8 @@
         step=task.step if task else _UNKNOWN_STEP,
         queue=task.job.queue if task else '',
         ordered_at=now,
+        # Unknown; the first order says what it is to be.
+        pace=0,
     )
     instance.add_run(run)
     return run
@@ -305,10 +333,25 @@
         run.moved_at = now
     run.percent = row.percent
     run.gauge = row.gauge
-    if not run.serves or row.gauge <= run.step.latency_target_ms:
-        run.over_since = 0.0
-    elif not run.over_since:
-        run.over_since = now
+    _note_target(run, now)
+
+
+def _note_target(run: instances.Run, now: float) -> None:
+    """Note since when a serving run has been over its target.
+
+    A single gauge is off by half at times, so one that is just below
+    the target ends nothing: the time over it would begin anew.
+    """
+    if not run.serves:
+        return
+    part = run.gauge / run.step.latency_target_ms
+    if part > 1:
+        run.over_since = run.over_since or now
+        run.under_looks = 0
+    elif run.over_since:
+        run.under_looks += 1
+        if part < _WELL_UNDER or run.under_looks >= _UNDER_LOOKS:
+            run.over_since = 0.0
 
 
 def _note_description(
--- a/src/persimmonsail/platform/runner.py
+++ b/src/persimmonsail/platform/runner.py
@@ -133,6 +133,10 @@
                 headers={_BOOT_HEADER: boot},
                 timeout=timeout,
             )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise exceptions.WorkerNotReached(
+                f'{name}: {type(error).__name__}'
+            ) from error
         except httpx.HTTPError as error:
             raise exceptions.WorkerUnavailable(
                 f'{name}: {type(error).__name__}'
--- a/tests/jobs/test_board.py
+++ b/tests/jobs/test_board.py
@@ -139,8 +139,6 @@
         self.board.place(second, 'b', 'other')
         progress = record.decode_progress(job.progress.encode())
         self.assertEqual(job.progress, progress)
-        again = board.Job(
-            job.id, job.queue, 0, job.specification, progress
-        )
+        again = board.Job(job.id, job.queue, 0, job.specification, progress)
         self.assertEqual({}, again.waiting)
         self.assertEqual([second.key], [t.key for t in again.list_placed()])
