--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -101,12 +101,15 @@
             if ended.number > instance.processed:
                 self._note_end(instance, ended, now)
                 reaction.replan = True
+        pending = {(ref.task, ref.run) for ref in report.pending}
         for row in report.running:
-            self._note_running(instance, row, now, reaction)
+            run = self._note_running(instance, row, now)
+            if run is not None and not _is_being_stopped(run, report, pending):
+                reaction.stops.append(run)
         for barred in report.barred:
             self._note_barred(instance, barred, now)
             reaction.replan = True
-        self._settle_absent(instance, report, reaction)
+        self._settle_absent(instance, report, pending, reaction)
         self._model.learn(instance, now)
         reaction.paces = pace.decide(instance, self._model, now)
         return reaction
@@ -228,19 +231,19 @@
         instance: instances.Instance,
         row: fleet_pb2.Running,
         now: float,
-        reaction: Reaction,
-    ) -> None:
+    ) -> instances.Run | None:
+        """Take a running row in; return its run if nobody wants it."""
         task = self._board.find(row.task)
         run = instance.runs.get((row.task, row.run))
         if run is None:
             run = _adopt(instance, row, task, now)
         _note_progress(run, row, now)
         if not _is_wanted(task, run, instance):
-            if run.phase is not instances.RunPhase.STOPPING:
-                reaction.stops.append(run)
-            return
+            return run
         if row.checkpoint:
             task.state.checkpoint = row.checkpoint
+        stopping = run.phase is instances.RunPhase.STOPPING
+        return run if stopping else None
 
     def _note_barred(
         self,
@@ -268,6 +271,7 @@
         self,
         instance: instances.Instance,
         report: fleet_pb2.Report,
+        pending: set[instances.RunId],
         reaction: Reaction,
     ) -> None:
         """Have runs barred that should be there and are not.
@@ -277,15 +281,29 @@
         not, so that the task can be placed again.
         """
         there = {(row.task, row.run) for row in report.running}
-        there |= {(ref.task, ref.run) for ref in report.pending}
         for key, run in instance.runs.items():
-            if key not in there and run.order <= report.seen:
+            if key not in there | pending and run.order <= report.seen:
                 reaction.stops.append(run)
 
 
 _JUDGED = (board_module.End.DONE, board_module.End.FAILED)
 
 
+def _is_being_stopped(
+    run: instances.Run,
+    report: fleet_pb2.Report,
+    pending: set[instances.RunId],
+) -> bool:
+    """Tell whether the sidecar works on a run's stop, or will.
+
+    A sidecar that was just restarted drops a stop that comes before it
+    knows its worker's agent; the run would go on for ever.
+    """
+    if run.phase is not instances.RunPhase.STOPPING:
+        return False
+    return run.order > report.seen or (run.task, run.number) in pending
+
+
 def _is_wanted(
     task: board_module.Task | None,
     run: instances.Run,
--- /dev/null
+++ b/tests/jobs/test_reports.py
@@ -0,0 +1,179 @@
+from persimmonsail.jobs import board
+from persimmonsail.jobs import fleet_pb2
+from persimmonsail.jobs import instances
+from persimmonsail.jobs import interference
+from persimmonsail.jobs import record
+from persimmonsail.jobs import reports
+from persimmonsail import quarantine
+from tests import base
+from tests.jobs import cases
+
+NOW = 100.0
+
+
+class ReportsTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.board = board.Board()
+        self.reader = reports.Reader(
+            self.board,
+            quarantine.Tracker(),
+            interference.Model(),
+            lambda queue: 2,
+        )
+        self.instance = cases.make_instance()
+        self.job = cases.make_job(cases.make_step(2))
+        self.board.add(self.job)
+        self.tasks = list(self.job.waiting.values())
+
+    def place(self, task, order=1):
+        number = self.board.place(
+            task, self.instance.address, self.instance.boot
+        )
+        run = instances.Run(
+            task=task.name,
+            number=number,
+            boot=self.instance.boot,
+            step=task.step,
+            queue=task.job.queue,
+            order=order,
+        )
+        self.instance.add_run(run)
+        return run
+
+    def read(self, report, now=NOW):
+        return self.reader.read(self.instance, report, now)
+
+    def report(self, *running, **fields):
+        report = cases.make_report(self.instance, **fields)
+        for run in running:
+            report.running.add(task=run.task, run=run.number)
+        return report
+
+    def test_a_done_run_frees_its_room_and_ends_its_task(self):
+        run = self.place(self.tasks[0])
+        report = self.report()
+        report.ended.add(number=1, task=run.task, run=1, how='done')
+        reaction = self.read(report)
+        self.assertTrue(reaction.replan)
+        self.assertEqual({}, self.instance.runs)
+        self.assertEqual(0, self.instance.committed.millicores)
+        self.assertEqual(record.TaskPhase.DONE, self.tasks[0].state.phase)
+
+    def test_an_end_counts_once(self):
+        """A job fails after one failure of a task.
+
+        Ends are listed in each report until the leader's commit is
+        acknowledged, so that one failure is seen many times.
+        """
+        run = self.place(self.tasks[0])
+        report = self.report()
+        report.ended.add(number=1, task=run.task, run=1, how='failed')
+        self.read(report)
+        self.read(report)
+        self.assertEqual(1, self.tasks[0].state.failures)
+
+    def test_a_run_that_is_not_there_is_stopped_before_it_is_moved(self):
+        """A build runs on two instances.
+
+        The answer to its start was lost and the order is carried out
+        seconds later, after the task was started elsewhere.
+        """
+        run = self.place(self.tasks[0])
+        reaction = self.read(self.report())
+        self.assertEqual([run], reaction.stops)
+        self.assertEqual(record.TaskPhase.PLACED, self.tasks[0].state.phase)
+        report = self.report()
+        report.barred.add(task=run.task, run=1, reason='absent')
+        self.read(report)
+        self.assertEqual(record.TaskPhase.WAITING, self.tasks[0].state.phase)
+
+    def test_a_start_that_is_not_yet_received_is_not_missed(self):
+        run = self.place(self.tasks[0], order=5)
+        report = self.report()
+        report.seen = 4
+        self.assertEqual([], self.read(report).stops)
+        report.seen = 5
+        report.pending.add(task=run.task, run=1)
+        self.assertEqual([], self.read(report).stops)
+
+    def test_a_stop_that_was_lost_is_ordered_again(self):
+        """A cancelled watcher runs on for ever.
+
+        Its sidecar was just restarted and did not know its worker yet
+        when the stop came; the leader took the stop for given.
+        """
+        run = self.place(self.tasks[0])
+        self.read(self.report(run))
+        self.board.cancel(self.job.id)
+        run.phase = instances.RunPhase.STOPPING
+        run.order = 7
+        report = self.report(run)
+        report.seen = 7
+        self.assertEqual([run], self.read(report).stops)
+
+    def test_a_stop_under_way_is_not_ordered_again(self):
+        run = self.place(self.tasks[0])
+        self.read(self.report(run))
+        run.phase = instances.RunPhase.STOPPING
+        report = self.report(run)
+        report.pending.add(task=run.task, run=1)
+        self.assertEqual([], self.read(report).stops)
+
+    def test_a_run_that_nobody_wants_is_stopped_and_counted(self):
+        """An instance is filled beyond its size after a takeover.
+
+        It still runs what an earlier leader started there and gave up.
+        """
+        run = self.place(self.tasks[0])
+        self.board.note_end(self.tasks[0], 1, board.End.LOST, '', 2)
+        self.instance.drop_run((run.task, 1))
+        reaction = self.read(self.report(run))
+        (stopped,) = reaction.stops
+        self.assertEqual(run.task, stopped.task)
+        self.assertEqual(1000, self.instance.committed.millicores)
+
+    def test_what_an_earlier_boot_ran_is_lost(self):
+        run = self.place(self.tasks[0])
+        report = self.report()
+        report.boot = 'boot-2'
+        self.read(report)
+        self.assertEqual({}, self.instance.runs)
+        self.assertIn(self.tasks[0].key, self.job.waiting)
+        self.assertEqual(1, run.number)
+
+    def test_what_a_boot_that_is_over_ran_is_lost(self):
+        """A watcher whose instance was taken away never runs again.
+
+        The worker's agent said that it ends, and nothing came after it;
+        no later report names a boot.
+        """
+        self.place(self.tasks[0])
+        report = fleet_pb2.Report(over=['boot-1'])
+        self.read(report)
+        self.assertIn(self.tasks[0].key, self.job.waiting)
+
+    def test_runs_of_a_silent_worker_are_lost_with_their_leases(self):
+        """A watcher whose worker crashed for good never runs again.
+
+        Its sidecar lives on and reports what it last saw.
+        """
+        run = self.place(self.tasks[0])
+        self.read(self.report(run, silent_seconds=3.0))
+        self.assertIn((run.task, 1), self.instance.runs)
+        self.read(self.report(run, silent_seconds=8.0, lapsed=True))
+        self.assertIn(self.tasks[0].key, self.job.waiting)
+
+    def test_one_gauge_below_the_target_ends_no_miss(self):
+        """A watcher is over its target for 4 s beside a build.
+
+        One gauge in between was off by half, so that the time over the
+        target was counted from its end on.
+        """
+        step = cases.make_step(1, latency_target_ms=10)
+        run = cases.add_run(self.instance, step)
+        for now, gauge in ((1.0, 12.0), (1.5, 9.5), (2.0, 12.0)):
+            report = self.report()
+            report.running.add(task=run.task, run=1, gauge=gauge)
+            self.read(report, now)
+        self.assertEqual(1.0, run.over_since)
