Test the platform path by processes, against stand-ins on its wire

A stand-in of the store (ranges, watches, transactions, leases; silent, busy, lost and late writes, forgotten history) and one of the worker's agent (late orders, silence, restarts, leases on its own clock).

--- a/src/persimmonsail/jobs/election.py
+++ b/src/persimmonsail/jobs/election.py
@@ -40,8 +40,8 @@
     ----------
     store : persimmonsail.store.TransactionalStore
         Where the leader's key is.
-    name, address : str
-        This entry, and where other entries reach it.
+    name : str
+        This entry.
     is_alive : callable
         Asks whether a process still listens at an address; false only
         if that is certain.
@@ -53,17 +53,17 @@
         self,
         store: store_module.TransactionalStore,
         name: str,
-        address: str,
         is_alive: IsAlive,
         lead: Lead,
     ) -> None:
         self._store = store
         self._name = name
-        self._address = address
         self._is_alive = is_alive
         self._lead = lead
-        self._random = random.Random(address)
+        self._random = random.Random(name)
         self._id = ''
+        # Where other entries reach this one, and where the leader is.
+        self.address = ''
         self.leader = ''
 
     async def run(self) -> None:
@@ -86,7 +86,7 @@
             return
         known = _read_leader(item)
         self._note_leader(known)
-        if known.address == self._address:
+        if known.address == self.address:
             # Left by an earlier life of this very process.
             await self._stand(item.revision)
             return
@@ -112,7 +112,7 @@
         if term is None:
             return
         logs.write_event('leading', epoch=term.epoch)
-        self.leader = self._address
+        self.leader = self.address
         try:
             await self._serve_term(ledger.Ledger(self._store, term))
         finally:
@@ -150,7 +150,7 @@
         lease = await self._store.grant_lease(LEASE_SECONDS)
         id = uuid.uuid4().hex
         leader = ledger.LeaderItem(
-            id=id, name=self._name, address=self._address
+            id=id, name=self._name, address=self.address
         )
         head = ledger.Head(leader=id, writes=0)
         writes = [
--- a/src/persimmonsail/platform/roles.py
+++ b/src/persimmonsail/platform/roles.py
@@ -61,7 +61,6 @@
         self._candidate = election.Candidate(
             self._store,
             settings.process.name,
-            settings.process.control,
             self._is_alive,
             self._lead,
         )
@@ -75,13 +74,16 @@
     async def run(self, signals: t.AsyncIterator[signal.Signals]) -> None:
         """Serve until a signal says to stop."""
         settings = self._settings
+        sock = addresses.bind(settings.process.control)
+        control = addresses.name_of(sock)
         server = grpclib.server.Server(
             [
                 intake_module.LeaderService(self._get_own),
                 health_service.Health(),
             ]
         )
-        await server.start(sock=addresses.bind(settings.process.control))
+        await server.start(sock=sock)
+        self._candidate.address = control
         app = shutdown.CloseConnections(
             front.Front(self._intake, self._view), lambda: self._stopping
         )
@@ -101,12 +103,10 @@
                 ),
                 httpserver.HttpServer(
                     app, settings.process.http, _DRAIN_SECONDS, _IDLE_SECONDS
-                ),
+                ) as http,
             ):
                 logs.write_event(
-                    'listening',
-                    control=settings.process.control,
-                    http=settings.process.http,
+                    'listening', control=control, http=http.address
                 )
                 await _wait_for_stop(signals, settings)
                 logs.write_event('stopping')
@@ -170,37 +170,37 @@
     async def run(self, signals: t.AsyncIterator[signal.Signals]) -> None:
         """Serve until a signal says to stop."""
         settings = self._settings
+        sock = addresses.bind(settings.process.control)
+        control = addresses.name_of(sock)
         server = grpclib.server.Server([self._agent])
-        await server.start(sock=addresses.bind(settings.process.control))
+        await server.start(sock=sock)
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._store.close)
             stack.push_async_callback(self._runner.close)
             group = await stack.enter_async_context(anyio.create_task_group())
             group.start_soon(self._agent.run)
-            group.start_soon(self._register)
+            group.start_soon(self._register, control)
             async with httpserver.HttpServer(
                 heartbeats.Heartbeats(self._agent),
                 settings.jobs.heartbeats,
                 0.1,
                 _IDLE_SECONDS,
-            ):
+            ) as http:
                 logs.write_event(
-                    'listening',
-                    control=settings.process.control,
-                    http=settings.jobs.heartbeats,
+                    'listening', control=control, http=http.address
                 )
                 await _wait_for_stop(signals, settings)
                 logs.write_event('stopping')
             group.cancel_scope.cancel()
         server.close()
 
-    async def _register(self) -> None:
+    async def _register(self, control: str) -> None:
         """Keep this sidecar's address in the store while nobody calls.
 
         There is no other list that a leader could find it in.
         """
         process = self._settings.process
-        key = record.INSTANCES + process.control
+        key = record.INSTANCES + control
         text = record.StoredInstance(
             name=process.name, zone=process.zone
         ).model_dump_json()
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,292 @@
+"""The platform's store on its own wire: ``python -m standins.platform_store``.
+
+``POST /faults`` sets what goes wrong from then on, ``GET /items``
+returns all keys with their values, and ``POST /operator`` writes a key as
+an operator does.
+"""
+
+import base64
+import dataclasses
+import itertools
+import json
+import time
+
+import anyio
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from persimmonsail import logs
+from standins import serving
+
+_EXPIRY_PERIOD = 0.05
+_PAGE = 100
+
+
+@dataclasses.dataclass
+class Faults:
+    """What goes wrong with calls, from now on.
+
+    Attributes
+    ----------
+    down : str
+        ``busy``: calls are refused; ``silent``: they get no answer.
+    lose_writes : int
+        So many next transactions take effect without an answer.
+    delay_writes : float
+        With ``lose_writes``: they take effect so many seconds later, if
+        their condition still holds.
+    """
+
+    down: str = ''
+    lose_writes: int = 0
+    delay_writes: float = 0.0
+
+
+@dataclasses.dataclass
+class _Item:
+    value: str
+    revision: int
+    created: int
+    lease: int
+
+
+@dataclasses.dataclass
+class _Lease:
+    seconds: float
+    deadline: float
+
+
+class PlatformStore:
+    """All keys in memory, with their history."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self._revision = 1
+        self._items: dict[str, _Item] = {}
+        self._history: list[tuple[int, str, _Item | None]] = []
+        self._forgotten = 0
+        self._leases: dict[int, _Lease] = {}
+        self._numbers = itertools.count(100)
+        self._changed = anyio.Event()
+        self._group: anyio.abc.TaskGroup | None = None
+        post = {'methods': ['POST']}
+        self.app = applications.Starlette(
+            routes=[
+                routing.Route('/v1/kv-key', self._get),
+                routing.Route('/v1/kv-range', self._range),
+                routing.Route('/v1/kv-watch', self._watch),
+                routing.Route('/v1/kv-txn', self._commit, **post),
+                routing.Route('/v1/kv-lease', self._grant, **post),
+                routing.Route('/v1/kv-keep/{id:int}', self._renew, **post),
+                routing.Route(
+                    '/v1/kv-lease-end/{id:int}', self._end, methods=['DELETE']
+                ),
+                routing.Route('/faults', self._set_faults, **post),
+                routing.Route('/operator', self._operate, **post),
+                routing.Route('/items', self._show),
+            ]
+        )
+
+    async def run(self) -> None:
+        """End leases in time, and carry out late writes."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            while True:
+                await anyio.sleep(_EXPIRY_PERIOD)
+                now = time.monotonic()
+                for id, lease in list(self._leases.items()):
+                    if lease.deadline < now:
+                        self._drop_lease(id)
+
+    def forget_history(self) -> None:
+        """Answer watches from before now as lost."""
+        self._history.clear()
+        self._forgotten = self._revision
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _drop_lease(self, id: int) -> None:
+        self._leases.pop(id, None)
+        keys = [k for k, item in self._items.items() if item.lease == id]
+        if keys:
+            self._apply([], keys)
+
+    def _apply(self, puts: list[dict], removed: list[str]) -> int:
+        self._revision += 1
+        for put in puts:
+            key = put['key']
+            before = self._items.get(key)
+            created = before.created if before else self._revision
+            item = _Item(
+                put['value'], self._revision, created, put.get('lease', 0)
+            )
+            self._items[key] = item
+            self._history.append((self._revision, key, item))
+        for key in removed:
+            if self._items.pop(key, None) is not None:
+                self._history.append((self._revision, key, None))
+        self._wake()
+        return self._revision
+
+    async def _fail(self) -> responses.Response | None:
+        if self.faults.down == 'silent':
+            await anyio.sleep_forever()
+        if self.faults.down == 'busy':
+            return responses.JSONResponse({}, status_code=503)
+        return None
+
+    def _dump(self, key: str) -> dict:
+        item = self._items.get(key)
+        if item is None:
+            return {'key': key, 'value': '', 'revision': 0}
+        return {'key': key, **dataclasses.asdict(item)}
+
+    async def _get(self, request: requests.Request) -> responses.Response:
+        if (failure := await self._fail()) is not None:
+            return failure
+        key = request.query_params['key']
+        status = 200 if key in self._items else 404
+        body = {**self._dump(key), 'atRev': self._revision}
+        return responses.JSONResponse(body, status_code=status)
+
+    async def _range(self, request: requests.Request) -> responses.Response:
+        if (failure := await self._fail()) is not None:
+            return failure
+        query = request.query_params
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(query['prefix']) and key > query.get('after', '')
+        )
+        return responses.JSONResponse(
+            {
+                'items': [self._dump(key) for key in keys[:_PAGE]],
+                'hasMore': len(keys) > _PAGE,
+                'atRev': self._revision,
+            }
+        )
+
+    async def _watch(self, request: requests.Request) -> responses.Response:
+        query = request.query_params
+        after = int(query['after'])
+        deadline = time.monotonic() + int(query['waitMs']) / 1000
+        while True:
+            if (failure := await self._fail()) is not None:
+                return failure
+            if after < self._forgotten:
+                return responses.JSONResponse({}, status_code=410)
+            events = [
+                _dump_event(revision, key, item)
+                for revision, key, item in self._history
+                if revision > after and key.startswith(query['prefix'])
+            ]
+            left = deadline - time.monotonic()
+            if events or left <= 0:
+                body = {'events': events, 'atRev': self._revision}
+                return responses.JSONResponse(body)
+            with anyio.move_on_after(left):
+                await self._changed.wait()
+
+    async def _commit(self, request: requests.Request) -> responses.Response:
+        if (failure := await self._fail()) is not None:
+            return failure
+        body = await request.json()
+        if self.faults.lose_writes:
+            self.faults.lose_writes -= 1
+            self._group.start_soon(
+                self._commit_later, body, self.faults.delay_writes
+            )
+            await anyio.sleep_forever()
+        return self._commit_now(body)
+
+    async def _commit_later(self, body: dict, seconds: float) -> None:
+        await anyio.sleep(seconds)
+        self._commit_now(body)
+
+    def _commit_now(self, body: dict) -> responses.Response:
+        conditions = body.get('precondition', [])
+        for row in conditions:
+            item = self._items.get(row['key'])
+            if (item.revision if item else 0) != row['revision']:
+                found = [self._dump(row['key']) for row in conditions]
+                return responses.JSONResponse(
+                    {'items': found}, status_code=412
+                )
+        for put in body.get('puts', []):
+            lease = put.get('lease', 0)
+            if lease and lease not in self._leases:
+                return responses.JSONResponse({}, status_code=404)
+        revision = self._apply(body.get('puts', []), body.get('remove', []))
+        return responses.JSONResponse({'revision': revision})
+
+    async def _grant(self, request: requests.Request) -> responses.Response:
+        if (failure := await self._fail()) is not None:
+            return failure
+        seconds = (await request.json())['ttlMs'] / 1000
+        id = next(self._numbers)
+        self._leases[id] = _Lease(seconds, time.monotonic() + seconds)
+        return responses.JSONResponse(
+            {'lease': id, 'ttlMs': round(seconds * 1000)}
+        )
+
+    async def _renew(self, request: requests.Request) -> responses.Response:
+        if (failure := await self._fail()) is not None:
+            return failure
+        lease = self._leases.get(request.path_params['id'])
+        if lease is None:
+            return responses.JSONResponse({}, status_code=404)
+        lease.deadline = time.monotonic() + lease.seconds
+        return responses.JSONResponse({'ttlMs': round(lease.seconds * 1000)})
+
+    async def _end(self, request: requests.Request) -> responses.Response:
+        if (failure := await self._fail()) is not None:
+            return failure
+        self._drop_lease(request.path_params['id'])
+        return responses.JSONResponse({})
+
+    async def _set_faults(
+        self, request: requests.Request
+    ) -> responses.Response:
+        body = await request.json()
+        if body.pop('forget', False):
+            self.forget_history()
+        self.faults = Faults(**body)
+        self._wake()
+        return responses.JSONResponse({})
+
+    async def _operate(self, request: requests.Request) -> responses.Response:
+        body = await request.json()
+        value = base64.b64encode(json.dumps(body['value']).encode()).decode()
+        revision = self._apply([{'key': body['key'], 'value': value}], [])
+        return responses.JSONResponse({'revision': revision})
+
+    async def _show(self, request: requests.Request) -> responses.Response:
+        return responses.JSONResponse(
+            {
+                key: base64.b64decode(item.value).decode()
+                for key, item in self._items.items()
+            }
+        )
+
+
+def _dump_event(revision: int, key: str, item: _Item | None) -> dict:
+    if item is None:
+        return {'key': key, 'revision': revision, 'deleted': True}
+    return {'key': key, **dataclasses.asdict(item)}
+
+
+def main() -> None:
+    """Run the stand-in until SIGTERM."""
+    arguments = serving.parse_arguments('Platform store stand-in')
+    logs.configure(arguments.name)
+    store = PlatformStore()
+    anyio.run(serving.serve, store.app, arguments.listen, store.run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/platform/test_processes.py
@@ -0,0 +1,244 @@
+import signal
+
+import anyio
+import pytest
+
+from tests import base
+from tests.platform import deployed
+
+IDS = tuple(f'{number:016x}' for number in range(1, 40))
+
+
+@pytest.mark.processes
+class PlatformProcessesTest(base.TestCase):
+    """Real processes against stand-ins on the platform's wire."""
+
+    def deploy(self) -> deployed.Deployed:
+        return deployed.Deployed(self.make_directory())
+
+    async def assert_no_overlap(self, running):
+        starts = await running.list_starts()
+        self.assertEqual([], deployed.find_overlaps(starts))
+
+    async def test_jobs_are_done_once_through_any_entry(self):
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.start_entry('entry-2')
+            await running.start_instance('side-1')
+            await running.start_instance('side-2')
+            body = deployed.make_body(3, 2)
+            for i, id in enumerate(IDS[:6]):
+                entry = f'entry-{i % 2 + 1}'
+                answer = await running.call(entry, 'POST', id, body)
+                self.assertEqual(200, answer.status_code, answer.text)
+            # The same id at the other entry is the same job.
+            answer = await running.call('entry-2', 'POST', IDS[0], body)
+            self.assertEqual(200, answer.status_code)
+            for id in IDS[:6]:
+                await running.wait_state('entry-1', id, 'complete')
+            starts = await running.list_starts()
+            self.assertEqual(30, len(starts))
+            self.assertEqual(30, len({start['task'] for start in starts}))
+            answer = await running.call('entry-2', 'GET')
+            self.assertEqual({'pendingCount': 0}, answer.json())
+            answer = await running.call('entry-2', 'GET', 'f' * 16)
+            self.assertEqual(410, answer.status_code)
+
+    async def test_a_caller_reads_why_a_body_is_refused(self):
+        """An upload of 10 MB ends in a reset connection.
+
+        The entry answered at once and closed with bytes unread, so that
+        the caller never got to read the answer.
+        """
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            body = {'spec': 'x' * 10_000_000, 'phases': []}
+            answer = await running.call('entry-1', 'POST', IDS[0], body)
+            self.assertEqual(413, answer.status_code)
+            bad = deployed.make_body(1, unknown=3)
+            answer = await running.call('entry-1', 'POST', IDS[0], bad)
+            self.assertEqual(400, answer.status_code)
+            self.assertIn('phases.0.unknown', answer.json()['error'])
+            answer = await running.call('entry-1', 'GET', IDS[0])
+            self.assertEqual(410, answer.status_code)
+
+    async def test_a_cancelled_watcher_stops_and_stays_stopped(self):
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.start_instance('side-1')
+            body = deployed.make_body(2, payload='lasts', longRunning=True)
+            await running.call('entry-1', 'POST', IDS[0], body)
+            await running.wait_starts(2)
+            answer = await running.call('entry-1', 'DELETE', IDS[0])
+            self.assertEqual(200, answer.status_code)
+            await running.wait_state('entry-1', IDS[0], 'canceled')
+            await anyio.sleep(1.0)
+            starts = await running.list_starts()
+            self.assertEqual(
+                ['stopped', 'stopped'], [start['how'] for start in starts]
+            )
+
+    async def test_the_work_goes_on_when_the_leader_is_killed(self):
+        """A build runs twice after an entry was killed.
+
+        The entry that placed it died before it saw the start, and the
+        next one knows of the claim only.
+        """
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.start_entry('entry-2')
+            await running.start_instance('side-1')
+            await running.start_instance('side-2')
+            other = {'entry-1': 'entry-2', 'entry-2': 'entry-1'}
+            body = deployed.make_body(4, 2, payload='700')
+            for id in IDS[:4]:
+                await running.call('entry-1', 'POST', id, body)
+            leader = running.find_leader()
+            await running.running.processes[leader].stop(signal.SIGKILL)
+            survivor = other[leader]
+            answer = await running.call(survivor, 'POST', IDS[5], body)
+            self.assertEqual(200, answer.status_code)
+            for id in (*IDS[:4], IDS[5]):
+                await running.wait_state(survivor, id, 'complete')
+            await self.assert_no_overlap(running)
+            starts = await running.list_starts()
+            # What ran when the leader died was adopted, not run again.
+            self.assertEqual(30, len(starts))
+
+    async def test_a_lost_answer_to_a_start_starts_nothing_twice(self):
+        """A build runs on two instances at once.
+
+        The answer to its start was lost, it was started elsewhere, and
+        the first order was carried out a second later.
+        """
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.start_instance('side-1')
+            await running.start_instance('side-2')
+            for runner in running.runners.values():
+                await running.set_faults(
+                    runner, late_starts=3, late_seconds=1.0
+                )
+            body = deployed.make_body(6, payload='300')
+            await running.call('entry-1', 'POST', IDS[0], body)
+            await running.wait_state('entry-1', IDS[0], 'complete')
+            await anyio.sleep(1.5)
+            await self.assert_no_overlap(running)
+
+    async def test_a_worker_that_is_silent_loses_its_watcher_once(self):
+        """A watcher never runs again although its worker is gone.
+
+        Its sidecar lives on; the watcher may only be started elsewhere
+        when its lease has run out, or it would run in two places.
+        """
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.start_instance('side-1')
+            body = deployed.make_body(1, payload='lasts', longRunning=True)
+            await running.call('entry-1', 'POST', IDS[0], body)
+            await running.wait_starts(1)
+            await running.start_instance('side-2')
+            await running.set_faults(running.runners['side-1'], silent=True)
+            await running.wait_starts(2)
+            await self.assert_no_overlap(running)
+
+    async def test_a_restarted_sidecar_adopts_what_runs(self):
+        """Builds are run anew each time a sidecar is replaced."""
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            sidecar = await running.start_instance('side-1')
+            body = deployed.make_body(3, payload='2500')
+            await running.call('entry-1', 'POST', IDS[0], body)
+            await running.wait_starts(3)
+            control = sidecar.find('listening')[0]['control']
+            await sidecar.stop(signal.SIGKILL)
+            await running.start_sidecar('side-1', control)
+            await running.wait_state('entry-1', IDS[0], 'complete')
+            self.assertEqual(3, len(await running.list_starts()))
+
+    async def test_a_submission_is_honest_while_the_store_is_away(self):
+        """A build that was refused runs all the same.
+
+        The store was silent, the entry said that nothing was stored, and
+        the write took effect a moment later.
+        """
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.start_instance('side-1')
+            body = deployed.make_body(1)
+            await running.set_faults(running.store, down='busy')
+            answer = await running.call('entry-1', 'POST', IDS[0], body)
+            self.assertEqual(503, answer.status_code)
+            self.assertEqual('1', answer.headers['retry-after'])
+            await running.set_faults(running.store, lose_writes=9)
+            answer = await running.call('entry-1', 'POST', IDS[1], body)
+            # Unknown, or found by a repetition; never 'not accepted'.
+            self.assertIn(answer.status_code, (200, 504))
+            await running.set_faults(running.store)
+            answer = await running.call('entry-1', 'POST', IDS[1], body)
+            self.assertEqual(200, answer.status_code)
+            await running.wait_state('entry-1', IDS[1], 'complete')
+            answer = await running.call('entry-1', 'GET', IDS[0])
+            self.assertEqual(410, answer.status_code)
+
+    async def test_a_late_write_of_the_leader_undoes_nothing(self):
+        """A job that was complete is active again.
+
+        The store carried out one of the leader's writes a second after
+        the leader had repeated it and gone on.
+        """
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.start_instance('side-1')
+            await running.call(
+                'entry-1', 'POST', IDS[0], deployed.make_body(2)
+            )
+            await running.set_faults(
+                running.store, lose_writes=1, delay_writes=2.0
+            )
+            await running.wait_state('entry-1', IDS[0], 'complete')
+            await anyio.sleep(2.5)
+            answer = await running.call('entry-1', 'GET', IDS[0])
+            self.assertEqual({'state': 'complete'}, answer.json())
+            await self.assert_no_overlap(running)
+
+    async def test_nothing_is_missed_when_the_history_is_lost(self):
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.start_entry('entry-2')
+            await running.start_instance('side-1')
+            other = {'entry-1': 'entry-2', 'entry-2': 'entry-1'}
+            await running.set_faults(running.store, forget=True)
+            await running.call(
+                other[running.find_leader()],
+                'POST',
+                IDS[0],
+                deployed.make_body(1),
+            )
+            await running.wait_state('entry-1', IDS[0], 'complete')
+
+    async def test_a_change_is_in_force_at_once_and_stays(self):
+        async with self.deploy() as running:
+            entry = await running.start_entry('entry-1')
+            changed = {**deployed.CONFIGURATION, 'version': 5, 'routes': []}
+            await running.operate('op/config', changed)
+            await entry.wait_event('configuration', version='5', seconds=2)
+            answer = await running.call('entry-1', 'GET')
+            self.assertEqual(404, answer.status_code)
+            await running.operate('op/config', deployed.CONFIGURATION)
+            await anyio.sleep(1.0)
+            answer = await running.call('entry-1', 'GET')
+            self.assertEqual(404, answer.status_code)
+
+    async def test_a_graceful_stop_hands_over_at_once(self):
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.start_entry('entry-2')
+            leader = running.find_leader()
+            process = running.running.processes[leader]
+            process.send_signal(signal.SIGTERM)
+            (other,) = {'entry-1', 'entry-2'} - {leader}
+            await running.running.processes[other].wait_event(
+                'leading', seconds=1.5
+            )
+            self.assertEqual(0, await process.handle.wait())
