--- a/src/persimmonsail/jobs/fleet_grpc.py
+++ b/src/persimmonsail/jobs/fleet_grpc.py
@@ -50,6 +50,14 @@
     async def CountPending(self, stream: 'grpclib.server.Stream[persimmonsail.jobs.fleet_pb2.QueueQuery, persimmonsail.jobs.fleet_pb2.QueueReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Submit(self, stream: 'grpclib.server.Stream[persimmonsail.jobs.fleet_pb2.SubmitQuery, persimmonsail.jobs.fleet_pb2.OutcomeReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Cancel(self, stream: 'grpclib.server.Stream[persimmonsail.jobs.fleet_pb2.CancelQuery, persimmonsail.jobs.fleet_pb2.OutcomeReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/persimmonsail.jobs.Leader/FindJob': grpclib.const.Handler(
@@ -64,6 +72,18 @@
                 persimmonsail.jobs.fleet_pb2.QueueQuery,
                 persimmonsail.jobs.fleet_pb2.QueueReply,
             ),
+            '/persimmonsail.jobs.Leader/Submit': grpclib.const.Handler(
+                self.Submit,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonsail.jobs.fleet_pb2.SubmitQuery,
+                persimmonsail.jobs.fleet_pb2.OutcomeReply,
+            ),
+            '/persimmonsail.jobs.Leader/Cancel': grpclib.const.Handler(
+                self.Cancel,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonsail.jobs.fleet_pb2.CancelQuery,
+                persimmonsail.jobs.fleet_pb2.OutcomeReply,
+            ),
         }
 
 
@@ -82,3 +102,15 @@
             persimmonsail.jobs.fleet_pb2.QueueQuery,
             persimmonsail.jobs.fleet_pb2.QueueReply,
         )
+        self.Submit = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonsail.jobs.Leader/Submit',
+            persimmonsail.jobs.fleet_pb2.SubmitQuery,
+            persimmonsail.jobs.fleet_pb2.OutcomeReply,
+        )
+        self.Cancel = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonsail.jobs.Leader/Cancel',
+            persimmonsail.jobs.fleet_pb2.CancelQuery,
+            persimmonsail.jobs.fleet_pb2.OutcomeReply,
+        )
--- a/src/persimmonsail/jobs/intake.py
+++ b/src/persimmonsail/jobs/intake.py
@@ -90,7 +90,6 @@
         until : float
             When the caller stops waiting, on ``clock``.
         """
-        key = record.JOBS + id
         text = json.dumps(
             {
                 'queue': queue,
@@ -99,10 +98,19 @@
             },
             separators=(',', ':'),
         )
+        if self._store.is_lost:
+            message = fleet_pb2.SubmitQuery(
+                job=id, queue=queue, submission=text
+            )
+            return await self._pass_on('Submit', message, until)
+        return await self.store_job(id, text, until)
+
+    async def store_job(self, id: str, text: str, until: float) -> Outcome:
+        """Write a job's key, and find out whether it is there."""
         sent = False
         while True:
             try:
-                await self._store.put(key, text, expected=0)
+                await self._store.put(record.JOBS + id, text, expected=0)
             except exceptions.Conflict:
                 return Outcome.ACCEPTED
             except exceptions.CallRefused as error:
@@ -118,21 +126,63 @@
                 if own is not None and own.loaded:
                     own.note_job(id, text)
                 return Outcome.ACCEPTED
-            if clock.read() + _PAUSE_SECONDS >= until:
+            if self._is_hopeless(until):
                 return Outcome.UNKNOWN
             await anyio.sleep(_PAUSE_SECONDS)
 
     async def cancel(self, id: str, until: float) -> Outcome:
         """Mark a job as cancelled, for good."""
+        if self._store.is_lost:
+            message = fleet_pb2.CancelQuery(job=id)
+            return await self._pass_on('Cancel', message, until)
+        return await self.store_cancel(id, until)
+
+    async def store_cancel(self, id: str, until: float) -> Outcome:
+        """Write the mark of a cancel, and find out whether it is there."""
         while True:
             try:
                 return await self._cancel_once(id)
             except exceptions.StoreUnavailable as error:
                 logs.write_event('cancel-unanswered', job=id, error=error)
-            if clock.read() + _PAUSE_SECONDS >= until:
+            if self._is_hopeless(until):
                 return Outcome.UNKNOWN
             await anyio.sleep(_PAUSE_SECONDS)
 
+    def _is_hopeless(self, until: float) -> bool:
+        """Tell whether to answer now: the caller may ask again at once.
+
+        A store that is lost stays so for seconds; holding the caller's
+        call until its deadline would only cost it the time to go
+        elsewhere.
+        """
+        if self._store.is_lost:
+            return True
+        return clock.read() + _PAUSE_SECONDS >= until
+
+    async def _pass_on(
+        self, method: str, message: t.Any, until: float
+    ) -> Outcome:
+        """Have the leader's entry do what needs the store.
+
+        The store may turn some machines away and serve the others.
+        """
+        address = self._find_leader()
+        if not address or self._get_own() is not None:
+            return Outcome.REFUSED
+        wait = min(max(until - clock.read(), 0.0), _PEER_SECONDS)
+        message.wait_seconds = wait
+        try:
+            reply = await self._links.call(
+                address, fleet_grpc.LeaderStub, method, message, wait
+            )
+        except exceptions.LinkRefused as error:
+            logs.write_event('leader-unheard', error=error)
+            return Outcome.REFUSED
+        except exceptions.LinkLost as error:
+            logs.write_event('leader-unheard', error=error)
+            return Outcome.UNKNOWN
+        return Outcome(reply.outcome)
+
     async def _cancel_once(self, id: str) -> Outcome:
         if await self._store.get(record.JOBS + id) is None:
             return Outcome.ABSENT
@@ -161,7 +211,7 @@
             found = await self._ask_leader(id)
             if found is not None:
                 return found
-            if clock.read() + _PAUSE_SECONDS >= until:
+            if self._is_hopeless(until):
                 return Outcome.UNKNOWN
             await anyio.sleep(_PAUSE_SECONDS)
 
@@ -265,10 +315,31 @@
     """Answers other entries' questions to the leader."""
 
     def __init__(
-        self, get_own: t.Callable[[], leader_module.Leader | None]
+        self,
+        intake: Intake,
+        get_own: t.Callable[[], leader_module.Leader | None],
     ) -> None:
+        self._intake = intake
         self._get_own = get_own
 
+    async def Submit(self, stream: t.Any) -> None:
+        """Store a job for an entry that can't reach the store."""
+        query = await stream.recv_message()
+        until = clock.read() + query.wait_seconds
+        outcome = await self._intake.store_job(
+            query.job, query.submission, until
+        )
+        reply = fleet_pb2.OutcomeReply(outcome=outcome.value)
+        await stream.send_message(reply)
+
+    async def Cancel(self, stream: t.Any) -> None:
+        """Cancel a job for an entry that can't reach the store."""
+        query = await stream.recv_message()
+        until = clock.read() + query.wait_seconds
+        outcome = await self._intake.store_cancel(query.job, until)
+        reply = fleet_pb2.OutcomeReply(outcome=outcome.value)
+        await stream.send_message(reply)
+
     async def FindJob(self, stream: t.Any) -> None:
         """Return a job's committed phase."""
         query = await stream.recv_message()
--- a/src/persimmonsail/platform/front.py
+++ b/src/persimmonsail/platform/front.py
@@ -142,7 +142,7 @@
         elif outcome is intake_module.Outcome.ABSENT:
             await request.refuse(410, 'no such job')
         else:
-            await request.refuse(504, 'unknown whether it was cancelled')
+            await request.refuse(503, 'not known to be cancelled: ask again')
 
     async def _count(self, request: '_Request', queue: queues.Queue) -> None:
         count = await self._intake.count_pending(queue.name)
--- a/src/persimmonsail/platform/kvstore.py
+++ b/src/persimmonsail/platform/kvstore.py
@@ -18,6 +18,10 @@
 # The store refuses a watch that waits longer.
 _LONGEST_WATCH_SECONDS = 30.0
 _MILLISECONDS = 1000
+# The store counts as lost when calls fail and the last answer is so old.
+# Each entry calls it twice a second at least, and single answers may be
+# lost while others come.
+_LOST_SECONDS = 0.9
 _REFUSED = (
     httpx.codes.SERVICE_UNAVAILABLE,
     httpx.codes.TOO_MANY_REQUESTS,
@@ -70,10 +74,18 @@
 
     def __init__(self, address: str, timeout: float) -> None:
         self._timeout = timeout
+        self._answered_at = time.monotonic()
+        self._failing = False
         self._client = httpx.AsyncClient(
             base_url=f'http://{address}', timeout=timeout, trust_env=False
         )
 
+    @property
+    def is_lost(self) -> bool:
+        """See ``TransactionalStore.is_lost``."""
+        silent = time.monotonic() - self._answered_at
+        return self._failing and silent > _LOST_SECONDS
+
     async def get(self, key: str) -> store.Item | None:
         """See ``Store.get``."""
         answer = await self._call('GET', 'kv-key', query={'key': key})
@@ -221,11 +233,13 @@
                 timeout=timeout or self._timeout,
             )
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            self._failing = True
             metrics.STORE_CALLS.increase(name, 'not-sent')
             raise exceptions.CallRefused(
                 f'{name}: {type(error).__name__}'
             ) from error
         except httpx.HTTPError as error:
+            self._failing = True
             metrics.STORE_CALLS.increase(name, 'no-answer')
             raise exceptions.StoreUnavailable(
                 f'{name}: {type(error).__name__}'
@@ -235,9 +249,13 @@
         if name != 'kv-watch':
             metrics.STORE_SECONDS.record(time.monotonic() - begun, name)
         if answer.status_code in _REFUSED:
+            self._failing = True
             raise exceptions.CallRefused(f'{name}: {answer.status_code}')
         if answer.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
+            self._failing = True
             raise exceptions.StoreUnavailable(f'{name}: {answer.status_code}')
+        self._failing = False
+        self._answered_at = time.monotonic()
         return answer
 
 
--- a/src/persimmonsail/platform/roles.py
+++ b/src/persimmonsail/platform/roles.py
@@ -78,7 +78,7 @@
         control = addresses.name_of(sock)
         server = grpclib.server.Server(
             [
-                intake_module.LeaderService(self._get_own),
+                intake_module.LeaderService(self._intake, self._get_own),
                 health_service.Health(),
             ]
         )
@@ -122,7 +122,10 @@
         return self._own
 
     def _is_ready(self) -> bool:
-        return self._view.current is not None and not self._stopping
+        # Without the store this entry accepts nothing; another may.
+        if self._stopping or self._store.is_lost:
+            return False
+        return self._view.current is not None
 
     async def _run_candidate(
         self, scope: anyio.CancelScope, left: anyio.Event
--- a/src/persimmonsail/store.py
+++ b/src/persimmonsail/store.py
@@ -148,6 +148,11 @@
 class TransactionalStore(Store):
     """A store that also writes several keys at once, under conditions."""
 
+    @property
+    @abc.abstractmethod
+    def is_lost(self) -> bool:
+        """Whether calls fail and none has succeeded for a while."""
+
     @abc.abstractmethod
     async def commit(
         self,
--- a/tests/platform/deployed.py
+++ b/tests/platform/deployed.py
@@ -69,11 +69,13 @@
         """Set the faults of a stand-in."""
         await self._post(f'{address}/faults', **faults)
 
-    async def start_entry(self, name: str) -> deployment.Process:
+    async def start_entry(
+        self, name: str, store: str = ''
+    ) -> deployment.Process:
         """Start an entry and wait until it serves."""
-        process = await self.running.start_role(
-            'entry', name, self._make_sections(name, readiness='127.0.0.1:0')
-        )
+        sections = self._make_sections(name, readiness='127.0.0.1:0')
+        sections['store']['address'] = store or self.store
+        process = await self.running.start_role('entry', name, sections)
         await process.wait_event('configuration')
         self.entries[name] = process.find('listening')[-1]['http']
         return process
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -181,6 +181,51 @@
             answer = await running.call('entry-1', 'GET', IDS[0])
             self.assertEqual(410, answer.status_code)
 
+    async def test_a_lost_store_is_said_at_once(self):
+        """A caller waits out its deadline for nothing.
+
+        The store has been silent for a while; the entry knows, and holds
+        each new call for as long as the caller waits.
+        """
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.set_faults(running.store, down='silent')
+            await anyio.sleep(2.0)
+            begun = anyio.current_time()
+            answer = await running.call(
+                'entry-1', 'POST', IDS[0], deployed.make_body(1)
+            )
+            self.assertLess(anyio.current_time() - begun, 0.4)
+            self.assertEqual(503, answer.status_code)
+            self.assertIn('retry-after', answer.headers)
+            await running.set_faults(running.store)
+            await anyio.sleep(1.5)
+            answer = await running.call('entry-1', 'GET', IDS[0])
+            self.assertEqual(410, answer.status_code)
+
+    async def test_an_entry_without_the_store_passes_calls_on(self):
+        """One in three callers is turned away while the store is fine.
+
+        The store serves the other entries and not this one.
+        """
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.start_instance('side-1')
+            address, control = await running.running.start_proxy(
+                'proxy', running.store
+            )
+            await running.start_entry('entry-2', store=address)
+            await running.running.processes['entry-2'].wait_event(
+                'leader-known'
+            )
+            await running.running.set_faults(control, mode='cut')
+            await anyio.sleep(2.0)
+            answer = await running.call(
+                'entry-2', 'POST', IDS[0], deployed.make_body(1)
+            )
+            self.assertEqual(200, answer.status_code, answer.text)
+            await running.wait_state('entry-2', IDS[0], 'complete')
+
     async def test_a_late_write_of_the_leader_undoes_nothing(self):
         """A job that was complete is active again.
 
