--- /dev/null
+++ b/tests/jobs/test_ledger.py
@@ -0,0 +1,85 @@
+import anyio
+
+from persimmonsail import exceptions
+from persimmonsail.jobs import ledger
+from persimmonsail.jobs import record
+from persimmonsail import store as store_module
+from tests import base
+
+
+class FakeStore:
+    """The head only; each call's fate is given beforehand.
+
+    ``lost`` takes effect without an answer, ``refused`` does not take
+    effect.
+    """
+
+    def __init__(self, *fates: str) -> None:
+        self.fates = list(fates)
+        self.revision = 5
+        self.head = ''
+        self.commits: list[list[store_module.Write]] = []
+
+    async def commit(self, conditions, writes, removals=()):
+        fate = self.fates.pop(0) if self.fates else 'ok'
+        if fate == 'refused':
+            raise exceptions.CallRefused('busy')
+        if conditions[record.HEAD] != self.revision:
+            item = store_module.Item(record.HEAD, self.head, self.revision)
+            raise exceptions.TransactionConflict({record.HEAD: item})
+        self.revision += 1
+        self.head = writes[0].value
+        self.commits.append(list(writes))
+        if fate == 'lost':
+            raise exceptions.StoreUnavailable('no answer')
+        return self.revision
+
+    async def get(self, key):
+        return store_module.Item(key, self.head, self.revision)
+
+
+class LedgerTest(base.TestCase):
+    def open(self, *fates):
+        store = FakeStore(*fates)
+        return store, ledger.Ledger(store, ledger.Term('me', 5, '1'))
+
+    async def test_a_write_whose_answer_was_lost_counts_once(self):
+        store, own = self.open('lost', 'ok')
+        write = store_module.Write('progress/a', 'x')
+        await own.commit([write])
+        await own.commit([write])
+        self.assertEqual(2, len(store.commits))
+
+    async def test_a_refused_write_is_sent_again(self):
+        store, own = self.open('refused', 'refused')
+        await own.commit([store_module.Write('progress/a', 'x')])
+        self.assertEqual(1, len(store.commits))
+
+    async def test_a_replaced_leader_writes_nothing(self):
+        """A finished job is active again.
+
+        A leader that was frozen wakes after its successor has gone on,
+        and writes what it knew.
+        """
+        store, own = self.open()
+        store.revision = 9
+        store.head = ledger.Head(leader='other', writes=3).model_dump_json()
+        with anyio.fail_after(5):
+            try:
+                await own.commit([store_module.Write('progress/a', 'old')])
+            except exceptions.Deposed:
+                pass
+            else:
+                self.fail('it may still write')
+        self.assertEqual([], store.commits)
+
+    async def test_only_its_own_head_confirms_a_leader(self):
+        store, own = self.open()
+        await own.commit([])
+        await own.confirm()
+        store.head = ledger.Head(leader='other', writes=0).model_dump_json()
+        try:
+            await own.confirm()
+        except exceptions.Deposed:
+            return
+        self.fail('it still leads')
--- /dev/null
+++ b/tests/jobs/test_life.py
@@ -0,0 +1,85 @@
+from persimmonsail.jobs import life
+from persimmonsail.jobs import specification
+from persimmonsail.jobs import worker
+from tests import base
+
+BOOT = worker.Heartbeat(
+    boot='boot-1',
+    sequence=1,
+    service='planner',
+    capacity=specification.Size(4000, 1000),
+)
+ORDER = worker.StartOrder('00000000000000aa.0.0.0', 1, '', '', 9000)
+KEY = (ORDER.task, ORDER.run)
+
+
+class LifeTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.life = life.Life(BOOT, 10.0)
+
+    def look(self, clock_ms, *running, ended=()):
+        rows = tuple(worker.RunningRow(task, run) for task, run in running)
+        return self.life.note_look(
+            worker.Look(clock_ms, rows, tuple(ended)), 10.0
+        )
+
+    def test_an_overtaken_look_changes_nothing(self):
+        """A run that was just started is reported as absent.
+
+        Two answers of the agent overtook each other.
+        """
+        self.look(2000, KEY)
+        self.assertFalse(self.look(1900))
+        self.assertIn(KEY, self.life.running)
+
+    def test_a_start_outlives_a_look_made_just_before_it(self):
+        """A run is stopped the moment it has begun.
+
+        The look that came back after the start was made before it.
+        """
+        self.look(1000)
+        self.life.note_started(ORDER, 1010, 10.0)
+        self.look(1010)
+        self.assertIn(KEY, self.life.running)
+        self.look(1200)
+        self.assertNotIn(KEY, self.life.running)
+
+    def test_a_start_that_ended_at_once_is_not_running(self):
+        self.look(1000)
+        self.life.note_started(ORDER, 1010, 10.0)
+        end = worker.EndedRow(1, *KEY, 'failed')
+        self.look(1020, ended=[end])
+        self.assertNotIn(KEY, self.life.running)
+        self.assertTrue(self.life.has_ended(KEY))
+
+    def test_ends_are_kept_until_they_are_acknowledged(self):
+        end = worker.EndedRow(1, *KEY, 'done')
+        self.look(1000, ended=[end])
+        self.assertIn(1, self.life.ended)
+        self.life.acknowledged = 1
+        self.look(1010, ended=[end])
+        self.assertEqual({}, self.life.ended)
+
+    def test_the_agents_clock_is_never_ahead_of_a_moment(self):
+        self.assertIsNone(self.life.to_agent_clock(12.0))
+        self.life.note_clock(5000, 10.0)
+        self.assertEqual(7000, self.life.to_agent_clock(12.0))
+
+    def test_a_silent_agent_lapses_only_after_its_last_lease(self):
+        """A watcher runs in two places.
+
+        Its agent was out of reach for a moment, and the watcher was
+        started elsewhere while its lease still ran.
+        """
+        self.life.granted_until = 16.0
+        self.assertFalse(self.life.is_lapsed(15.9))
+        self.assertFalse(self.life.is_lapsed(16.1))
+        self.assertTrue(self.life.is_lapsed(16.6))
+        self.life.answered_at = 16.0
+        self.assertFalse(self.life.is_lapsed(16.6))
+
+    def test_open_orders_take_room_too(self):
+        self.life.sizes[KEY] = specification.Size(3000, 100)
+        self.life.pending[KEY] = specification.Size(3000, 100)
+        self.assertEqual(1000, self.life.measure_free().millicores)
--- /dev/null
+++ b/tests/jobs/test_placement.py
@@ -0,0 +1,96 @@
+from persimmonsail.jobs import interference
+from persimmonsail.jobs import placement
+from persimmonsail.jobs import specification
+from tests import base
+from tests.jobs import cases
+
+NOW = 100.0
+SERVING = cases.make_step(
+    1,
+    image='shop',
+    latency_target_ms=10,
+    size=specification.Size(12000, 1000),
+)
+
+
+class PlacementTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.model = interference.Model()
+        self.first = cases.make_instance('10.0.0.1:7000')
+        self.second = cases.make_instance('10.0.0.2:7000')
+        self.fleet = [self.first, self.second]
+
+    def choose(self, step):
+        job = cases.make_job(step)
+        (task, *_) = job.waiting.values()
+        return placement.choose(
+            task, self.fleet, cases.QUEUE.service, self.model, NOW
+        )
+
+    def test_only_usable_instances_get_work(self):
+        for change in (
+            {'leaving': True},
+            {'attached': False},
+            {'boot': ''},
+            {'known': False},
+            {'silent_seconds': 2.0},
+            {'suspect_until': NOW + 1},
+            {'service': 'other'},
+        ):
+            before = {name: getattr(self.first, name) for name in change}
+            for name, value in change.items():
+                setattr(self.first, name, value)
+            self.assertIs(self.second, self.choose(cases.make_step()), change)
+            for name, value in before.items():
+                setattr(self.first, name, value)
+
+    def test_what_is_being_stopped_takes_room(self):
+        """An instance is filled beyond its size for a moment."""
+        big = cases.make_step(1, size=specification.Size(60000, 100))
+        run = cases.add_run(self.first, big)
+        run.phase = placement.instances.RunPhase.STOPPING
+        cases.add_run(self.second, big, '00000000000000cc.0.0.0')
+        self.assertIsNone(self.choose(big))
+
+    def test_a_label_and_a_spread_limit_are_kept(self):
+        self.second.labels = ('b', 'r1-1')
+        labelled = cases.make_step(1, label='b')
+        self.assertIs(self.second, self.choose(labelled))
+        spread = cases.make_step(1, most_per_instance=1)
+        cases.add_run(self.first, spread, f'{cases.ID}.0.0.1')
+        self.assertIs(self.second, self.choose(spread))
+
+    def test_a_serving_task_goes_beside_its_own_image(self):
+        """Builds find no instance where they may work at full speed.
+
+        Every instance serves every image, and some image is disturbed by
+        each build.
+        """
+        other = cases.make_step(1, image='map', latency_target_ms=10)
+        cases.add_run(self.first, other)
+        cases.add_run(self.second, SERVING, '00000000000000cc.0.0.0')
+        self.assertIs(self.second, self.choose(SERVING))
+
+    def test_a_best_effort_task_goes_where_nothing_serves(self):
+        cases.add_run(self.first, SERVING)
+        build = cases.make_step(
+            1, image='build', best_effort_cpu=True, size=SERVING.size
+        )
+        self.assertIs(self.second, self.choose(build))
+
+    def test_a_best_effort_task_waits_rather_than_crawl(self):
+        """Builds stand still beside watchers and all end late.
+
+        They were placed where their images press too much to work.
+        """
+        self.fleet = [self.first]
+        for i in range(4):
+            cases.add_run(self.first, SERVING, f'00000000000000c{i}.0.0.0')
+        build = cases.make_step(
+            1,
+            image='build',
+            best_effort_cpu=True,
+            size=specification.Size(30000, 100),
+        )
+        self.assertIsNone(self.choose(build))
