--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -22,6 +22,7 @@
 from persimmonsail.jobs import fleet_grpc
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import life as life_module
+from persimmonsail.jobs import orders as orders_module
 from persimmonsail.jobs import specification
 from persimmonsail.jobs import worker as worker_module
 from persimmonsail import logs
@@ -38,9 +39,6 @@
 _RETRY_SECONDS = 0.1
 # So many boots that ended are named in each report.
 _KEPT_BOOTS = 8
-# An order that a worker leaves unanswered is repeated at once; the
-# repetition finds what the first one started.
-_ORDER_PAUSE_SECONDS = 0.03
 
 
 class _Link:
@@ -66,10 +64,16 @@
     def __init__(
         self, worker: worker_module.Worker, lease_seconds: float
     ) -> None:
-        self._worker = worker
         self._lease_seconds = lease_seconds
-        self._epoch = 0
-        self._authority_until = 0.0
+        self._authority = orders_module.Authority()
+        self._orders = orders_module.Orders(
+            worker,
+            self._authority,
+            on_over=self.note_boot_over,
+            on_barred=self._bar,
+            on_change=self._notify,
+            on_lease=self._renew_now,
+        )
         self._life: life_module.Life | None = None
         self._over: list[str] = []
         self._link: _Link | None = None
@@ -131,10 +135,10 @@
         first = await stream.recv_message()
         if first is None:
             return
-        if first.epoch < self._epoch:
+        if first.epoch < self._authority.epoch:
             # A deposed leader that does not know it yet.
             logs.write_event(
-                'leader-stale', epoch=first.epoch, known=self._epoch
+                'leader-stale', epoch=first.epoch, known=self._authority.epoch
             )
             raise grpclib.exceptions.GRPCError(
                 grpclib.const.Status.FAILED_PRECONDITION, 'stale epoch'
@@ -142,7 +146,7 @@
         if self._link is not None:
             self._link.scope.cancel()
         link = self._link = _Link()
-        self._epoch = first.epoch
+        self._authority.epoch = first.epoch
         logs.write_event('leader-attached', epoch=first.epoch)
         with link.scope:
             self._take(link, first)
@@ -185,7 +189,7 @@
         report.silent_seconds = now - life.answered_at
         report.lapsed = life.is_lapsed(now)
         report.looked = life.looked
-        report.fenced = life.fenced_epoch >= self._epoch
+        report.fenced = life.fenced_epoch >= self._authority.epoch
         report.service = heartbeat.service
         report.rack = heartbeat.rack
         report.labels.extend(heartbeat.labels)
@@ -217,12 +221,15 @@
     def _notify(self) -> None:
         self._changed.set()
 
+    def _renew_now(self) -> None:
+        self._renew.set()
+
     def _take(self, link: _Link, orders: fleet_pb2.Orders) -> None:
         self.attached_at = clock.read()
         link.seen = orders.sequence
         if orders.ticket:
             until = orders.ticket + self._lease_seconds
-            self._authority_until = max(self._authority_until, until)
+            self._authority.until = max(self._authority.until, until)
         life = self._life
         if life is None:
             for start in orders.starts:
@@ -241,9 +248,9 @@
         for stop in orders.stops:
             key = (stop.task, stop.run)
             life.pending[key] = life.sizes.get(key, specification.Size())
-            self._group.start_soon(self._stop, life, key)
+            self._group.start_soon(self._orders.stop, life, key)
         for pace in orders.paces:
-            self._group.start_soon(self._set_pace, life, pace)
+            self._group.start_soon(self._orders.set_pace, life, pace)
 
     def _admit(self, life: life_module.Life, start: fleet_pb2.Start) -> None:
         key = (start.task, start.run)
@@ -273,7 +280,7 @@
             return
         life.sizes[key] = size
         life.pending[key] = size
-        self._group.start_soon(self._start, life, start)
+        self._group.start_soon(self._orders.start, life, start)
 
     def _bar(self, task: str, run: int, reason: str) -> None:
         if self._link is not None:
@@ -281,142 +288,6 @@
             self._link.barred.append(barred)
         self._notify()
 
-    async def _start(
-        self, life: life_module.Life, start: fleet_pb2.Start
-    ) -> None:
-        key = (start.task, start.run)
-        unanswered = False
-        while not life.over:
-            now = clock.read()
-            until = life.to_agent_clock(self._authority_until)
-            if until is None or self._authority_until <= now:
-                # Without the leader's word no lease can be granted.
-                await self._settle(life, key, 'no-authority', unanswered)
-                return
-            life.granted_until = max(life.granted_until, self._authority_until)
-            order = worker_module.StartOrder(
-                start.task, start.run, start.payload, start.checkpoint, until
-            )
-            try:
-                clock_ms = await self._worker.start(
-                    life.boot, self._epoch, order
-                )
-            except exceptions.WorkerBootChanged:
-                self.note_boot_over(life.boot)
-                return
-            except exceptions.OrderRefused as error:
-                life.answered_at = clock.read()
-                await self._settle(life, key, error.reason, unanswered)
-                return
-            except exceptions.WorkerNotReached as error:
-                if not unanswered:
-                    await self._settle(life, key, str(error), unanswered)
-                    return
-                await anyio.sleep(_RETRY_SECONDS)
-                continue
-            except exceptions.WorkerUnavailable as error:
-                if not unanswered:
-                    logs.write_event(
-                        'start-unanswered',
-                        task=start.task,
-                        run=start.run,
-                        error=error,
-                    )
-                unanswered = True
-                await anyio.sleep(_ORDER_PAUSE_SECONDS)
-                continue
-            life.answered_at = clock.read()
-            life.note_started(order, clock_ms, clock.read())
-            life.pending.pop(key, None)
-            logs.write_event('started', task=start.task, run=start.run)
-            if start.HasField('percent'):
-                # At once: a run that begins at full speed is felt by what
-                # serves beside it until the leader's first look.
-                pace = fleet_pb2.Pace(
-                    task=start.task, run=start.run, percent=start.percent
-                )
-                self._group.start_soon(self._set_pace, life, pace)
-            self._notify()
-            return
-
-    async def _settle(
-        self,
-        life: life_module.Life,
-        key: life_module.RunId,
-        reason: str,
-        unanswered: bool,
-    ) -> None:
-        """Tell the leader that a run never starts, once that is certain.
-
-        An order without an answer may be carried out seconds later. Only
-        a stop that was answered keeps it from starting then; without it
-        the leader would start the task elsewhere and it would run twice.
-        """
-        task, run = key
-        logs.write_event(
-            'start-refused',
-            task=task,
-            run=run,
-            reason=reason,
-            settled=not unanswered,
-        )
-        if unanswered:
-            await self._stop(life, key)
-            return
-        life.pending.pop(key, None)
-        self._bar(task, run, reason)
-
-    async def _stop(
-        self, life: life_module.Life, key: life_module.RunId
-    ) -> None:
-        task, run = key
-        failures = 0
-        while not life.over:
-            try:
-                await self._worker.stop(life.boot, self._epoch, task, run)
-                await self._look(life)
-            except exceptions.WorkerBootChanged:
-                self.note_boot_over(life.boot)
-                return
-            except exceptions.OrderRefused as error:
-                logs.write_event(
-                    'stop-refused', task=task, run=run, reason=error.reason
-                )
-                await anyio.sleep(_RETRY_SECONDS)
-                continue
-            except exceptions.WorkerUnavailable as error:
-                failures += 1
-                if failures == 1:
-                    logs.write_event(
-                        'stop-unanswered', task=task, run=run, error=error
-                    )
-                await anyio.sleep(_RETRY_SECONDS)
-                continue
-            if key not in life.running:
-                break
-            await anyio.sleep(_RETRY_SECONDS)
-        life.pending.pop(key, None)
-        logs.write_event('stopped-run', task=task, run=run)
-        if not life.has_ended(key):
-            self._bar(task, run, 'absent')
-        self._notify()
-
-    async def _set_pace(
-        self, life: life_module.Life, pace: fleet_pb2.Pace
-    ) -> None:
-        try:
-            await self._worker.set_pace(
-                life.boot, self._epoch, pace.task, pace.run, pace.percent
-            )
-        except exceptions.WorkerBootChanged:
-            self.note_boot_over(life.boot)
-        except (
-            exceptions.OrderRefused,
-            exceptions.WorkerUnavailable,
-        ) as error:
-            # The leader sends it again while the gauges ask for it.
-            logs.write_event('pace-failed', task=pace.task, error=error)
-
     async def _keep_renewing(self) -> None:
         """Extend leases; nothing else may hold this task up."""
         while True:
@@ -445,7 +316,7 @@
         self, life: life_module.Life, extend: bool = False, wait: float = 0.0
     ) -> bool:
         try:
-            await self._look(life, extend, wait)
+            await self._orders.look(life, extend, wait)
         except exceptions.WorkerBootChanged:
             self.note_boot_over(life.boot)
         except (
@@ -459,33 +330,6 @@
             return True
         return False
 
-    async def _look(
-        self, life: life_module.Life, extend: bool = False, wait: float = 0.0
-    ) -> None:
-        until = None
-        now = clock.read()
-        silent = now - life.answered_at > life_module.SILENT_SECONDS
-        if extend and not silent and self._authority_until > now:
-            until = life.to_agent_clock(self._authority_until)
-            life.granted_until = max(life.granted_until, self._authority_until)
-        epoch = self._epoch
-        look = await self._worker.look(
-            life.boot, epoch, life.acknowledged, until, wait
-        )
-        life.fenced_epoch = max(life.fenced_epoch, epoch)
-        life.answered_at = clock.read()
-        if life.failing:
-            life.failing = False
-            logs.write_event('worker-regained', boot=life.boot)
-            self._renew.set()
-        first = not life.looked
-        if life.note_look(look, clock.read()):
-            self._notify()
-        if first:
-            # The agent's clock is known from now on, so leases can be
-            # extended at once.
-            self._renew.set()
-
 
 def _read_size(size: fleet_pb2.Size) -> specification.Size:
     return specification.Size(
--- a/src/persimmonsail/jobs/fleet_grpc.py
+++ b/src/persimmonsail/jobs/fleet_grpc.py
@@ -4,8 +4,8 @@
 import abc
 import typing
 
-import grpclib.const
 import grpclib.client
+import grpclib.const
 if typing.TYPE_CHECKING:
     import grpclib.server
 
--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -10,18 +10,14 @@
 import typing as t
 
 import anyio
-import anyio.abc
 import pydantic
 
 from persimmonsail import exceptions
 from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import clock
-from persimmonsail.jobs import eviction
-from persimmonsail.jobs import fleet_pb2
-from persimmonsail.jobs import instances
+from persimmonsail.jobs import fleet as fleet_module
 from persimmonsail.jobs import interference
 from persimmonsail.jobs import ledger as ledger_module
-from persimmonsail.jobs import link as link_module
 from persimmonsail.jobs import queues
 from persimmonsail.jobs import record
 from persimmonsail.jobs import reports
@@ -30,14 +26,6 @@
 from persimmonsail import quarantine
 from persimmonsail import store as store_module
 
-# A leader without the store goes on renewing what runs for so long; no
-# outage seen is longer. A successor waits it out before it starts work
-# elsewhere that an instance out of its reach may still run.
-KNOWLEDGE_SECONDS = 8.0
-# The worker's clock may be slow by 2% of a lease, and it notices the end
-# of a lease a little late.
-_DRIFT = 0.02
-_MARGIN_SECONDS = 0.4
 # Rounds come at least so often, for what only time changes.
 _ROUND_SECONDS = 0.25
 # Rounds are this far apart, so that ends of one moment share a commit.
@@ -78,13 +66,9 @@
         self._ledger = ledger
         self._view = view
         self._retention_seconds = retention_seconds
-        self._lease_bound = lease_seconds * (1 + _DRIFT) + _MARGIN_SECONDS
         self.board = board_module.Board()
-        self.fleet: dict[str, instances.Instance] = {}
         self.loaded = False
-        self._links: dict[str, link_module.InstanceLink] = {}
         self._wake = anyio.Event()
-        self._group: anyio.abc.TaskGroup
         self._model = interference.Model()
         self._reader = reports.Reader(
             self.board,
@@ -92,11 +76,14 @@
             self._model,
             self._get_attempts,
         )
+        self._fleet = fleet_module.Fleet(
+            ledger, lease_seconds, self._reader, self._note_reaction
+        )
 
     async def run(self) -> None:
         """Load everything, then place work until cancelled or deposed."""
         async with anyio.create_task_group() as group:
-            self._group = group
+            self._fleet.open(group)
             revision = await self._load()
             group.start_soon(self._follow, revision)
             group.start_soon(self._sweep)
@@ -125,18 +112,17 @@
         placed = job.list_placed()
         logs.write_event('job-cancelled', job=id, running=len(placed))
         for task in placed:
-            instance = self.fleet.get(task.state.instance)
-            run = instance and instance.runs.get((task.name, task.state.run))
-            if run is not None and run.phase is not (
-                instances.RunPhase.STOPPING
-            ):
-                self._order_stop(instance, run)
+            self._fleet.stop_task(task)
         self._wake.set()
 
+    def _note_reaction(self, reaction: reports.Reaction) -> None:
+        if reaction.replan or self.board.changed:
+            self._wake.set()
+
     def _get_attempts(self, queue: str) -> int:
-        configuration = self._view.current
-        found = configuration and configuration.get_queue(queue)
-        # A queue that was removed: its jobs end with their next failure.
+        found = self._view.seen.get(queue)
+        # A queue removed before this process began: its jobs end with
+        # their next failure.
         return found.max_attempts if found else 1
 
     async def _load(self) -> int:
@@ -153,7 +139,7 @@
         logs.write_event(
             'loaded',
             jobs=len(self.board.jobs),
-            instances=len(self.fleet),
+            instances=len(self._fleet.instances),
             revision=inbox.revision,
         )
         self._wake.set()
@@ -180,38 +166,9 @@
         A former leader may have allowed leases until it knew that it was
         replaced, and the sidecars' leases run on after that.
         """
-        until = clock.read() + KNOWLEDGE_SECONDS + self._lease_bound
         for job in self.board.jobs.values():
             for task in job.list_placed():
-                instance = self._get_instance(task.state.instance)
-                instance.trusted_until = until
-                instance.add_run(
-                    instances.Run(
-                        task=task.name,
-                        number=task.state.run,
-                        boot=task.state.boot,
-                        step=task.step,
-                        queue=job.queue,
-                        ordered_at=clock.read(),
-                        # Unknown; the first order says what it is to be.
-                        pace=0,
-                    )
-                )
-
-    def _get_instance(self, address: str) -> instances.Instance:
-        if address not in self.fleet:
-            instance = instances.Instance(address)
-            self.fleet[address] = instance
-            link = link_module.InstanceLink(
-                instance,
-                self._ledger.term.epoch,
-                self._describe_lease,
-                self._note_attached,
-                self._note_report,
-            )
-            self._links[address] = link
-            self._group.start_soon(link.run)
-        return self.fleet[address]
+                self._fleet.count_claim(task)
 
     def _note_instance(self, address: str, text: str) -> None:
         try:
@@ -221,14 +178,10 @@
                 'instance-unreadable', instance=address, error=error
             )
             return
-        instance = self._get_instance(address)
+        instance = self._fleet.get(address)
         instance.name = found.name
         instance.zone = found.zone
 
-    def _describe_lease(self) -> float:
-        age = clock.read() - self._ledger.confirmed_at
-        return self._lease_bound if age < KNOWLEDGE_SECONDS else 0.0
-
     async def _follow(self, revision: int) -> None:
         """Take in what entries and sidecars write to the inbox."""
         while True:
@@ -271,120 +224,30 @@
         else:
             self._take_inbox(key, change.value, {})
 
-    def _note_attached(self, instance: instances.Instance) -> None:
-        instance.attached = True
-        # A sidecar that was restarted has forgotten it.
-        instance.acknowledged = 0
-        logs.write_event('instance-attached', instance=instance.address)
-        orders = self._links[instance.address].edit()
-        for run in instance.runs.values():
-            # Nothing of an earlier link counts as heard.
-            run.order = 0
-            if run.phase is instances.RunPhase.STOPPING:
-                run.phase = instances.RunPhase.RUNNING
-            _fill_start(orders.known.add(), run)
-
-    def _note_report(
-        self, instance: instances.Instance, report: fleet_pb2.Report
-    ) -> None:
-        now = clock.read()
-        if report.fenced:
-            # The worker's agent obeys no former leader any more, so only
-            # this leader's own word counts.
-            instance.trusted_until = now + self._lease_bound
-        reaction = self._reader.read(instance, report, now)
-        for run in reaction.stops:
-            self._order_stop(instance, run)
-        for change in reaction.paces:
-            self._order_pace(instance, change.run, change.percent)
-        for run in eviction.select_leaving(instance, now):
-            self._evict(instance, run, 'leaving')
-        for run in eviction.select_starved(instance, now):
-            self._evict(instance, run, 'starved')
-        if reaction.replan or self.board.changed:
-            self._wake.set()
-
-    def _evict(
-        self, instance: instances.Instance, run: instances.Run, reason: str
-    ) -> None:
-        logs.write_event(
-            'evicted',
-            task=run.task,
-            run=run.number,
-            instance=instance.address,
-            reason=reason,
-            percent=run.percent,
-            pace=run.pace,
-        )
-        self._order_stop(instance, run)
-
-    def _order_stop(
-        self, instance: instances.Instance, run: instances.Run
-    ) -> None:
-        link = self._links[instance.address]
-        run.phase = instances.RunPhase.STOPPING
-        run.order = link.next_sequence
-        link.edit().stops.add(task=run.task, run=run.number)
-        logs.write_event(
-            'stop-ordered',
-            task=run.task,
-            run=run.number,
-            instance=instance.address,
-        )
-
-    def _order_pace(
-        self, instance: instances.Instance, run: instances.Run, percent: int
-    ) -> None:
-        logs.write_event(
-            'paced',
-            task=run.task,
-            run=run.number,
-            instance=instance.address,
-            before=run.pace,
-            percent=percent,
-        )
-        run.pace = percent
-        run.paced_at = clock.read()
-        if percent >= eviction.SLOW_PERCENT:
-            run.slow_since = 0.0
-        else:
-            run.slow_since = run.slow_since or run.paced_at
-        orders = self._links[instance.address].edit()
-        orders.paces.add(task=run.task, run=run.number, percent=percent)
-
     async def _place_rounds(self) -> None:
         while True:
             self._wake = anyio.Event()
-            self._give_up_unreachable()
-            claims: list[scheduling.Claim] = []
-            if self._view.current is not None:
-                claims = scheduling.plan(
-                    self.board,
-                    self.fleet.values(),
-                    self._view.current,
-                    self._model,
-                    clock.read(),
-                    time.time(),
-                )
+            self._fleet.give_up_unreachable()
+            claims = scheduling.plan(
+                self.board,
+                self._fleet.instances.values(),
+                self._view.seen,
+                self._model,
+                clock.read(),
+                time.time(),
+            )
             await self._commit(claims)
-            self._acknowledge()
+            self._fleet.acknowledge()
             with anyio.move_on_after(_ROUND_SECONDS):
                 await self._wake.wait()
                 await anyio.sleep(_GATHER_SECONDS)
 
-    def _give_up_unreachable(self) -> None:
-        now = clock.read()
-        for instance in self.fleet.values():
-            if instance.runs and now > instance.trusted_until:
-                if not instance.attached or not instance.known:
-                    self._reader.drop_runs(instance, 'unreachable')
-
     async def _commit(self, claims: list[scheduling.Claim]) -> None:
         """Commit all changed jobs, then send what that allows."""
         # Ends that come while the store works are in no write yet.
         processed = [
             (instance, instance.boot, instance.processed)
-            for instance in self.fleet.values()
+            for instance in self._fleet.instances.values()
         ]
         changed = sorted(self.board.changed)
         self.board.changed.clear()
@@ -394,7 +257,7 @@
             chosen = set(ids)
             for claim in claims:
                 if claim.task.job.id in chosen:
-                    self._order_start(claim)
+                    self._fleet.start(claim)
         for instance, boot, number in processed:
             if instance.boot == boot:
                 instance.committed_end = number
@@ -420,36 +283,6 @@
                     commit_seconds=clock.read() - begun,
                 )
 
-    def _order_start(self, claim: scheduling.Claim) -> None:
-        instance = claim.instance
-        key = (claim.run.task, claim.run.number)
-        if instance.runs.get(key) is not claim.run:
-            # Given up while the claim was written.
-            return
-        if claim.run.phase is not instances.RunPhase.ORDERED:
-            # Its stop was ordered meanwhile; a start would come after it.
-            return
-        if claim.task.job.phase.is_final:
-            # Cancelled while the claim was written: it was never sent.
-            instance.drop_run(key)
-            return
-        link = self._links[instance.address]
-        claim.run.order = link.next_sequence
-        start = link.edit().starts.add()
-        _fill_start(start, claim.run)
-        start.payload = claim.task.job.specification.payload
-        start.checkpoint = claim.task.state.checkpoint
-        if claim.run.pace < 100:
-            start.percent = claim.run.pace
-
-    def _acknowledge(self) -> None:
-        for instance in self.fleet.values():
-            if instance.committed_end > instance.acknowledged:
-                instance.acknowledged = instance.committed_end
-                orders = self._links[instance.address].edit()
-                orders.boot = instance.boot
-                orders.acknowledged = instance.acknowledged
-
     async def _sweep(self) -> None:
         """Remove jobs that ended long ago."""
         while True:
@@ -476,16 +309,6 @@
         self.board.forget(job.id)
 
 
-def _fill_start(start: fleet_pb2.Start, run: instances.Run) -> None:
-    size = run.step.committed
-    start.task = run.task
-    start.run = run.number
-    start.boot = run.boot
-    start.size.millicores = size.millicores
-    start.size.memory_mib = size.memory_mib
-    start.size.accelerators = size.accelerators
-
-
 def _read_job(
     id: str, text: str, progress: str | None
 ) -> board_module.Job | None:
--- a/src/persimmonsail/jobs/queues.py
+++ b/src/persimmonsail/jobs/queues.py
@@ -79,16 +79,14 @@
         ]
         return max(fitting, key=lambda q: len(q.prefix), default=None)
 
-    def get_queue(self, name: str) -> Queue | None:
-        """Return a queue by its name."""
-        return next((q for q in self.queues if q.name == name), None)
-
 
 class View:
     """The newest configuration that this process has seen."""
 
     def __init__(self) -> None:
         self.current: Configuration | None = None
+        # Queues by name, removed ones too: their jobs go on.
+        self.seen: dict[str, Queue] = {}
 
     def offer(self, configuration: Configuration) -> bool:
         """Take a configuration over unless a newer one is in force.
@@ -100,4 +98,5 @@
         if known is not None and configuration.version <= known.version:
             return False
         self.current = configuration
+        self.seen.update((queue.name, queue) for queue in configuration.queues)
         return True
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -27,7 +27,7 @@
 def plan(
     board: board_module.Board,
     fleet: t.Collection[instances.Instance],
-    configuration: queues.Configuration,
+    known: t.Mapping[str, queues.Queue],
     model: interference.Model,
     now: float,
     wall: float,
@@ -40,8 +40,8 @@
         The jobs; claimed tasks are marked as placed.
     fleet : collection of persimmonsail.jobs.instances.Instance
         The instances; claimed runs are counted there.
-    configuration : persimmonsail.jobs.queues.Configuration
-        The queues in force.
+    known : mapping of str to persimmonsail.jobs.queues.Queue
+        The queues by name.
     model : persimmonsail.jobs.interference.Model
         What is known of the images.
     now : float
@@ -53,7 +53,7 @@
     # Tasks of one step need the same; when one found no room, no other
     # will in this round.
     full: set[tuple[str, int, int]] = set()
-    for task, queue in _sort(board, configuration, now, wall):
+    for task, queue in _sort(board, known, now, wall):
         step = (task.job.id, task.key.occurrence, task.key.step)
         if step in full:
             continue
@@ -70,11 +70,10 @@
 
 def _sort(
     board: board_module.Board,
-    configuration: queues.Configuration,
+    known: t.Mapping[str, queues.Queue],
     now: float,
     wall: float,
 ) -> list[tuple[board_module.Task, queues.Queue]]:
-    known = {queue.name: queue for queue in configuration.queues}
     rated = []
     for job in board.jobs.values():
         queue = known.get(job.queue)
