Let a job that has nothing running take what room there is

Cause: a build that presses on every image that serves waited for an instance where it works at half its speed; on a fleet that is half empty that breaks the promise that accepted work goes on. Test first: test_a_job_runs_although_it_disturbs_everything.

--- a/src/persimmonsail/jobs/board.py
+++ b/src/persimmonsail/jobs/board.py
@@ -91,6 +91,10 @@
         # The tasks that may be placed now. Kept up to date, since a full
         # look at every task took the leader a tenth of its processor.
         self.waiting: dict[record.TaskKey, Task] = {}
+        # How many tasks have a place, and since when none has had one, in
+        # seconds of the leader's clock; 0 if that is not known.
+        self.placed_count = len(self.list_placed())
+        self.idle_since = 0.0
         self._open_steps()
 
     @property
@@ -120,6 +124,7 @@
     def note_placed(self, task: Task) -> None:
         """Take a task out of those that wait."""
         self.waiting.pop(task.key, None)
+        self.placed_count += 1
 
     def note_waiting(self, task: Task) -> None:
         """Put a task back to those that wait."""
@@ -244,6 +249,7 @@
         if state.phase is not record.TaskPhase.PLACED or state.run != run:
             return False
         self.changed.add(task.job.id)
+        task.job.placed_count -= 1
         if checkpoint:
             state.checkpoint = checkpoint
         if end is End.DONE and not task.step.long_running:
--- a/src/persimmonsail/jobs/eviction.py
+++ b/src/persimmonsail/jobs/eviction.py
@@ -5,6 +5,8 @@
 tasks beside it stand still while others could take them.
 """
 
+import typing as t
+
 from persimmonsail.jobs import instances
 
 # Estimates are off by half either way in the worst queue.
@@ -41,9 +43,22 @@
 
 
 def select_starved(
-    instance: instances.Instance, now: float
+    instance: instances.Instance,
+    now: float,
+    is_last: t.Callable[[instances.Run], bool],
 ) -> list[instances.Run]:
-    """Return best-effort runs that have stood still for too long."""
+    """Return best-effort runs that have stood still for too long.
+
+    Parameters
+    ----------
+    instance : persimmonsail.jobs.instances.Instance
+        Where they run.
+    now : float
+        Seconds of the leader's clock.
+    is_last : callable
+        Tells whether a run is its job's only one; it stays, so that the
+        job goes on at all.
+    """
     return [
         run
         for run in instance.fillers
@@ -52,6 +67,7 @@
         and run.slow_since
         and now - run.slow_since >= _SLOW_SECONDS
         and run.percent < _NEARLY_DONE
+        and not is_last(run)
     ]
 
 
--- a/src/persimmonsail/jobs/fleet.py
+++ b/src/persimmonsail/jobs/fleet.py
@@ -179,7 +179,9 @@
             self._order_pace(instance, change.run, change.percent)
         for run in eviction.select_leaving(instance, now):
             self._evict(instance, run, 'leaving')
-        for run in eviction.select_starved(instance, now):
+        for run in eviction.select_starved(
+            instance, now, self._reader.is_last
+        ):
             self._evict(instance, run, 'starved')
         self._on_reaction(reaction)
 
--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -22,7 +22,7 @@
 # A best-effort task waits for an instance where it would work at least
 # at this part of its speed; on a worse one it stays for longer than the
 # wait for a better one takes.
-_LEAST_SPEED = 0.5
+LEAST_SPEED = 0.5
 # An instance whose worker's agent has not answered its sidecar for so
 # long gets no new work; it is asked twice a second.
 _SILENT_SECONDS = 0.7
@@ -42,6 +42,7 @@
     service: str,
     model: interference.Model,
     now: float,
+    least_speed: float = LEAST_SPEED,
 ) -> instances.Instance | None:
     """Return the best instance that has room for a task, or nothing.
 
@@ -57,6 +58,8 @@
         What is known of the images.
     now : float
         Seconds of the leader's clock.
+    least_speed : float
+        At which part of its speed a best-effort task has to work.
     """
     fitting = [
         instance
@@ -66,7 +69,7 @@
         and has_room(task, instance)
     ]
     if task.step.best_effort_cpu:
-        return _choose_fastest(task, fitting, model)
+        return _choose_fastest(task, fitting, model, least_speed)
     return min(fitting, key=lambda i: _score(task, i), default=None)
 
 
@@ -155,12 +158,13 @@
     task: board.Task,
     fitting: t.Iterable[instances.Instance],
     model: interference.Model,
+    least_speed: float,
 ) -> instances.Instance | None:
     best: instances.Instance | None = None
     best_score: _Score = ()
     for instance in fitting:
         speed = estimate_speed(task.step, instance, model)
-        if speed < _LEAST_SPEED:
+        if speed < least_speed:
             continue
         remote = _is_remote(task, instance)
         avoided = instance.address in task.avoid
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -114,6 +114,11 @@
         reaction.paces = pace.decide(instance, self._model, now)
         return reaction
 
+    def is_last(self, run: instances.Run) -> bool:
+        """Tell whether nothing else of a run's job has a place."""
+        task = self._board.find(run.task)
+        return task is not None and task.job.placed_count <= 1
+
     def drop_runs(self, instance: instances.Instance, reason: str) -> None:
         """Give up all runs of an instance: none of them can be left."""
         for run in list(instance.runs.values()):
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -13,6 +13,9 @@
 from persimmonsail import logs
 
 _MILLISECONDS = 1000
+# A job of which nothing has run for so long takes what there is: where
+# everything that serves is disturbed by it, it would wait for ever.
+_IDLE_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,7 +60,10 @@
         step = (task.job.id, task.key.occurrence, task.key.step)
         if step in full:
             continue
-        instance = placement.choose(task, fleet, queue.service, model, now)
+        least = 0.0 if _is_idle(task.job, now) else placement.LEAST_SPEED
+        instance = placement.choose(
+            task, fleet, queue.service, model, now, least
+        )
         if instance is None:
             full.add(step)
             continue
@@ -68,6 +74,12 @@
     return claims
 
 
+def _is_idle(job: board_module.Job, now: float) -> bool:
+    if job.placed_count or not job.idle_since:
+        job.idle_since = now
+    return now - job.idle_since > _IDLE_SECONDS
+
+
 def _sort(
     board: board_module.Board,
     known: t.Mapping[str, queues.Queue],
--- /dev/null
+++ b/tests/jobs/test_scheduling.py
@@ -0,0 +1,67 @@
+from persimmonsail.jobs import board as board_module
+from persimmonsail.jobs import interference
+from persimmonsail.jobs import scheduling
+from persimmonsail.jobs import specification
+from tests import base
+from tests.jobs import cases
+
+NOW = 100.0
+WALL = 1000.0
+
+
+class SchedulingTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.board = board_module.Board()
+        self.model = interference.Model()
+        self.instance = cases.make_instance(cores=8)
+
+    def add(self, step, id=cases.ID, age=0.0):
+        job = cases.make_job(step, id=id, accepted_ms=(WALL - age) * 1000)
+        self.board.add(job)
+        return job
+
+    def plan(self, now=NOW):
+        return scheduling.plan(
+            self.board,
+            [self.instance],
+            {cases.QUEUE.name: cases.QUEUE},
+            self.model,
+            now,
+            WALL,
+        )
+
+    def test_an_instance_is_never_filled_beyond_its_size(self):
+        self.add(cases.make_step(20))
+        self.assertEqual(8, len(self.plan()))
+        self.assertEqual(0, self.instance.free.millicores)
+        self.assertEqual([], self.plan())
+
+    def test_a_queue_that_was_removed_is_not_waited_for(self):
+        job = self.add(cases.make_step(1))
+        job.queue = 'removed'
+        self.assertEqual([], self.plan())
+
+    def test_a_refused_start_is_not_tried_in_the_same_round(self):
+        job = self.add(cases.make_step(1))
+        (task,) = job.waiting.values()
+        task.not_before = NOW + 0.1
+        self.assertEqual([], self.plan())
+        self.assertEqual(1, len(self.plan(NOW + 0.2)))
+
+    def test_a_job_runs_although_it_disturbs_everything(self):
+        """A build never begins on a fleet that is half empty.
+
+        Each instance serves an image that the build presses on, so that
+        none would let it work at half its speed.
+        """
+        serving = cases.make_step(1, image='shop', latency_target_ms=10)
+        for i in range(4):
+            cases.add_run(self.instance, serving, f'00000000000000c{i}.0.0.0')
+        size = specification.Size(6000, 100)
+        self.add(
+            cases.make_step(1, image='b', best_effort_cpu=True, size=size)
+        )
+        self.assertEqual([], self.plan())
+        self.assertEqual([], self.plan(NOW + 0.5))
+        self.assertEqual(1, len(self.plan(NOW + 1.5)))
