--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -232,6 +232,7 @@
                 self.board,
                 self._fleet.instances.values(),
                 self._view.seen,
+                self._reader.slowdowns,
                 self._model,
                 clock.read(),
                 time.time(),
--- a/src/persimmonsail/jobs/order.py
+++ b/src/persimmonsail/jobs/order.py
@@ -5,7 +5,9 @@
 job earns nearly all of its worth within its objective and little after
 it, so work that can still be on time goes before work that can't, and of
 two that can, the one with less time to spare. Of those that can't, the
-shortest goes first: it frees its room soonest.
+shortest goes first: it frees its room soonest. What can be on time is
+judged at the speed that runs reach, not at the one that was estimated:
+else everything is started, and everything ends a little late.
 """
 
 import dataclasses
@@ -45,7 +47,7 @@
 
 
 def rate(
-    task: board.Task, queue: queues.Queue, now_ms: float, stretch: float
+    task: board.Task, queue: queues.Queue, now_ms: float, slowdown: float
 ) -> Urgency:
     """Return how urgent a task is.
 
@@ -57,12 +59,12 @@
         Its job's queue.
     now_ms : float
         Milliseconds since the epoch.
-    stretch : float
-        How much longer tasks of this queue take than estimated.
+    slowdown : float
+        How much longer tasks of this queue take here than estimated.
     """
     job = task.job
-    objective_ms = find_objective_ms(job, queue, stretch)
-    remaining_ms = job.tails_ms[task.key.step] * stretch
+    objective_ms = find_objective_ms(job, queue)
+    remaining_ms = job.tails_ms[task.key.step] * slowdown
     age_ms = now_ms - job.accepted_ms
     spare_ms = objective_ms - age_ms - remaining_ms
     if spare_ms >= -_ESTIMATE_ERROR * remaining_ms:
@@ -71,9 +73,7 @@
     return Urgency(queue.priority, 1 if late else 2, remaining_ms)
 
 
-def find_objective_ms(
-    job: board.Job, queue: queues.Queue, stretch: float
-) -> float:
+def find_objective_ms(job: board.Job, queue: queues.Queue) -> float:
     """Return how long a job may take from its acceptance to its end."""
-    path_ms = job.specification.critical_path_ms * stretch
+    path_ms = job.specification.critical_path_ms
     return queue.slack_factor * path_ms + queue.target_ms
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -24,6 +24,12 @@
 _WELL_UNDER = 0.8
 _UNDER_LOOKS = 2
 
+# A queue's slowdown follows its last twenty runs or so, and counts no
+# further than this: beyond it nothing would be thought to be on time.
+_SMOOTHING = 0.05
+_MOST_SLOWDOWN = 2.5
+_MILLISECONDS = 1000
+
 _UNKNOWN_STEP = specification.Step(count=1)
 
 
@@ -72,6 +78,8 @@
         self._tracker = tracker
         self._model = model
         self._get_attempts = get_attempts
+        # How much longer tasks of a queue take than estimated.
+        self.slowdowns: dict[str, float] = {}
 
     def read(
         self,
@@ -194,7 +202,7 @@
         instance.processed = ended.number
         run = instance.drop_run((ended.task, ended.run))
         task = self._board.find(ended.task)
-        end = board_module.End(ended.how)
+        end = _read_end(ended)
         used = False
         if task is not None:
             used = self._end(task, ended.run, end, ended.checkpoint)
@@ -208,9 +216,19 @@
             seconds=now - run.seen_at if run and run.seen_at else -1,
             used=used,
         )
+        if run is not None and end is board_module.End.DONE:
+            self._note_speed(run, now)
         if task is not None and end in _JUDGED:
             self._judge(instance, task, end, now)
 
+    def _note_speed(self, run: instances.Run, now: float) -> None:
+        if not run.seen_at or not run.step.estimate_ms:
+            return
+        seconds = run.step.estimate_ms / _MILLISECONDS
+        seen = min(max((now - run.seen_at) / seconds, 1.0), _MOST_SLOWDOWN)
+        known = self.slowdowns.get(run.queue, seen)
+        self.slowdowns[run.queue] = known + _SMOOTHING * (seen - known)
+
     def _judge(
         self,
         instance: instances.Instance,
@@ -294,6 +312,17 @@
 _JUDGED = (board_module.End.DONE, board_module.End.FAILED)
 
 
+def _read_end(ended: fleet_pb2.Ended) -> board_module.End:
+    try:
+        return board_module.End(ended.how)
+    except ValueError:
+        # From a newer agent; the run is over in any case, and runs again.
+        logs.write_error(
+            'end-unknown', task=ended.task, run=ended.run, how=ended.how
+        )
+        return board_module.End.LOST
+
+
 def _is_being_stopped(
     run: instances.Run,
     report: fleet_pb2.Report,
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -31,6 +31,7 @@
     board: board_module.Board,
     fleet: t.Collection[instances.Instance],
     known: t.Mapping[str, queues.Queue],
+    slowdowns: t.Mapping[str, float],
     model: interference.Model,
     now: float,
     wall: float,
@@ -45,6 +46,8 @@
         The instances; claimed runs are counted there.
     known : mapping of str to persimmonsail.jobs.queues.Queue
         The queues by name.
+    slowdowns : mapping of str to float
+        How much longer a queue's tasks take here than estimated.
     model : persimmonsail.jobs.interference.Model
         What is known of the images.
     now : float
@@ -56,7 +59,7 @@
     # Tasks of one step need the same; when one found no room, no other
     # will in this round.
     full: set[tuple[str, int, int]] = set()
-    for task, queue in _sort(board, known, now, wall):
+    for task, queue in _sort(board, known, slowdowns, now, wall):
         step = (task.job.id, task.key.occurrence, task.key.step)
         if step in full:
             continue
@@ -67,7 +70,7 @@
         if instance is None:
             full.add(step)
             continue
-        objective_ms = order.find_objective_ms(task.job, queue, 1.0)
+        objective_ms = order.find_objective_ms(task.job, queue)
         age_ms = wall * _MILLISECONDS - task.job.accepted_ms
         due = now + (objective_ms - age_ms) / _MILLISECONDS
         claims.append(_claim(board, task, instance, due, model, now))
@@ -83,6 +86,7 @@
 def _sort(
     board: board_module.Board,
     known: t.Mapping[str, queues.Queue],
+    slowdowns: t.Mapping[str, float],
     now: float,
     wall: float,
 ) -> list[tuple[board_module.Task, queues.Queue]]:
@@ -93,7 +97,12 @@
             continue
         for task in job.waiting.values():
             if task.not_before <= now:
-                urgency = order.rate(task, queue, wall * _MILLISECONDS, 1.0)
+                urgency = order.rate(
+                    task,
+                    queue,
+                    wall * _MILLISECONDS,
+                    slowdowns.get(job.queue, 1.0),
+                )
                 rated.append((urgency.sort_key, task, queue))
     rated.sort(key=lambda row: row[0])
     return [(task, queue) for _, task, queue in rated]
--- a/tests/jobs/test_order.py
+++ b/tests/jobs/test_order.py
@@ -6,10 +6,10 @@
 class OrderTest(base.TestCase):
     """Replays a burst of builds on a fleet that is nearly full."""
 
-    def rate(self, age_ms, estimate_ms=4000):
+    def rate(self, age_ms, estimate_ms=4000, slowdown=1.0):
         job = cases.make_job(cases.make_step(1, estimate_ms=estimate_ms))
         (task,) = job.waiting.values()
-        return order.rate(task, cases.QUEUE, age_ms, 1.0).sort_key
+        return order.rate(task, cases.QUEUE, age_ms, slowdown).sort_key
 
     def test_what_can_be_on_time_goes_before_what_cannot(self):
         """Builds that come during a burst all end late.
@@ -19,6 +19,17 @@
         """
         self.assertLess(self.rate(age_ms=1000), self.rate(age_ms=8000))
 
+    def test_what_is_on_time_is_judged_at_the_speed_of_the_day(self):
+        """All builds of a full day end a little late.
+
+        Each could be on time at full speed, so all were started, and
+        none of them reached that speed.
+        """
+        self.assertLess(
+            self.rate(age_ms=0, slowdown=2.0),
+            self.rate(age_ms=3500, slowdown=2.0),
+        )
+
     def test_of_two_on_time_the_one_with_less_to_spare_goes_first(self):
         self.assertLess(self.rate(age_ms=3000), self.rate(age_ms=0))
 
--- a/tests/jobs/test_reports.py
+++ b/tests/jobs/test_reports.py
@@ -60,6 +60,13 @@
         self.assertEqual(0, self.instance.committed.millicores)
         self.assertEqual(record.TaskPhase.DONE, self.tasks[0].state.phase)
 
+    def test_an_end_of_an_unknown_kind_runs_again(self):
+        run = self.place(self.tasks[0])
+        report = self.report()
+        report.ended.add(number=1, task=run.task, run=1, how='melted')
+        self.read(report)
+        self.assertIn(self.tasks[0].key, self.job.waiting)
+
     def test_an_end_counts_once(self):
         """A job fails after one failure of a task.
 
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -26,6 +26,7 @@
             self.board,
             [self.instance],
             {cases.QUEUE.name: cases.QUEUE},
+            {},
             self.model,
             now,
             WALL,
