Let no heartbeat alone end a boot of the worker's agent

Cause: found by reading. A heartbeat that was held up by a cut may name an earlier boot; at a sidecar that was restarted meanwhile it ended the boot that runs, and its tasks would have been started a second time elsewhere. Test first: test_a_late_heartbeat_ends_no_boot, seen failing.

--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -75,6 +75,7 @@
             on_lease=self._renew_now,
         )
         self._life: life_module.Life | None = None
+        self._successor: worker_module.Heartbeat | None = None
         self._over: list[str] = []
         self._link: _Link | None = None
         self._changed = anyio.Event()
@@ -99,18 +100,27 @@
                     remaining=heartbeat.remaining_seconds,
                 )
             life.heartbeat = heartbeat
+        elif life is None:
+            self._begin_life(heartbeat)
         else:
-            self.note_boot_over(life.boot if life else '')
-            self._life = life_module.Life(heartbeat, clock.read())
-            logs.write_event(
-                'worker-boot',
-                boot=heartbeat.boot,
-                service=heartbeat.service,
-                millicores=heartbeat.capacity.millicores,
-            )
+            # A heartbeat alone proves nothing: one that was held up may
+            # be older than the boot that runs. If that one has ended, the
+            # agent says so at the next look.
+            self._successor = heartbeat
             self._renew.set()
         self._notify()
 
+    def _begin_life(self, heartbeat: worker_module.Heartbeat) -> None:
+        self._successor = None
+        self._life = life_module.Life(heartbeat, clock.read())
+        logs.write_event(
+            'worker-boot',
+            boot=heartbeat.boot,
+            service=heartbeat.service,
+            millicores=heartbeat.capacity.millicores,
+        )
+        self._renew.set()
+
     def note_boot_over(self, boot: str) -> None:
         """Note that a boot of the worker's agent has ended."""
         if not boot or boot in self._over:
@@ -120,6 +130,9 @@
             logs.write_event('worker-gone', boot=boot)
             self._life.over = True
             self._life = None
+            successor = self._successor
+            if successor is not None and successor.boot not in self._over:
+                self._begin_life(successor)
             self._notify()
 
     async def run(self) -> None:
