--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -118,6 +118,9 @@
             '[store]\nkind = etch\naddress = 127.0.0.1:1\n'
         )
         self.assertEqual(
-            ["e.ini:6 [store] kind: unknown kind 'etch'; allowed: http"],
+            [
+                "e.ini:6 [store] kind: unknown kind 'etch'; "
+                'allowed: http, platform'
+            ],
             self.list_findings(settings.parse, 'e.ini', text, 'entry'),
         )
--- a/tests/test_httpstore.py
+++ b/tests/test_httpstore.py
@@ -108,4 +108,4 @@
         error = self.assertRaises(
             exceptions.UnknownKind, store_module.open_kind, 'etch', 'a:1', 1
         )
-        self.assertIn("'etch'; allowed: http", str(error))
+        self.assertIn("'etch'; allowed: http, platform", str(error))
