Ask the leader's entry in one place; drop a line without effect

Found by reading the change: two calls to the leader's entry stood twice with the same errors, and read_body set a shield that was off already. Behaviour is as it was.

--- a/src/persimmonsail/jobs/intake.py
+++ b/src/persimmonsail/jobs/intake.py
@@ -238,23 +238,23 @@
         if own is not None:
             job = own.board.jobs.get(id)
             return job.committed_phase if job else None
+        reply = await self._call_leader('FindJob', fleet_pb2.JobQuery(job=id))
+        if reply is None or not reply.known:
+            return None
+        return record.JobPhase(reply.phase)
+
+    async def _call_leader(self, method: str, query: t.Any) -> t.Any:
+        """Ask the leader's entry; return nothing if it is not heard."""
         address = self._find_leader()
         if not address:
             return None
         try:
-            reply = await self._links.call(
-                address,
-                fleet_grpc.LeaderStub,
-                'FindJob',
-                fleet_pb2.JobQuery(job=id),
-                _PEER_SECONDS,
+            return await self._links.call(
+                address, fleet_grpc.LeaderStub, method, query, _PEER_SECONDS
             )
         except exceptions.LinkLost as error:
             logs.write_event('leader-unheard', error=error)
             return None
-        if not reply.known:
-            return None
-        return record.JobPhase(reply.phase)
 
     async def count_pending(self, queue: str) -> int | None:
         """Return how many jobs of a queue wait for their first task.
@@ -268,30 +268,16 @@
         now = clock.read()
         if asked_at and now - asked_at < _COUNT_AGE_SECONDS:
             return count
-        found = await self._ask_count(queue)
-        if found is None:
+        query = fleet_pb2.QueueQuery(queue=queue)
+        reply = await self._call_leader('CountPending', query)
+        if reply is not None and reply.leads:
+            found = reply.pending
+        else:
             found = await self._scan_count(queue)
         if found is not None:
             self._counts[queue] = (now, found)
         return found
 
-    async def _ask_count(self, queue: str) -> int | None:
-        address = self._find_leader()
-        if not address:
-            return None
-        try:
-            reply = await self._links.call(
-                address,
-                fleet_grpc.LeaderStub,
-                'CountPending',
-                fleet_pb2.QueueQuery(queue=queue),
-                _PEER_SECONDS,
-            )
-        except exceptions.LinkLost as error:
-            logs.write_event('leader-unheard', error=error)
-            return None
-        return reply.pending if reply.leads else None
-
     async def _scan_count(self, queue: str) -> int | None:
         try:
             jobs = await self._store.scan(record.JOBS)
--- a/src/persimmonsail/platform/http.py
+++ b/src/persimmonsail/platform/http.py
@@ -43,7 +43,6 @@
     parts: list[bytes] = []
     size = 0
     with anyio.move_on_after(_DISCARD_SECONDS) as scope:
-        scope.shield = False
         while True:
             message = await receive()
             if message['type'] == 'http.disconnect':
