--- a/src/persimmonsail/addresses.py
+++ b/src/persimmonsail/addresses.py
@@ -1,9 +1,12 @@
 """Network addresses written as ``host:port``, and listening sockets."""
 
+import re
 import socket
 
+# A host by its name or number, and a port.
+PATTERN = r'^[0-9A-Za-z.\-\[\]:]+:\d{1,5}$'
+MAX_PORT = 65535
 _BACKLOG = 512
-_MAX_PORT = 65535
 
 
 def split(address: str) -> tuple[str, int]:
@@ -20,9 +23,10 @@
     ValueError
         If it is no ``host:port``.
     """
-    host, port = split(address)
-    if not host or not 0 < port <= _MAX_PORT:
+    if not re.fullmatch(PATTERN, address):
         raise ValueError(f'{address!r} is no host:port')
+    if not 0 < split(address)[1] <= MAX_PORT:
+        raise ValueError(f'a port is from 1 to {MAX_PORT}, not {address!r}')
 
 
 def bind(address: str) -> socket.socket:
--- a/src/persimmonsail/jobs/link.py
+++ b/src/persimmonsail/jobs/link.py
@@ -30,6 +30,9 @@
     TimeoutError,
     grpclib.exceptions.GRPCError,
     grpclib.exceptions.StreamTerminatedError,
+    # A name that no resolver takes, such as one with an empty label: it may
+    # come from another writer's entry, and would end the leader's term.
+    UnicodeError,
 )
 
 OnReport = t.Callable[[instances.Instance, fleet_pb2.Report], None]
--- a/src/persimmonsail/settings.py
+++ b/src/persimmonsail/settings.py
@@ -5,23 +5,23 @@
 
 import pydantic
 
+from persimmonsail import addresses
 from persimmonsail import findings
 from persimmonsail import store as store_module
 
-_ADDRESS_PATTERN = r'^[0-9A-Za-z.\-\[\]:]+:\d{1,5}$'
-_MAX_PORT = 65535
 _WILDCARDS = ('0.0.0.0', '::')
 
 
 def _check_port(address: str) -> str:
-    if int(address.rpartition(':')[2]) > _MAX_PORT:
-        raise ValueError(f'a port is at most {_MAX_PORT}')
+    # Port 0, unlike elsewhere, has the system choose a free one.
+    if addresses.split(address)[1] > addresses.MAX_PORT:
+        raise ValueError(f'a port is at most {addresses.MAX_PORT}')
     return address
 
 
 Address = t.Annotated[
     str,
-    pydantic.Field(pattern=_ADDRESS_PATTERN),
+    pydantic.Field(pattern=addresses.PATTERN),
     pydantic.AfterValidator(_check_port),
 ]
 Name = t.Annotated[str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9.-]*$')]
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -56,6 +56,8 @@
         self.runners: dict[str, str] = {}
         self.store = ''
         self.advisor = ''
+        # How long leases last; the roles' own default if it is not set.
+        self.lease_seconds: float | None = None
 
     async def __aenter__(self) -> 'Deployed':
         self._owned = contextlib.AsyncExitStack()
@@ -146,6 +148,17 @@
             headers={'Host': HOST, 'Deadline-Ms': '3000'},
         )
 
+    async def read(
+        self, entry: str, id: str, seconds: float = 20.0
+    ) -> httpx.Response:
+        """Ask for a job; again where the answer is to come back later."""
+        with anyio.fail_after(seconds):
+            while True:
+                answer = await self.call(entry, 'GET', id)
+                if answer.status_code != httpx.codes.SERVICE_UNAVAILABLE:
+                    return answer
+                await anyio.sleep(float(answer.headers['retry-after']))
+
     async def wait_state(
         self, entry: str, id: str, state: str, seconds: float = 20.0
     ) -> None:
@@ -194,7 +207,9 @@
         answer.raise_for_status()
         return answer.json()
 
-    def _make_sections(self, name: str, **jobs: str) -> dict:
+    def _make_sections(self, name: str, **jobs: t.Any) -> dict:
+        if self.lease_seconds is not None:
+            jobs['lease'] = self.lease_seconds
         return {
             'process': {'name': name, 'region': 'r', 'zone': 'r-a'},
             'store': {
--- a/tests/jobs/test_leader.py
+++ b/tests/jobs/test_leader.py
@@ -101,6 +101,8 @@
             ('', good),
             ('10.0.0.9:', good),
             ('10.0.0.9:99999', good),
+            ('10.0.0.9\x00:7000', good),
+            ('10.0.0.9:7000\n', good),
             ('10.0.0.9:7000', ''),
             ('10.0.0.9:7000', '[]'),
             ('10.0.0.9:7000', '{"name": 3, "zone": "a"}'),
@@ -118,6 +120,25 @@
                 )
                 group.cancel_scope.cancel()
 
+    async def test_a_name_that_cannot_be_looked_up_ends_no_term(self):
+        """Nothing starts any more, although every instance is well.
+
+        Another writer's entry has a key that reads as an address, but no
+        resolver takes its name; the link ended with an error of the codec,
+        and the leader's term with it.
+        """
+        leader = self.open_leader()
+        text = json.dumps({'name': 'one', 'zone': 'a'})
+        with anyio.move_on_after(0.6):
+            async with anyio.create_task_group() as group:
+                leader._fleet.open(group)
+                for address in ('a..b:80', f'{"x" * 70}.example:80'):
+                    leader._note_instance(address, text)
+                await anyio.sleep_forever()
+        # The link tries again; nobody else notices.
+        attached = [i.attached for i in leader._fleet.instances.values()]
+        self.assertEqual([False, False], attached)
+
     def test_a_job_of_another_writer_holds_up_no_other(self):
         """A leader cannot load its jobs: one entry is unreadable."""
         leader = self.open_leader()
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -207,8 +207,13 @@
             await self.assert_no_overlap(running)
 
     async def test_a_restarted_sidecar_adopts_what_runs(self):
-        """Builds are run anew each time a sidecar is replaced."""
+        """Builds are run anew each time a sidecar is replaced.
+
+        Leases outlast the sidecar's start here, however slow it is: a run
+        whose lease has ended may be anywhere, and has to run again.
+        """
         async with self.deploy() as running:
+            running.lease_seconds = 60.0
             await running.start_entry('entry-1')
             sidecar = await running.start_instance('side-1')
             body = deployed.make_body(3, payload='2500')
@@ -220,6 +225,27 @@
             await running.wait_state('entry-1', IDS[0], 'complete')
             self.assertEqual(3, len(await running.list_starts()))
 
+    async def test_what_nobody_renewed_in_time_runs_again(self):
+        """Builds wait for ever for a sidecar that comes back too late.
+
+        It was away for longer than the leases that it had granted. Nobody
+        can tell its runs from lost ones then: they begin anew once, and
+        their old ends change nothing when the sidecar reports them.
+        """
+        async with self.deploy() as running:
+            running.lease_seconds = 1.0
+            entry = await running.start_entry('entry-1')
+            sidecar = await running.start_instance('side-1')
+            body = deployed.make_body(3, payload='2500')
+            await running.call('entry-1', 'POST', IDS[0], body)
+            await running.wait_starts(3)
+            control = sidecar.find('listening')[0]['control']
+            await sidecar.stop(signal.SIGKILL)
+            await entry.wait_event('run-lost', reason='unreachable')
+            await running.start_sidecar('side-1', control)
+            await running.wait_state('entry-1', IDS[0], 'complete')
+            self.assertEqual(6, len(await running.list_starts()))
+
     async def test_a_submission_is_honest_while_the_store_is_away(self):
         """A build that was refused runs all the same.
 
@@ -242,7 +268,23 @@
             answer = await running.call('entry-1', 'POST', IDS[1], body)
             self.assertEqual(200, answer.status_code)
             await running.wait_state('entry-1', IDS[1], 'complete')
+            answer = await running.read('entry-1', IDS[0])
+            self.assertEqual(410, answer.status_code)
+
+    async def test_a_read_is_turned_away_while_the_store_is_silent(self):
+        """A caller is told that its job is gone, or waits out its deadline.
+
+        The store does not answer; the entry says so with a time to come
+        back, and what it says after that time is what the store has.
+        """
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.set_faults(running.store, down='silent')
             answer = await running.call('entry-1', 'GET', IDS[0])
+            self.assertEqual(503, answer.status_code)
+            self.assertEqual('1', answer.headers['retry-after'])
+            await running.set_faults(running.store)
+            answer = await running.read('entry-1', IDS[0])
             self.assertEqual(410, answer.status_code)
 
     async def test_a_lost_store_is_said_at_once(self):
