Call the platform's services with a client of our own over h11

Tests: kept connections, one that was closed meanwhile, what was not sent, cut and late answers, calls that are cancelled.

--- a/src/persimmonsail/exceptions.py
+++ b/src/persimmonsail/exceptions.py
@@ -186,5 +186,17 @@
     """A request's body is larger than allowed; it was read to its end."""
 
 
+class ServiceUnavailable(PersimmonsailError):
+    """A service of the platform gave no answer to an HTTP call."""
+
+
+class ServiceNotReached(ServiceUnavailable):
+    """There was no connection to it; nothing was sent."""
+
+
+class ServiceUnanswered(ServiceUnavailable):
+    """It may have done what it was asked without an answer."""
+
+
 class CallerGone(PersimmonsailError):
     """The caller went away before its request was read."""
--- a/src/persimmonsail/platform/advisor.py
+++ b/src/persimmonsail/platform/advisor.py
@@ -1,9 +1,11 @@
 """The platform's advisor: which workers may run a step."""
 
-import httpx
+import http
+
 import pydantic
 
 from persimmonsail import exceptions
+from persimmonsail import httpclient
 from persimmonsail.jobs import advisor
 
 # An answer about thirty workers takes what the operators' configuration
@@ -23,24 +25,18 @@
     """Asks the platform's advisor over HTTP."""
 
     def __init__(self, address: str) -> None:
-        self._client = httpx.AsyncClient(
-            base_url=f'http://{address}',
-            timeout=_TIMEOUT_SECONDS,
-            trust_env=False,
-        )
+        self._client = httpclient.Client(address, _TIMEOUT_SECONDS)
 
     async def ask(self, question: advisor.Question) -> advisor.Answer:
         """See ``Advisor.ask``."""
         # A step's name has the form that the advisor calls a phase.
         body = {'phase': question.step, 'workers': list(question.boots)}
         try:
-            answer = await self._client.post('/v1/advise', json=body)
-        except httpx.HTTPError as error:
-            raise exceptions.AdvisorUnavailable(
-                type(error).__name__
-            ) from error
-        if answer.status_code != httpx.codes.OK:
-            raise exceptions.AdvisorUnavailable(f'status {answer.status_code}')
+            answer = await self._client.call('POST', '/v1/advise', body)
+        except exceptions.ServiceUnavailable as error:
+            raise exceptions.AdvisorUnavailable(str(error)) from error
+        if answer.status != http.HTTPStatus.OK:
+            raise exceptions.AdvisorUnavailable(f'status {answer.status}')
         try:
             found = _Answer.model_validate_json(answer.content)
         except pydantic.ValidationError as error:
@@ -51,4 +47,4 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._client.aclose()
+        await self._client.close()
--- a/src/persimmonsail/platform/kvstore.py
+++ b/src/persimmonsail/platform/kvstore.py
@@ -2,13 +2,15 @@
 
 import base64
 import binascii
+import http
 import time
 import typing as t
+import urllib.parse
 
-import httpx
 import pydantic
 
 from persimmonsail import exceptions
+from persimmonsail import httpclient
 from persimmonsail import logs
 from persimmonsail import metrics
 from persimmonsail import store
@@ -24,9 +26,9 @@
 # lost while others come.
 _LOST_SECONDS = 0.9
 _REFUSED = (
-    httpx.codes.SERVICE_UNAVAILABLE,
-    httpx.codes.TOO_MANY_REQUESTS,
-    httpx.codes.FORBIDDEN,
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+    http.HTTPStatus.TOO_MANY_REQUESTS,
+    http.HTTPStatus.FORBIDDEN,
 )
 _M = t.TypeVar('_M', bound=pydantic.BaseModel)
 
@@ -77,9 +79,7 @@
         self._timeout = timeout
         self._answered_at = time.monotonic()
         self._failing = False
-        self._client = httpx.AsyncClient(
-            base_url=f'http://{address}', timeout=timeout, trust_env=False
-        )
+        self._client = httpclient.Client(address, timeout)
 
     @property
     def is_lost(self) -> bool:
@@ -90,7 +90,7 @@
     async def get(self, key: str) -> store.Item | None:
         """See ``Store.get``."""
         answer = await self._call('GET', 'kv-key', query={'key': key})
-        if answer.status_code == httpx.codes.NOT_FOUND:
+        if answer.status == http.HTTPStatus.NOT_FOUND:
             return None
         return _to_item(_read(_Item, answer))
 
@@ -150,12 +150,12 @@
             'remove': list(removals),
         }
         answer = await self._call('POST', 'kv-txn', body=body)
-        if answer.status_code == httpx.codes.PRECONDITION_FAILED:
+        if answer.status == http.HTTPStatus.PRECONDITION_FAILED:
             found = _read(_Conflicting, answer).items
             raise exceptions.TransactionConflict(
                 {item.key: _to_item(item) for item in found if item.revision}
             )
-        if answer.status_code == httpx.codes.NOT_FOUND:
+        if answer.status == http.HTTPStatus.NOT_FOUND:
             raise exceptions.LeaseExpired('a lease of the transaction')
         return _read(_Written, answer).revision
 
@@ -168,7 +168,7 @@
     async def renew_lease(self, lease: str) -> None:
         """See ``Store.renew_lease``."""
         answer = await self._call('POST', 'kv-keep', lease, body={})
-        if answer.status_code == httpx.codes.NOT_FOUND:
+        if answer.status == http.HTTPStatus.NOT_FOUND:
             raise exceptions.LeaseExpired(lease)
 
     async def revoke_lease(self, lease: str) -> None:
@@ -189,7 +189,7 @@
         answer = await self._call(
             'GET', 'kv-watch', query=query, timeout=timeout
         )
-        if answer.status_code == httpx.codes.GONE:
+        if answer.status == http.HTTPStatus.GONE:
             raise exceptions.HistoryLost(prefix)
         events = _read(_Events, answer)
         return store.Changes(
@@ -211,7 +211,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._client.aclose()
+        await self._client.close()
 
     async def _call(
         self,
@@ -222,39 +222,33 @@
         query: dict[str, t.Any] | None = None,
         body: dict[str, t.Any] | None = None,
         timeout: float | None = None,
-    ) -> httpx.Response:
-        path = f'/v1/{name}/{detail}' if detail else f'/v1/{name}'
+    ) -> httpclient.Answer:
+        target = f'/v1/{name}/{detail}' if detail else f'/v1/{name}'
+        if query:
+            target = f'{target}?{urllib.parse.urlencode(query)}'
         begun = time.monotonic()
         try:
-            answer = await self._client.request(
-                method,
-                path,
-                params=query,
-                json=body,
-                timeout=timeout or self._timeout,
+            answer = await self._client.call(
+                method, target, body, timeout=timeout
             )
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+        except exceptions.ServiceNotReached as error:
             self._failing = True
             metrics.STORE_CALLS.increase(name, 'not-sent')
-            raise exceptions.CallRefused(
-                f'{name}: {type(error).__name__}'
-            ) from error
-        except httpx.HTTPError as error:
+            raise exceptions.CallRefused(f'{name}: {error}') from error
+        except exceptions.ServiceUnanswered as error:
             self._failing = True
             metrics.STORE_CALLS.increase(name, 'no-answer')
-            raise exceptions.StoreUnavailable(
-                f'{name}: {type(error).__name__}'
-            ) from error
-        metrics.STORE_CALLS.increase(name, str(answer.status_code))
+            raise exceptions.StoreUnavailable(f'{name}: {error}') from error
+        metrics.STORE_CALLS.increase(name, str(answer.status))
         # A watch waits on purpose; its time says nothing of the store.
         if name != 'kv-watch':
             metrics.STORE_SECONDS.record(time.monotonic() - begun, name)
-        if answer.status_code in _REFUSED:
+        if answer.status in _REFUSED:
             self._failing = True
-            raise exceptions.CallRefused(f'{name}: {answer.status_code}')
-        if answer.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
+            raise exceptions.CallRefused(f'{name}: {answer.status}')
+        if answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
             self._failing = True
-            raise exceptions.StoreUnavailable(f'{name}: {answer.status_code}')
+            raise exceptions.StoreUnavailable(f'{name}: {answer.status}')
         self._failing = False
         self._answered_at = time.monotonic()
         return answer
@@ -303,12 +297,12 @@
     return exceptions.Conflict(key, item.revision if item else 0)
 
 
-def _read(model: type[_M], answer: httpx.Response) -> _M:
+def _read(model: type[_M], answer: httpclient.Answer) -> _M:
     # Something between the two ends may answer in the store's place,
     # with a page of its own; a write may have taken effect all the same.
     try:
         return model.model_validate_json(answer.content)
     except pydantic.ValidationError as error:
         raise exceptions.StoreUnavailable(
-            f'{answer.status_code}: not an answer of the store'
+            f'{answer.status}: not an answer of the store'
         ) from error
--- a/src/persimmonsail/platform/runner.py
+++ b/src/persimmonsail/platform/runner.py
@@ -1,11 +1,12 @@
 """Calls to the worker's agent on this instance."""
 
+import http
 import typing as t
 
-import httpx
 import pydantic
 
 from persimmonsail import exceptions
+from persimmonsail import httpclient
 from persimmonsail.jobs import worker
 
 # An order is answered within milliseconds; one that takes longer was
@@ -16,8 +17,8 @@
 _LONGEST_WAIT_SECONDS = 2.0
 _BOOT_HEADER = 'Expected-Instance'
 _UNHEALTHY = (
-    httpx.codes.TOO_MANY_REQUESTS,
-    httpx.codes.SERVICE_UNAVAILABLE,
+    http.HTTPStatus.TOO_MANY_REQUESTS,
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
 )
 _M = t.TypeVar('_M', bound=pydantic.BaseModel)
 
@@ -65,11 +66,7 @@
     """The worker's agent over HTTP."""
 
     def __init__(self, address: str) -> None:
-        self._client = httpx.AsyncClient(
-            base_url=f'http://{address}',
-            timeout=_ORDER_SECONDS,
-            trust_env=False,
-        )
+        self._client = httpclient.Client(address, _ORDER_SECONDS)
 
     async def start(
         self, boot: str, epoch: int, order: worker.StartOrder
@@ -132,7 +129,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._client.aclose()
+        await self._client.close()
 
     async def _call(
         self,
@@ -140,40 +137,33 @@
         boot: str,
         body: dict[str, t.Any],
         timeout: float = _ORDER_SECONDS,
-    ) -> httpx.Response:
+    ) -> httpclient.Answer:
         try:
-            answer = await self._client.post(
-                f'/v1/{name}',
-                json=body,
-                headers={_BOOT_HEADER: boot},
-                timeout=timeout,
+            answer = await self._client.call(
+                'POST', f'/v1/{name}', body, {_BOOT_HEADER: boot}, timeout
             )
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-            raise exceptions.WorkerNotReached(
-                f'{name}: {type(error).__name__}'
-            ) from error
-        except httpx.HTTPError as error:
-            raise exceptions.WorkerUnavailable(
-                f'{name}: {type(error).__name__}'
-            ) from error
-        status = answer.status_code
-        if status == httpx.codes.OK:
+        except exceptions.ServiceNotReached as error:
+            raise exceptions.WorkerNotReached(f'{name}: {error}') from error
+        except exceptions.ServiceUnanswered as error:
+            raise exceptions.WorkerUnavailable(f'{name}: {error}') from error
+        status = answer.status
+        if status == http.HTTPStatus.OK:
             return answer
-        if status == httpx.codes.MISDIRECTED_REQUEST:
+        if status == http.HTTPStatus.MISDIRECTED_REQUEST:
             raise exceptions.WorkerBootChanged(boot)
-        if status == httpx.codes.CONFLICT:
+        if status == http.HTTPStatus.CONFLICT:
             raise exceptions.OrderRefused(_read(_Refused, answer).reason)
         if status in _UNHEALTHY:
             raise exceptions.OrderRefused('unhealthy')
-        if status == httpx.codes.BAD_REQUEST:
+        if status == http.HTTPStatus.BAD_REQUEST:
             raise exceptions.OrderRefused('malformed')
         raise exceptions.WorkerUnavailable(f'{name}: status {status}')
 
 
-def _read(model: type[_M], answer: httpx.Response) -> _M:
+def _read(model: type[_M], answer: httpclient.Answer) -> _M:
     try:
         return model.model_validate_json(answer.content)
     except pydantic.ValidationError as error:
         raise exceptions.WorkerUnavailable(
-            f'{answer.status_code}: not an answer of the agent'
+            f'{answer.status}: not an answer of the agent'
         ) from error
--- /dev/null
+++ b/tests/test_httpclient.py
@@ -0,0 +1,131 @@
+import contextlib
+
+import anyio
+import anyio.abc
+
+from persimmonsail import exceptions
+from persimmonsail import httpclient
+from tests import base
+
+OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+CHUNKED = (
+    b'HTTP/1.1 409 Conflict\r\ntransfer-encoding: chunked\r\n\r\n'
+    b'2\r\nno\r\n3\r\npe!\r\n0\r\n\r\n'
+)
+CUT = b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhal'
+
+
+class Service:
+    """Answers each request on a connection with the next given bytes.
+
+    ``None`` closes the connection, and a number waits so long first.
+    """
+
+    def __init__(self, *replies):
+        self.replies = list(replies)
+        self.connections = 0
+        self.requests = []
+
+    async def serve(self, stream):
+        self.connections += 1
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            async with stream:
+                while self.replies:
+                    if not await self.answer(stream):
+                        return
+
+    async def answer(self, stream):
+        request = b''
+        while b'\r\n\r\n' not in request:
+            request += await stream.receive()
+        self.requests.append(request)
+        reply = self.replies.pop(0)
+        if isinstance(reply, float):
+            await anyio.sleep(reply)
+            reply = self.replies.pop(0)
+        if reply is None:
+            return False
+        await stream.send(reply)
+        return reply != CUT
+
+
+class HttpClientTest(base.TestCase):
+    @contextlib.asynccontextmanager
+    async def open(self, *replies, timeout=1.0):
+        service = Service(*replies)
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        client = httpclient.Client(f'127.0.0.1:{port}', timeout)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, service.serve)
+            yield client, service
+            await client.close()
+            group.cancel_scope.cancel()
+        await listener.aclose()
+
+    async def test_calls_share_a_connection(self):
+        async with self.open(OK, CHUNKED, OK) as (client, service):
+            first = await client.call('GET', '/v1/one?key=a')
+            self.assertEqual(httpclient.Answer(200, b'ok'), first)
+            second = await client.call(
+                'POST', '/v1/two', {'a': 1}, {'Expected-Instance': 'i-1'}
+            )
+            self.assertEqual(httpclient.Answer(409, b'nope!'), second)
+            await client.call('DELETE', '/v1/three')
+            self.assertEqual(1, service.connections)
+            self.assertIn(b'Expected-Instance: i-1', service.requests[1])
+            self.assertTrue(service.requests[1].endswith(b'{"a":1}'))
+
+    async def test_calls_at_the_same_time_do_not_wait_for_each_other(self):
+        async with self.open(0.3, OK, OK) as (client, service):
+            async with anyio.create_task_group() as group:
+                group.start_soon(client.call, 'GET', '/slow')
+                await anyio.sleep(0.05)
+                with anyio.fail_after(0.2):
+                    await client.call('GET', '/quick')
+            self.assertEqual(2, service.connections)
+
+    async def test_a_connection_that_was_closed_is_not_used_again(self):
+        """An order has no answer although the worker's agent is well.
+
+        The agent had closed the idle connection that the order was sent
+        on.
+        """
+        async with self.open(OK, None, OK) as (client, service):
+            await client.call('GET', '/')
+            stream = client._idle[0]._stream
+            await stream.send(b'GET / HTTP/1.1\r\n\r\n')
+            await anyio.sleep(0.05)
+            answer = await client.call('GET', '/')
+            self.assertEqual(200, answer.status)
+            self.assertEqual(2, service.connections)
+
+    async def test_what_was_not_sent_is_told_from_what_has_no_answer(self):
+        """An order that was never sent waits for its lease to run out."""
+        async with self.open(None, CUT, 0.5, OK, timeout=0.2) as (client, _):
+            for _ in range(3):
+                with self.assertRaises(exceptions.ServiceUnanswered):
+                    await client.call('POST', '/', {})
+            self.assertEqual([], client._idle)
+        with self.assertRaises(exceptions.ServiceNotReached):
+            await client.call('GET', '/')
+
+    async def test_an_answer_never_belongs_to_an_earlier_call(self):
+        """A look shows the answer to another one.
+
+        A call was cancelled while it waited, and its answer came to the
+        next call on the same connection.
+        """
+        late = OK.replace(b'ok', b'xx')
+        async with self.open(0.1, late, OK) as (client, service):
+            with anyio.move_on_after(0.05):
+                await client.call('GET', '/first')
+            await anyio.sleep(0.1)
+            answer = await client.call('GET', '/second')
+            self.assertEqual(b'ok', answer.content)
+            self.assertEqual(2, service.connections)
+
+    async def test_a_body_that_is_no_http_is_no_answer(self):
+        async with self.open(b'\x00\x01garbage\r\n\r\n') as (client, _):
+            with self.assertRaises(exceptions.ServiceUnanswered):
+                await client.call('GET', '/')
