--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 .PHONY: measure
 .PHONY: emulate
 .PHONY: soak
+.PHONY: binds
 
 env: $(STAMP)
 
@@ -69,6 +70,9 @@
 emulate: env
 	PYTHONHASHSEED=0 PYTHONPATH=. $(BIN)/python tools/emulate.py $(EMULATE)
 
+binds: env
+	PYTHONPATH=. $(BIN)/python tools/binds.py $(BINDS)
+
 soak: env
 	PYTHONPATH=. $(BIN)/python tools/soak.py $(SOAK)
 
