Have a leader count waiting jobs only while it is sure to lead

Cause, by reading: a leader that is cut off from the store, or frozen and awake again, answered other entries' questions with what it knew, so that 'no job waits' was read while jobs did; and a watch of the inbox that had gone silent for good was asked anew after 6.8 s only. Now it counts while its last word of the store is younger than 1.2 s (it makes sure twice a second), else the entry that was asked reads the store; the watch is asked anew after 1.5 s. The test fails without it.

--- a/src/persimmonsail/jobs/intake.py
+++ b/src/persimmonsail/jobs/intake.py
@@ -330,8 +330,9 @@
         Nothing is returned when neither leader nor store answers.
         """
         own = self._get_own()
-        if own is not None and own.loaded:
-            return own.board.count_pending(queue)
+        pending = own.count_pending(queue) if own else None
+        if pending is not None:
+            return pending
         asked_at, count = self._counts.get(queue, (0.0, 0))
         now = clock.read()
         if asked_at and now - asked_at < _COUNT_AGE_SECONDS:
--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -38,7 +38,12 @@
 # end all the time, looking for places takes a fifth of the processor at most.
 _GATHER_SECONDS = 0.008
 _GATHER_FACTOR = 4.0
-_WATCH_SECONDS = 5.0
+# A watch may go silent for good; what entries have accepted meanwhile is
+# not seen before it is asked anew, a second after this time at the latest.
+_WATCH_SECONDS = 1.5
+# A leader that last knew so long ago that it leads may have a successor,
+# and know nothing of the newest jobs. It makes sure twice a second.
+_CURRENT_SECONDS = 1.2
 _MAX_JOBS_A_WRITE = ledger_module.MAX_WRITES
 _MILLISECONDS = 1000
 # A loss of power of everything costs the work since the last commit of a
@@ -124,6 +129,18 @@
         if self.loaded:
             await memory.save_last(self._store, self._model)
 
+    def count_pending(self, queue: str) -> int | None:
+        """Return how many jobs of a queue wait for their first task.
+
+        Nothing is returned while this process can't be sure that it leads:
+        one that is cut off from the store would go on telling that no job
+        waits, whatever is accepted meanwhile.
+        """
+        age = clock.read() - self._ledger.confirmed_at
+        if not self.loaded or age > _CURRENT_SECONDS:
+            return None
+        return self.board.count_pending(queue)
+
     def note_job(self, id: str, text: str) -> None:
         """Take an accepted job in; a known one changes nothing."""
         if id in self.board.jobs:
--- a/src/persimmonsail/jobs/leaderservice.py
+++ b/src/persimmonsail/jobs/leaderservice.py
@@ -58,7 +58,8 @@
         query = await stream.recv_message()
         reply = fleet_pb2.QueueReply()
         own = self._get_own()
-        if own is not None and own.loaded:
+        pending = own.count_pending(query.queue) if own else None
+        if pending is not None:
             reply.leads = True
-            reply.pending = own.board.count_pending(query.queue)
+            reply.pending = pending
         await stream.send_message(reply)
--- a/tests/jobs/test_leader.py
+++ b/tests/jobs/test_leader.py
@@ -45,6 +45,20 @@
         saved = record.decode_progress(write.value)
         self.assertEqual('half', saved.tasks[task.key].checkpoint)
 
+    def test_a_leader_that_is_cut_off_counts_no_jobs(self):
+        """'No job waits' is read while dozens of jobs do.
+
+        The leader was cut off from the store, another entry led, and the
+        first one still told all entries that it reached what it knew.
+        """
+        leader = self.open_leader()
+        self.assertIsNone(leader.count_pending(cases.QUEUE.name))
+        leader.loaded = True
+        leader.note_job(cases.ID, self.make_submission(cases.QUEUE))
+        self.assertEqual(1, leader.count_pending(cases.QUEUE.name))
+        leader._ledger.confirmed_at -= 2.0
+        self.assertIsNone(leader.count_pending(cases.QUEUE.name))
+
     def make_submission(self, queue):
         found = specification.Specification('', (cases.make_step(1),))
         return json.dumps(
