--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -20,6 +20,7 @@
 from persimmonsail.jobs import capacities
 from persimmonsail.jobs import clock
 from persimmonsail.jobs import fleet as fleet_module
+from persimmonsail.jobs import inbox
 from persimmonsail.jobs import interference
 from persimmonsail.jobs import ledger as ledger_module
 from persimmonsail.jobs import memory
@@ -38,9 +39,6 @@
 # end all the time, looking for places takes a fifth of the processor at most.
 _GATHER_SECONDS = 0.008
 _GATHER_FACTOR = 4.0
-# A watch may go silent for good; what entries have accepted meanwhile is
-# not seen before it is asked anew, a second after this time at the latest.
-_WATCH_SECONDS = 1.5
 # A leader that last knew so long ago that it leads may have a successor,
 # and know nothing of the newest jobs. It makes sure twice a second.
 _CURRENT_SECONDS = 1.2
@@ -108,7 +106,9 @@
         async with anyio.create_task_group() as group:
             self._fleet.open(group)
             revision = await self._load()
-            group.start_soon(self._follow, revision)
+            group.start_soon(
+                inbox.follow, self._store, revision, self._take_change
+            )
             group.start_soon(self._sweep)
             group.start_soon(self._save_checkpoints)
             group.start_soon(memory.keep_saving, self._store, self._model)
@@ -260,39 +260,6 @@
         instance.name = found.name
         instance.zone = found.zone
 
-    async def _follow(self, revision: int) -> None:
-        """Take in what entries and sidecars write to the inbox."""
-        while True:
-            try:
-                found = await self._store.follow(
-                    record.INBOX, revision, _WATCH_SECONDS
-                )
-            except exceptions.HistoryLost:
-                revision = await self._scan_again()
-                continue
-            except exceptions.StoreUnavailable as error:
-                logs.write_event('inbox-unheard', error=error)
-                await anyio.sleep(_ROUND_SECONDS)
-                continue
-            revision = max(revision, found.revision)
-            for change in found.changes:
-                self._take_change(change)
-
-    async def _scan_again(self) -> int:
-        while True:
-            try:
-                page = await self._store.scan(record.INBOX)
-            except exceptions.StoreUnavailable as error:
-                logs.write_event('inbox-unheard', error=error)
-                await anyio.sleep(_ROUND_SECONDS)
-                continue
-            logs.write_event('inbox-scanned', revision=page.revision)
-            for item in page.items:
-                self._take_change(
-                    store_module.Change(item.key, item.value, item.revision)
-                )
-            return page.revision
-
     def _take_change(self, change: store_module.Change) -> None:
         key = change.key
         if change.value is None:
