Place twice as fast while more waits than a round takes

Full rounds are now followed by a pause of their own length: by reckoning 1,500 tasks in 0.75 s instead of 1.9 s.

--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -34,11 +34,6 @@
 
 # Rounds come at least so often, for what only time changes.
 _ROUND_SECONDS = 0.25
-# Rounds are this far apart, so that ends of one moment share a commit; and
-# so many times as far as a round takes, so that on a large fleet, where runs
-# end all the time, looking for places takes a fifth of the processor at most.
-_GATHER_SECONDS = 0.008
-_GATHER_FACTOR = 4.0
 # A leader that last knew so long ago that it leads may have a successor,
 # and know nothing of the newest jobs. It makes sure twice a second.
 _CURRENT_SECONDS = 1.2
@@ -286,13 +281,13 @@
                 time.time(),
             )
             took = clock.read() - begun
-            gather = max(_GATHER_SECONDS, _GATHER_FACTOR * took)
+            full = len(claims) >= scheduling.MOST_CLAIMS
             await self._commit(claims)
             self._fleet.acknowledge()
-            if len(claims) < scheduling.MOST_CLAIMS:
+            if not full:
                 with anyio.move_on_after(_ROUND_SECONDS):
                     await self._wake.wait()
-            await anyio.sleep(gather)
+            await anyio.sleep(scheduling.choose_pause(took, full))
 
     async def _commit(self, claims: list[scheduling.Claim]) -> None:
         """Commit all changed jobs, then send what that allows."""
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -29,6 +29,14 @@
 # started before the next round looks for more. A claim takes 0.25 ms, so
 # that callers and renewals of leases wait 25 ms for a round at the most.
 MOST_CLAIMS = 100
+# Rounds are this far apart, so that ends of one moment share a commit; and
+# so many times as far as a round takes, so that on a large fleet, where runs
+# end all the time, looking for places takes a fifth of the processor at most.
+_GATHER_SECONDS = 0.008
+_GATHER_FACTOR = 4.0
+# While a round is full, more waits that has room: after a loss of power all
+# tasks do. Then placing may take half of the processor.
+_FULL_FACTOR = 1.0
 
 
 _StepId = tuple[str, tuple[int, int]]
@@ -93,6 +101,25 @@
     return claims
 
 
+def choose_pause(took: float, full: bool) -> float:
+    """Return how long to wait until the next round of placing.
+
+    Parameters
+    ----------
+    took : float
+        Seconds that the last round took.
+    full : bool
+        Whether it ended before all that waits was looked at.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    factor = _FULL_FACTOR if full else _GATHER_FACTOR
+    return max(_GATHER_SECONDS, factor * took)
+
+
 def _is_idle(job: board_module.Job, now: float) -> bool:
     if job.placed_count or not job.idle_since:
         job.idle_since = now
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -213,3 +213,23 @@
         )
         self.assertEqual(6, len(claims))
         self.assertEqual(1, len({c.instance.rack for c in claims}))
+
+    def test_placing_leaves_the_processor_to_what_else_there_is(self):
+        """Renewals and callers wait behind round after round.
+
+        On a large fleet some run ends each 5 ms and asks for a round.
+        """
+        for took in (0.001, 0.01, 0.05):
+            pause = scheduling.choose_pause(took, False)
+            self.assertGreaterEqual(pause, 0.008)
+            self.assertLessEqual(took / (took + pause), 0.2)
+
+    def test_much_that_waits_is_placed_soon(self):
+        """Watchers are away for a second longer than their instances.
+
+        All machines had lost power: 1,500 tasks had to be placed, 100 a
+        round of 25 ms, and each round was followed by a pause of four.
+        """
+        rounds = 15
+        pauses = rounds * scheduling.choose_pause(0.025, True)
+        self.assertLess(rounds * 0.025 + pauses, 0.8)
