--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -206,7 +206,8 @@
             self._full.add(step)
             self._note_missing(members, task, queue)
         for claim in found:
-            _commit(self._board, claim)
+            row = self._places.find_row(claim.instance)
+            _commit(self._board, claim, self._places.unused[row])
         return found
 
     def _make_placer(
@@ -331,7 +332,9 @@
         return Claim(task, run, instance, ticket)
 
 
-def _commit(board: board_module.Board, claim: Claim) -> None:
+def _commit(
+    board: board_module.Board, claim: Claim, unused_millicores: float
+) -> None:
     run = claim.run
     instance = claim.instance
     board.place(claim.task, instance.address, instance.boot, run.number)
@@ -342,6 +345,7 @@
         instance=instance.address,
         free_millicores=instance.free.millicores,
         free_mib=instance.free.memory_mib,
+        unused_millicores=round(unused_millicores),
         serving=len(instance.serving),
         percent=run.pace,
         resumes=bool(claim.task.state.checkpoint),
