--- a/src/persimmonsail/jobs/interference.py
+++ b/src/persimmonsail/jobs/interference.py
@@ -298,7 +298,7 @@
         ----------
         fit : persimmonsail.jobs.regression.Regression
             Of the step's image.
-        sample, other : gauges.Sample
+        sample, other : persimmonsail.jobs.gauges.Sample
             The later one and the one before it.
         slope : float
             How the step's load changes in a second.
--- a/src/persimmonsail/jobs/places.py
+++ b/src/persimmonsail/jobs/places.py
@@ -53,8 +53,12 @@
     ----------
     fleet : list of persimmonsail.jobs.instances.Instance
         The instances.
-    unused : numpy.ndarray
-        Millicores that nothing uses; shape (instances,).
+    capacity, unused : numpy.ndarray
+        Millicores that there are, and that nothing uses; shapes
+        (instances,).
+    free : numpy.ndarray
+        Millicores, MiB and accelerators that no run takes; shape
+        (instances, 3).
     images, has_image : numpy.ndarray
         How many images serve there, and which; shapes (instances,) and
         (instances, images).
@@ -241,28 +245,36 @@
         """
         size = step.size.millicores
         if not size:
-            return numpy.ones(len(self.fleet))[rows]
+            return numpy.ones(len(self.fleet[rows]))
+        borne = self._estimate_borne(step, rows)
+        speed = numpy.minimum(self.unused[rows] / size, borne)
+        speed[self._is_over[rows]] = 0.0
+        return numpy.clip(speed, 0.0, 1.0)
+
+    def _estimate_borne(
+        self, step: specification.Step, rows: slice
+    ) -> numpy.ndarray:
+        """Return which part of a task's pressure is borne, at the most 1."""
         column = self._filling_images.find(step.image)
         self._widen(0)
         bounds = self._read_bounds()
         capacity = numpy.maximum(self.capacity[rows], 1)[:, None]
         image = self._image[rows]
         own = bounds[:, column][image]
+        # Beside what surely presses, the load of this moment counts, too.
         pressing = own >= self._model.get_threshold()
         load = numpy.where(pressing, self._load[rows], self._mean_load[rows])
         room = self._model.estimate_limit() - _MARGIN - load
-        before = self._filled[rows] @ bounds.T
-        pressure = numpy.take_along_axis(before, image, axis=1)
-        pressure = (pressure + own * size) / capacity
+        by_image = self._filled[rows] @ bounds.T
+        there = numpy.take_along_axis(by_image, image, axis=1)
+        pressure = (there + own * step.size.millicores) / capacity
         with numpy.errstate(divide='ignore', invalid='ignore'):
             borne = numpy.where(
                 (image >= 0) & (pressure > 0),
                 numpy.maximum(room, 0.0) / pressure,
                 1.0,
             )
-        speed = numpy.minimum(self.unused[rows] / size, borne.min(axis=1))
-        speed[self._is_over[rows]] = 0.0
-        return numpy.clip(speed, 0.0, 1.0)
+        return borne.min(axis=1)
 
 
 def _pad(array: numpy.ndarray, columns: int, value: int = 0) -> numpy.ndarray:
