--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -1,8 +1,11 @@
+from unittest import mock
+
 import anyio
 
 from persimmonsail import exceptions
 from persimmonsail.jobs import election
 from persimmonsail.jobs import record
+from persimmonsail import logs
 from persimmonsail import store as store_module
 from tests import base
 
@@ -145,6 +148,25 @@
         self.assertGreater(len(gaps), 2)
         self.assertLess(max(gaps), 1.5)
 
+    async def test_the_end_of_a_term_says_why(self):
+        """Nobody on call learns why an entry stopped leading.
+
+        The line had 'unhandled errors in a TaskGroup' for its cause, since
+        the write that found the head moved was in a group of its own.
+        """
+
+        async def lead(ledger):
+            raise ExceptionGroup('', [exceptions.Deposed('head was moved')])
+
+        candidate = self.make_candidate('entry', None)
+        candidate._lead = lead
+        with mock.patch.object(logs, 'write_warning') as write:
+            with anyio.move_on_after(0.5):
+                await candidate.run()
+        event, fields = write.call_args_list[0]
+        self.assertEqual(('deposed',), event)
+        self.assertEqual('head was moved', str(fields['error']))
+
     async def test_a_small_entry_leads_where_no_other_can(self):
         self.assertEqual('small', await self.elect(small=0.516))
 
