--- a/src/persimmonsail/httpclient.py
+++ b/src/persimmonsail/httpclient.py
@@ -33,7 +33,6 @@
     TimeoutError,
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
-    anyio.EndOfStream,
     h11.RemoteProtocolError,
 )
 
