--- a/src/persimmonsail/httpclient.py
+++ b/src/persimmonsail/httpclient.py
@@ -33,6 +33,7 @@
     TimeoutError,
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
+    anyio.EndOfStream,
     h11.RemoteProtocolError,
 )
 
--- a/src/persimmonsail/jobs/election.py
+++ b/src/persimmonsail/jobs/election.py
@@ -19,7 +19,6 @@
 from persimmonsail.jobs import record
 from persimmonsail import logs
 from persimmonsail import store as store_module
-from persimmonsail import tracebacks
 
 # A leader whose machine is gone is replaced after this time; the store
 # at its slowest (0.3 s an answer) still renews it thrice.
@@ -178,15 +177,11 @@
                 group.cancel_scope.cancel()
         except* exceptions.Deposed as errors:
             logs.write_warning(
-                'deposed',
-                epoch=own.term.epoch,
-                error=next(tracebacks.list_leaves(errors)),
+                'deposed', epoch=own.term.epoch, error=_find_cause(errors)
             )
         except* exceptions.StoreError as errors:
             logs.write_warning(
-                'term-ended',
-                epoch=own.term.epoch,
-                error=next(tracebacks.list_leaves(errors)),
+                'term-ended', epoch=own.term.epoch, error=_find_cause(errors)
             )
         finally:
             with anyio.CancelScope(shield=True):
@@ -260,6 +255,13 @@
         raise exceptions.Deposed("the lease of the leader's key has ended")
 
 
+def _find_cause(error: BaseException) -> BaseException:
+    """Return the first error itself, however many groups it is in."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def _read_leader(item: store_module.Item) -> ledger.LeaderItem:
     try:
         return ledger.LeaderItem.model_validate_json(item.value)
--- a/src/persimmonsail/jobs/regression.py
+++ b/src/persimmonsail/jobs/regression.py
@@ -134,7 +134,7 @@
         """Return a coefficient."""
         value = self._values.get(name)
         if value is None:
-            return self._measure_mean()
+            return sum(kind.share * kind.mean for kind in self._kinds)
         return value
 
     def get_bound(self, name: str) -> float:
@@ -154,12 +154,8 @@
             return max(self._guess(-_LEAST_DEVIATIONS), 0.0)
         return least
 
-    def _measure_mean(self) -> float:
-        """Return the mean of all kinds, for what was not observed."""
-        return sum(kind.share * kind.mean for kind in self._kinds)
-
     def _guess(self, deviations: float) -> float:
-        mean = self._measure_mean()
+        mean = sum(kind.share * kind.mean for kind in self._kinds)
         square = sum(
             kind.share * (kind.mean**2 + kind.deviation**2)
             for kind in self._kinds
@@ -242,7 +238,7 @@
         self._pending = 0
         self.generation += 1
         kinds = [_Weighed.of(kind) for kind in self._kinds]
-        usual = self._measure_mean()
+        usual = sum(kind.share * kind.mean for kind in self._kinds)
         values = {
             name: self._values.get(name, usual) for name in self._products
         }
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -206,22 +206,6 @@
             await running.wait_starts(2)
             await self.assert_no_overlap(running)
 
-    async def lose_sidecar(self, running):
-        """Kill a sidecar whose instance runs three builds.
-
-        Returns
-        -------
-        str
-            Where the sidecar listened, for the next one.
-        """
-        sidecar = await running.start_instance('side-1')
-        body = deployed.make_body(3, payload='2500')
-        await running.call('entry-1', 'POST', IDS[0], body)
-        await running.wait_starts(3)
-        control = sidecar.find('listening')[0]['control']
-        await sidecar.stop(signal.SIGKILL)
-        return control
-
     async def test_a_restarted_sidecar_adopts_what_runs(self):
         """Builds are run anew each time a sidecar is replaced.
 
@@ -231,7 +215,12 @@
         async with self.deploy() as running:
             running.lease_seconds = 60.0
             await running.start_entry('entry-1')
-            control = await self.lose_sidecar(running)
+            sidecar = await running.start_instance('side-1')
+            body = deployed.make_body(3, payload='2500')
+            await running.call('entry-1', 'POST', IDS[0], body)
+            await running.wait_starts(3)
+            control = sidecar.find('listening')[0]['control']
+            await sidecar.stop(signal.SIGKILL)
             await running.start_sidecar('side-1', control)
             await running.wait_state('entry-1', IDS[0], 'complete')
             self.assertEqual(3, len(await running.list_starts()))
@@ -247,7 +236,12 @@
             # With 1 s a renewal that is late beside load costs a run, too.
             running.lease_seconds = 4.0
             entry = await running.start_entry('entry-1')
-            control = await self.lose_sidecar(running)
+            sidecar = await running.start_instance('side-1')
+            body = deployed.make_body(3, payload='2500')
+            await running.call('entry-1', 'POST', IDS[0], body)
+            await running.wait_starts(3)
+            control = sidecar.find('listening')[0]['control']
+            await sidecar.stop(signal.SIGKILL)
             await entry.wait_event('run-lost', reason='unreachable')
             await running.start_sidecar('side-1', control)
             await running.wait_state('entry-1', IDS[0], 'complete')
