--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -207,13 +207,8 @@
             await self.assert_no_overlap(running)
 
     async def test_a_restarted_sidecar_adopts_what_runs(self):
-        """Builds are run anew each time a sidecar is replaced.
-
-        Leases outlast the sidecar's start here, however slow it is: a run
-        whose lease has ended may be anywhere, and has to run again.
-        """
+        """Builds are run anew each time a sidecar is replaced."""
         async with self.deploy() as running:
-            running.lease_seconds = 60.0
             await running.start_entry('entry-1')
             sidecar = await running.start_instance('side-1')
             body = deployed.make_body(3, payload='2500')
@@ -269,7 +264,7 @@
             answer = await running.call('entry-1', 'POST', IDS[1], body)
             self.assertEqual(200, answer.status_code)
             await running.wait_state('entry-1', IDS[1], 'complete')
-            answer = await running.read('entry-1', IDS[0])
+            answer = await running.call('entry-1', 'GET', IDS[0])
             self.assertEqual(410, answer.status_code)
 
     async def test_a_read_is_turned_away_while_the_store_is_silent(self):
