Keep work that was done in time by a run that was given up

Callers saw builds take twice as long after an instance lost its sidecar for longer than a lease, and work that must not run twice done twice: three tasks started six times (3 != 6). Cause: the leader dropped a done end unless it was that of the last run claimed and still counted; and a sidecar just attached got work before its first report, so that the task was claimed again where its end lay. Ruled out: a second start by the new sidecar (none logged before the report); leases that ended first (such a run ends as lapsed). Why it holds: a task only comes back to waiting by an end, a barred start or a lease waited out, so no run is left and the done end is its end; where a later run has a place, it is recalled and settled first, and the store keeps that, for the next leader. A job is never complete while a run may go on. Elsewhere: an end in a report that also tells of a silent worker was passed over for the silence; read first now. The test that held six starts to be right is replaced: the same order with work that ended within its lease makes three, with work that outlasts it six, three of them lapsed.

--- a/src/persimmonsail/jobs/board.py
+++ b/src/persimmonsail/jobs/board.py
@@ -68,6 +68,11 @@
         """Names job, occurrence and step."""
         return self.name.rpartition('.')[0]
 
+    @property
+    def is_placed(self) -> bool:
+        """Whether its last run is claimed for an instance."""
+        return self.state.phase is record.TaskPhase.PLACED
+
     @property
     def due_ms(self) -> int:
         """When it may begin, in milliseconds since the epoch."""
@@ -133,11 +138,7 @@
 
     def list_placed(self) -> list[Task]:
         """Return the tasks that have a place."""
-        return [
-            task
-            for task in self.tasks.values()
-            if task.state.phase is record.TaskPhase.PLACED
-        ]
+        return [task for task in self.tasks.values() if task.is_placed]
 
     def list_gang(self, task: Task) -> list[Task]:
         """Return all tasks that only work together with this one."""
@@ -212,12 +213,16 @@
     broken : list of Task
         Tasks of gangs whose run ended without success; what else of the
         gang has a place waits in vain and has to be stopped.
+    recalled : list of Task
+        Tasks that an earlier run has done; their last one has a place
+        and has to be stopped.
     """
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
         self.changed: set[str] = set()
         self.broken: list[Task] = []
+        self.recalled: list[Task] = []
         # Jobs with checkpoints that are not committed.
         self._unsaved: set[str] = set()
         # Cancels that came before their job was seen here.
@@ -304,6 +309,7 @@
         state.run = number or state.run + 1
         state.instance = instance
         state.boot = boot
+        state.earlier_done = False
         task.job.note_placed(task)
         task.job.progress.phase = record.JobPhase.ACTIVE
         self.changed.add(task.job.id)
@@ -331,13 +337,16 @@
         if state.phase is not record.TaskPhase.PLACED or state.run != run:
             return False
         self.changed.add(task.job.id)
-        task.job.placed_count -= 1
         if checkpoint:
             state.checkpoint = checkpoint
+        if state.earlier_done:
+            self._mark_done([task])
+            return True
         if end is End.DONE and not task.step.long_running:
-            self._note_done(task)
+            self._mark_done(_list_stood_for(task))
             return True
         state.phase = record.TaskPhase.WAITING
+        task.job.placed_count -= 1
         task.job.note_waiting(task)
         if task.step.gang:
             self.broken.append(task)
@@ -349,21 +358,59 @@
                 self._fail(task.job)
         return True
 
-    def _note_done(self, task: Task) -> None:
-        """Count a task as done; one of a gang stands for all of it."""
-        job = task.job
-        members = job.list_gang(task) if task.step.gang else [task]
-        for member in members:
-            if member.state.phase is record.TaskPhase.DONE:
+    def note_late_done(self, task: Task, run: int) -> bool:
+        """Take in that a run which was given up had done its work.
+
+        A sidecar that is away for longer than a lease comes back with ends
+        that nobody has heard of. Thrown away, they cost callers the whole
+        work once more, and have it done twice where that does harm.
+
+        A task that waits has no run left anywhere: each way back to
+        waiting is an end that was seen, a start that was barred, or a lease
+        that was waited out. So it is done. One that has a place may have
+        begun again: its last run is recalled, and the task is done when
+        that has ended, so that nothing of a complete job still runs.
+
+        Parameters
+        ----------
+        task : Task
+            Whose run has ended as done.
+        run : int
+            Which run; it is not the last one, or was given up.
+
+        Returns
+        -------
+        bool
+            Whether the task is done by it, now or with its last run's end.
+        """
+        state = task.state
+        # Runs are claimed in the store before they are ordered, so that no
+        # run of this job has a higher number than the record.
+        claimed = 0 < run <= state.run
+        over = task.job.phase.is_final or state.phase is record.TaskPhase.DONE
+        if over or not claimed or task.step.long_running:
+            return False
+        self.changed.add(task.job.id)
+        members = _list_stood_for(task)
+        placed = [member for member in members if member.is_placed]
+        for member in placed:
+            member.state.earlier_done = True
+        self.recalled += placed
+        self._mark_done([m for m in members if not m.is_placed])
+        return True
+
+    def _mark_done(self, tasks: t.Iterable[Task]) -> None:
+        """Count tasks as done, and their job as complete with the last."""
+        for task in tasks:
+            job = task.job
+            if task.state.phase is record.TaskPhase.DONE:
                 continue
-            if member is not task:
-                placed = member.state.phase is record.TaskPhase.PLACED
-                job.placed_count -= placed
-                job.waiting.pop(member.key, None)
-            member.state.phase = record.TaskPhase.DONE
-            job.note_done(member)
-        if job.is_done and not job.phase.is_final:
-            self._finish(job, record.JobPhase.COMPLETE)
+            job.placed_count -= task.is_placed
+            job.waiting.pop(task.key, None)
+            task.state.phase = record.TaskPhase.DONE
+            job.note_done(task)
+            if job.is_done and not job.phase.is_final:
+                self._finish(job, record.JobPhase.COMPLETE)
 
     def count_pending(self, queue: str) -> int:
         """Return how many jobs of a queue have had no task started."""
@@ -383,9 +430,11 @@
         self.changed.add(job.id)
 
 
+def _list_stood_for(task: Task) -> list[Task]:
+    """Return the tasks that a task's end speaks for: itself or its gang."""
+    return task.job.list_gang(task) if task.step.gang else [task]
+
+
 def _count_failures(task: Task) -> int:
     """Return how often a task, or the gang that it is of, has failed."""
-    if not task.step.gang:
-        return task.state.failures
-    members = task.job.list_gang(task)
-    return sum(member.state.failures for member in members)
+    return sum(member.state.failures for member in _list_stood_for(task))
--- a/src/persimmonsail/jobs/fleet.py
+++ b/src/persimmonsail/jobs/fleet.py
@@ -11,7 +11,6 @@
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import ledger as ledger_module
 from persimmonsail.jobs import link as link_module
-from persimmonsail.jobs import record
 from persimmonsail.jobs import reports
 from persimmonsail.jobs import scheduling
 from persimmonsail import logs
@@ -154,7 +153,7 @@
             if instance.runs and now > instance.trusted_until:
                 if not instance.attached or not instance.known:
                     self._reader.drop_runs(instance, 'unreachable')
-        self._stop_broken_gangs()
+        self._stop_unneeded()
 
     def _describe_lease(self) -> float:
         age = clock.read() - self._ledger.confirmed_at
@@ -164,6 +163,7 @@
         instance.attached = True
         # A sidecar that was restarted has forgotten it.
         instance.acknowledged = 0
+        instance.reported = False
         logs.write_event('instance-attached', instance=instance.address)
         orders = self._links[instance.address].edit()
         for run in instance.runs.values():
@@ -192,15 +192,17 @@
             instance, now, self._reader.is_last
         ):
             self._evict(instance, run, 'starved')
-        self._stop_broken_gangs()
+        self._stop_unneeded()
         self._on_reaction(reaction)
 
-    def _stop_broken_gangs(self) -> None:
-        """Stop what waits for a member of its gang that will not come."""
+    def _stop_unneeded(self) -> None:
+        """Stop what waits for its gang in vain, and what is done already."""
         for broken in self._reader.take_broken():
             for member in broken.job.list_gang(broken):
-                if member.state.phase is record.TaskPhase.PLACED:
+                if member.is_placed:
                     self.stop_task(member)
+        for recalled in self._reader.take_recalled():
+            self.stop_task(recalled)
 
     def _evict(
         self, instance: instances.Instance, run: instances.Run, reason: str
--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -114,6 +114,10 @@
         When a leaving one may end; 0 if it is not known.
     attached : bool
         Whether this leader has a link to it.
+    reported : bool
+        Whether its sidecar has told over that link what runs and what has
+        ended. Before that it gets nothing new: the work that it would get
+        may be among the ends that the first report brings.
     trusted_until : float
         Until when its runs may hold leases, by whatever leader: runs may
         be started elsewhere only after it.
@@ -144,6 +148,7 @@
     leaving: bool = False
     gone_at: float = 0.0
     attached: bool = False
+    reported: bool = False
     trusted_until: float = 0.0
     silent_seconds: float = 0.0
     known: bool = True
--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -202,6 +202,7 @@
     """Tell whether an instance gets new work at all."""
     return (
         instance.attached
+        and instance.reported
         and bool(instance.boot)
         and not instance.leaving
         and instance.known
--- a/src/persimmonsail/jobs/record.py
+++ b/src/persimmonsail/jobs/record.py
@@ -92,6 +92,9 @@
         Runs that ended as failed.
     checkpoint : str
         The newest one known; empty for none.
+    earlier_done : bool
+        Whether a run before the last one has done the work: the last one
+        is stopped, and the task is done as soon as it has ended.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -100,9 +103,19 @@
     boot: str = ''
     failures: int = 0
     checkpoint: str = ''
+    earlier_done: bool = False
 
 
-_Row = tuple[str, str, int, str, str, int, str]
+class _Row(t.NamedTuple):
+    key: str
+    phase: TaskPhase
+    run: int
+    instance: str
+    boot: str
+    failures: int
+    checkpoint: str
+    # Left out by entries of an earlier version.
+    earlier_done: bool = False
 
 
 class _StoredProgress(pydantic.BaseModel):
@@ -165,14 +178,15 @@
     def encode(self) -> str:
         """Return the text that the store keeps."""
         rows = [
-            (
+            _Row(
                 str(key),
-                task.phase.value,
+                task.phase,
                 task.run,
                 task.instance,
                 task.boot,
                 task.failures,
                 task.checkpoint,
+                task.earlier_done,
             )
             for key, task in self.tasks.items()
         ]
@@ -191,11 +205,9 @@
     """
     stored = _StoredProgress.model_validate_json(text)
     tasks = {}
-    for name, phase, run, instance, boot, failures, checkpoint in stored.tasks:
+    for name, *state in stored.tasks:
         key = TaskKey(*(int(part) for part in name.split('.')))
-        tasks[key] = TaskRecord(
-            TaskPhase(phase), run, instance, boot, failures, checkpoint
-        )
+        tasks[key] = TaskRecord(*state)
     return Progress(stored.phase, stored.ended_ms, tasks)
 
 
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -11,7 +11,6 @@
 from persimmonsail.jobs import interference
 from persimmonsail.jobs import observations
 from persimmonsail.jobs import pace
-from persimmonsail.jobs import record
 from persimmonsail import logs
 
 # An instance that fails several jobs gets nothing for so long, then one
@@ -104,6 +103,13 @@
             reaction.replan = True
         if not report.looked:
             return reaction
+        instance.reported = True
+        # Before anything that gives runs up: an end that a sidecar has seen
+        # is certain, whatever its worker's agent has come to since.
+        for ended in report.ended:
+            if ended.number > instance.processed:
+                self._note_end(instance, ended, now)
+                reaction.replan = True
         if report.lapsed:
             # Its worker's agent may be gone for good while the sidecar
             # lives on, which nothing else would ever tell.
@@ -111,10 +117,6 @@
                 self.drop_runs(instance, 'lapsed')
                 reaction.replan = True
             return reaction
-        for ended in report.ended:
-            if ended.number > instance.processed:
-                self._note_end(instance, ended, now)
-                reaction.replan = True
         pending = {(ref.task, ref.run) for ref in report.pending}
         for row in report.running:
             run = self._note_running(instance, row, now)
@@ -135,6 +137,12 @@
         self._board.broken = []
         return broken
 
+    def take_recalled(self) -> list[board_module.Task]:
+        """Return whose last run is not needed any more since then."""
+        recalled = self._board.recalled
+        self._board.recalled = []
+        return recalled
+
     def is_last(self, run: instances.Run) -> bool:
         """Tell whether nothing else of a run's job has a place."""
         task = self._board.find(run.task)
@@ -219,6 +227,8 @@
         used = False
         if task is not None:
             used = self._end(task, ended.run, end, ended.checkpoint)
+            if not used and end is board_module.End.DONE:
+                used = self._board.note_late_done(task, ended.run)
         logs.write_event(
             'run-ended',
             task=ended.task,
@@ -377,7 +387,8 @@
     return (
         task is not None
         and not task.job.phase.is_final
-        and task.state.phase is record.TaskPhase.PLACED
+        and task.is_placed
+        and not task.state.earlier_done
         and task.state.run == run.number
         and task.state.instance == instance.address
     )
--- a/tests/jobs/cases.py
+++ b/tests/jobs/cases.py
@@ -46,6 +46,7 @@
         service=QUEUE.service,
         capacity=specification.Size(cores * 1000, 256000),
         attached=True,
+        reported=True,
         **fields,
     )
 
--- a/tests/jobs/test_board.py
+++ b/tests/jobs/test_board.py
@@ -59,6 +59,73 @@
         self.assertFalse(used)
         self.assertEqual(record.TaskPhase.PLACED, task.state.phase)
 
+    def test_work_that_was_done_is_kept_while_its_task_waits(self):
+        """A build is run anew although its first run had done it.
+
+        Its sidecar was away for longer than a lease; the run was given up
+        and its end, reported later, changed nothing.
+        """
+        job = self.add(cases.make_step(1), cases.make_step(1, after=(0,)))
+        (task,) = job.waiting.values()
+        for _ in range(2):
+            self.board.place(task, 'a', 'boot')
+            self.end(task, 'lost')
+        self.board.changed.clear()
+        self.assertTrue(self.board.note_late_done(task, 1))
+        self.assertEqual([record.TaskKey(0, 1, 0)], list(job.waiting))
+        self.assertEqual(0, job.placed_count)
+        self.assertEqual({job.id}, self.board.changed)
+        self.assertEqual([], self.board.recalled)
+
+    def test_a_later_run_is_recalled_before_its_task_is_done(self):
+        """A build is complete while a second run of it goes on.
+
+        The first run had done it, and was reported after the second was
+        placed elsewhere; whether that one has begun nobody knows yet.
+        """
+        for how in ('stopped', 'not-started', 'lost', 'failed', 'done'):
+            board_ = board.Board()
+            job = cases.make_job()
+            board_.add(job)
+            (task,) = job.waiting.values()
+            board_.place(task, 'a', 'boot')
+            board_.note_end(task, 1, board.End.LOST, '', ATTEMPTS)
+            board_.place(task, 'b', 'boot')
+            self.assertTrue(board_.note_late_done(task, 1))
+            self.assertIs(record.JobPhase.ACTIVE, job.phase)
+            self.assertEqual([task], board_.recalled)
+            # A leader that takes over knows it, too.
+            kept = record.decode_progress(job.progress.encode())
+            self.assertTrue(kept.tasks[task.key].earlier_done)
+            board_.note_end(task, 2, board.End(how), '', ATTEMPTS)
+            self.assertIs(record.JobPhase.COMPLETE, job.phase, how)
+            self.assertEqual(0, job.placed_count)
+
+    def test_some_late_ends_are_no_end_of_their_task(self):
+        job = self.add(cases.make_step(2))
+        first, second = job.waiting.values()
+        self.assertFalse(self.board.note_late_done(first, 1))
+        self.board.place(first, 'a', 'boot')
+        self.end(first, 'lost')
+        # No such run was ever claimed.
+        self.assertFalse(self.board.note_late_done(first, 2))
+        self.board.place(first, 'a', 'boot')
+        self.end(first, 'done')
+        self.assertFalse(self.board.note_late_done(first, 1))
+        self.board.place(second, 'a', 'boot')
+        self.end(second, 'lost')
+        self.board.cancel(job.id)
+        self.assertFalse(self.board.note_late_done(second, 1))
+        self.assertEqual([], self.board.recalled)
+
+    def test_what_lasts_is_never_done(self):
+        job = self.add(cases.make_step(1, long_running=True))
+        (task,) = job.waiting.values()
+        self.board.place(task, 'a', 'boot')
+        self.end(task, 'lost')
+        self.assertFalse(self.board.note_late_done(task, 1))
+        self.assertIn(task.key, job.waiting)
+
     def test_run_numbers_rise_over_every_kind_of_end(self):
         job = self.add()
         (task,) = job.waiting.values()
@@ -193,6 +260,22 @@
         self.assertFalse(self.end(gang[0], 'lost'))
         self.assertEqual([], self.board.broken)
 
+    def test_a_late_done_end_recalls_the_whole_gang(self):
+        """A simulation is complete while its second run goes on."""
+        job, gang = self.place_gang()
+        for task in gang:
+            self.end(task, 'lost')
+        self.board.broken.clear()
+        for task in gang[1:]:
+            self.board.place(task, 'b', 'boot', 5)
+        self.assertTrue(self.board.note_late_done(gang[0], 4))
+        self.assertEqual(gang[1:], self.board.recalled)
+        self.end(gang[1], 'stopped')
+        self.assertEqual({}, job.waiting)
+        self.end(gang[2], 'broken')
+        self.assertEqual([record.TaskKey(0, 1, 0)], list(job.waiting))
+        self.assertEqual([], self.board.broken)
+
     def test_a_gang_that_broke_is_told_of(self):
         job, gang = self.place_gang()
         self.end(gang[0], 'not-started')
--- a/tests/jobs/test_reports.py
+++ b/tests/jobs/test_reports.py
@@ -220,6 +220,30 @@
         self.read(self.report(run, silent_seconds=8.0, lapsed=True))
         self.assertIn(self.tasks[0].key, self.job.waiting)
 
+    def test_work_that_was_done_outlasts_its_worker(self):
+        """A build is run anew although its sidecar saw that it was done.
+
+        The link to the leader was down when it ended, and its worker's
+        agent fell silent: the report told of both, the end and the leases
+        that are over, and the leader gave the run up first.
+        """
+        run = self.place(self.tasks[0])
+        report = self.report(silent_seconds=8.0, lapsed=True)
+        report.ended.add(number=1, task=run.task, run=1, how='done')
+        self.read(report)
+        self.assertEqual(record.TaskPhase.DONE, self.tasks[0].state.phase)
+
+    def test_a_run_that_is_not_needed_any_more_is_stopped(self):
+        run = self.place(self.tasks[0])
+        self.read(self.report(run))
+        self.board.note_end(self.tasks[0], 1, board.End.LOST, '', 2)
+        second = self.place(self.tasks[0])
+        report = self.report(second)
+        report.ended.add(number=1, task=run.task, run=1, how='done')
+        self.assertEqual([second], self.read(report).stops)
+        self.assertEqual([self.tasks[0]], self.reader.take_recalled())
+        self.assertEqual([], self.reader.take_recalled())
+
     def test_one_gauge_below_the_target_ends_no_miss(self):
         """A watcher is over its target for 4 s beside a build.
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -220,27 +220,47 @@
             await running.wait_state('entry-1', IDS[0], 'complete')
             self.assertEqual(3, len(await running.list_starts()))
 
+    async def test_work_done_within_its_lease_is_not_done_again(self):
+        """Builds are run anew although a replaced sidecar had done them.
+
+        The sidecar is killed, the leases that it granted run out and the
+        leader logs run-lost reason=unreachable; the new one reports the
+        ends of the first runs, done in time. They were thrown away
+        (run-ended how=done used=no) and six starts made of three.
+        """
+        async with self.deploy() as running:
+            running.lease_seconds = 4.0
+            await self.replace_sidecar_late(running, payload='2500')
+            await running.wait_state('entry-1', IDS[0], 'complete')
+            self.assertEqual(3, len(await running.list_starts()))
+
     async def test_what_nobody_renewed_in_time_runs_again(self):
         """Builds wait for ever for a sidecar that comes back too late.
 
-        It was away for longer than the leases that it had granted. Nobody
-        can tell its runs from lost ones then: they begin anew once, and
-        their old ends change nothing when the sidecar reports them.
+        It was away for longer than the leases that it had granted, and
+        its runs were killed with them: they begin anew, once.
         """
         async with self.deploy() as running:
-            # With 1 s a renewal that is late beside load costs a run, too.
             running.lease_seconds = 4.0
-            entry = await running.start_entry('entry-1')
-            sidecar = await running.start_instance('side-1')
-            body = deployed.make_body(3, payload='2500')
-            await running.call('entry-1', 'POST', IDS[0], body)
-            await running.wait_starts(3)
-            control = sidecar.find('listening')[0]['control']
-            await sidecar.stop(signal.SIGKILL)
-            await entry.wait_event('run-lost', reason='unreachable')
-            await running.start_sidecar('side-1', control)
+            await self.replace_sidecar_late(running, payload='6000')
             await running.wait_state('entry-1', IDS[0], 'complete')
-            self.assertEqual(6, len(await running.list_starts()))
+            starts = await running.list_starts()
+            self.assertEqual(
+                ['lapsed'] * 3 + ['done'] * 3,
+                [start['how'] for start in starts],
+            )
+
+    async def replace_sidecar_late(self, running, payload):
+        """Start three tasks, and replace their sidecar after the leases."""
+        entry = await running.start_entry('entry-1')
+        sidecar = await running.start_instance('side-1')
+        body = deployed.make_body(3, payload=payload)
+        await running.call('entry-1', 'POST', IDS[0], body)
+        await running.wait_starts(3)
+        control = sidecar.find('listening')[0]['control']
+        await sidecar.stop(signal.SIGKILL)
+        await entry.wait_event('run-lost', reason='unreachable')
+        await running.start_sidecar('side-1', control)
 
     async def test_a_submission_is_honest_while_the_store_is_away(self):
         """A build that was refused runs all the same.
--- a/tools/emulator/day.py
+++ b/tools/emulator/day.py
@@ -83,6 +83,7 @@
                     boot=worker.boot,
                     capacity=capacity,
                     attached=True,
+                    reported=True,
                 )
             )
             # Sidecars report in turn, one each 0.04 s of a period.
