Say how late a time limit was noticed, and how long the store is silent

Lines of calls without an answer could not tell a silent store from a held-up entry, so that a read that got 503 (410 != 503) could not be traced.

--- a/src/persimmonsail/httpclient.py
+++ b/src/persimmonsail/httpclient.py
@@ -99,7 +99,9 @@
                 answer = await connection.exchange(request)
         except _BROKEN as error:
             await connection.close()
-            raise exceptions.ServiceUnanswered(type(error).__name__) from error
+            raise exceptions.ServiceUnanswered(
+                _describe(error, until)
+            ) from error
         except BaseException:
             # Cancelled: an answer that comes later must not be taken for
             # that of the next call.
@@ -124,7 +126,9 @@
             with anyio.fail_after(max(until - anyio.current_time(), 0.0)):
                 stream = await anyio.connect_tcp(host, port)
         except (OSError, TimeoutError) as error:
-            raise exceptions.ServiceNotReached(type(error).__name__) from error
+            raise exceptions.ServiceNotReached(
+                _describe(error, until)
+            ) from error
         return _Connection(stream)
 
     async def _keep(self, connection: '_Connection') -> None:
@@ -134,6 +138,18 @@
             await connection.close()
 
 
+def _describe(error: Exception, until: float) -> str:
+    """Name an error, and whose the time was that a call ran out of.
+
+    A service that is silent is noticed at the time limit; a process that
+    is itself held up notices it later, by as much as it was held up.
+    """
+    name = type(error).__name__
+    if not isinstance(error, TimeoutError):
+        return name
+    return f'{name}, noticed {anyio.current_time() - until:.3f} s late'
+
+
 class _Request(t.NamedTuple):
     head: h11.Request
     body: bytes
--- a/src/persimmonsail/jobs/intake.py
+++ b/src/persimmonsail/jobs/intake.py
@@ -188,7 +188,12 @@
                     return Outcome.REFUSED
             except exceptions.StoreUnavailable as error:
                 sent = True
-                logs.write_event('submit-unanswered', job=id, error=error)
+                logs.write_event(
+                    'submit-unanswered',
+                    job=id,
+                    error=error,
+                    store_silent=self._store.silent_seconds,
+                )
             else:
                 own = self._get_own()
                 if own is not None and own.loaded:
@@ -211,7 +216,12 @@
             try:
                 return await self._cancel_once(id)
             except exceptions.StoreUnavailable as error:
-                logs.write_event('cancel-unanswered', job=id, error=error)
+                logs.write_event(
+                    'cancel-unanswered',
+                    job=id,
+                    error=error,
+                    store_silent=self._store.silent_seconds,
+                )
             if self._is_hopeless(until):
                 return Outcome.UNKNOWN
             await anyio.sleep(_PAUSE_SECONDS)
@@ -275,7 +285,12 @@
             try:
                 return await self._read_phase(id)
             except exceptions.StoreUnavailable as error:
-                logs.write_event('find-unanswered', job=id, error=error)
+                logs.write_event(
+                    'find-unanswered',
+                    job=id,
+                    error=error,
+                    store_silent=self._store.silent_seconds,
+                )
             found = await self._ask_leader(id)
             if found is not None:
                 return found
--- a/src/persimmonsail/platform/kvstore.py
+++ b/src/persimmonsail/platform/kvstore.py
@@ -84,8 +84,12 @@
     @property
     def is_lost(self) -> bool:
         """See ``TransactionalStore.is_lost``."""
-        silent = time.monotonic() - self._answered_at
-        return self._failing and silent > _LOST_SECONDS
+        return self._failing and self.silent_seconds > _LOST_SECONDS
+
+    @property
+    def silent_seconds(self) -> float:
+        """See ``TransactionalStore.silent_seconds``."""
+        return time.monotonic() - self._answered_at
 
     async def get(self, key: str) -> store.Item | None:
         """See ``Store.get``."""
--- a/src/persimmonsail/store.py
+++ b/src/persimmonsail/store.py
@@ -153,6 +153,11 @@
     def is_lost(self) -> bool:
         """Whether calls fail and none has succeeded for a while."""
 
+    @property
+    @abc.abstractmethod
+    def silent_seconds(self) -> float:
+        """For how long the store has answered no call of this process."""
+
     @abc.abstractmethod
     async def commit(
         self,
--- a/tests/jobs/test_intake.py
+++ b/tests/jobs/test_intake.py
@@ -13,6 +13,7 @@
     """A store that gave no answer lately; counts what is sent all the same."""
 
     is_lost = True
+    silent_seconds = 5.0
 
     def __init__(self):
         self.puts = 0
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -1,4 +1,6 @@
 import contextlib
+import re
+import time
 
 import anyio
 import anyio.abc
@@ -76,6 +78,33 @@
             self.assertIn(b'Expected-Instance: i-1', service.requests[1])
             self.assertTrue(service.requests[1].endswith(b'{"a":1}'))
 
+    async def test_an_error_tells_whose_the_time_was(self):
+        """Whoever is on call can't tell a slow service from a slow process.
+
+        Both end as a call without an answer, and only one of them is the
+        service's fault.
+        """
+        async with self.open(5.0, 5.0, OK, OK, timeout=0.2) as (client, _):
+            silent = await self.read_lateness(client)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.hold_up, 1.0)
+                held_up = await self.read_lateness(client)
+        self.assertLess(silent, held_up)
+        self.assertGreater(held_up, 0.8)
+
+    async def read_lateness(self, client):
+        """Return how late a call noticed that its time was over."""
+        try:
+            await client.call('GET', '/v1/one')
+        except exceptions.ServiceUnanswered as error:
+            return float(re.search(r'([\d.]+) s late', str(error))[1])
+        raise AssertionError('the call was answered')
+
+    async def hold_up(self, seconds):
+        """Keep the event loop from doing anything."""
+        await anyio.sleep(0.1)
+        time.sleep(seconds)  # noqa: ASYNC251
+
     async def test_calls_at_the_same_time_do_not_wait_for_each_other(self):
         async with self.open(0.3, OK, OK) as (client, service):
             async with anyio.create_task_group() as group:
