Ask a silent store again for as long as a reader waits

Callers got 503 for a read after 1.1 s (410 != 503) though the store was back and 1.9 s of their time were left. Cause: a store counts as lost after 0.9 s of silence, and reads under way were given up at that moment. Ruled out by forced pauses: the entry's own loop. Why it holds: a read that comes while the store answers is sent again each 0.3 s until the caller's time is over, without waiting for the tries before, which a silent store never answers; one that comes when the store is lost already is tried once, as before. Writes are left as they were: they may be repeated elsewhere at once under the same id.

--- a/src/persimmonsail/jobs/intake.py
+++ b/src/persimmonsail/jobs/intake.py
@@ -29,6 +29,10 @@
 
 _MILLISECONDS = 1000
 _PAUSE_SECONDS = 0.1
+# A read is sent again after this time, the first one still under way: at its
+# slowest the store takes 0.3 s an answer, and a silent one leaves what it was
+# asked unanswered also when it is back.
+_ASK_AGAIN_SECONDS = 0.3
 # How long another entry may take; the caller still waits for the store.
 _PEER_SECONDS = 0.6
 # The part of a caller's time that the store may take; the rest is for
@@ -227,11 +231,11 @@
             await anyio.sleep(_PAUSE_SECONDS)
 
     def _is_hopeless(self, until: float) -> bool:
-        """Tell whether to answer now: the caller may ask again at once.
+        """Tell whether to give a write up: its caller may ask again at once.
 
-        A store that is lost stays so for seconds; holding the caller's
-        call until its deadline would only cost it the time to go
-        elsewhere.
+        A store that is lost stays so for seconds, or only this entry has
+        lost it. Holding the call until its deadline would only cost the
+        caller the time to go elsewhere, where the same id is the same job.
         """
         if self._store.is_lost:
             return True
@@ -280,23 +284,47 @@
 
         ``ABSENT`` is only returned when the store itself has no such job;
         ``UNKNOWN`` when neither store nor leader could be asked in time.
+
+        A store that was answering when the call came, and falls silent,
+        is asked again until the caller's time is over, each time without
+        waiting for the answers before: 'silent for a second' is not
+        'down', and giving up then turned callers away who had 1.9 s left
+        when the answer was to be had. One that was lost before is asked
+        once: it stays so for seconds, and a caller does better elsewhere.
         """
-        while True:
-            try:
-                return await self._read_phase(id)
-            except exceptions.StoreUnavailable as error:
-                logs.write_event(
-                    'find-unanswered',
-                    job=id,
-                    error=error,
-                    store_silent=self._store.silent_seconds,
-                )
-            found = await self._ask_leader(id)
-            if found is not None:
-                return found
-            if self._is_hopeless(until):
-                return Outcome.UNKNOWN
-            await anyio.sleep(_PAUSE_SECONDS)
+        if self._store.is_lost:
+            found = await self._try_find(id)
+            return Outcome.UNKNOWN if found is None else found
+        # A caller without time of its own gets one try.
+        until = max(until, clock.read() + _ASK_AGAIN_SECONDS)
+        answers: list[record.JobPhase | Outcome] = []
+        async with anyio.create_task_group() as group:
+
+            async def try_once() -> None:
+                found = await self._try_find(id)
+                if found is not None:
+                    answers.append(found)
+                    group.cancel_scope.cancel()
+
+            while clock.read() < until:
+                group.start_soon(try_once)
+                left = until - clock.read()
+                await anyio.sleep(min(_ASK_AGAIN_SECONDS, left))
+            group.cancel_scope.cancel()
+        return answers[0] if answers else Outcome.UNKNOWN
+
+    async def _try_find(self, id: str) -> record.JobPhase | Outcome | None:
+        """Ask the store once, then the leader; return nothing for none."""
+        try:
+            return await self._read_phase(id)
+        except exceptions.StoreUnavailable as error:
+            logs.write_event(
+                'find-unanswered',
+                job=id,
+                error=error,
+                store_silent=self._store.silent_seconds,
+            )
+        return await self._ask_leader(id)
 
     async def _read_phase(self, id: str) -> record.JobPhase | Outcome:
         own = self._get_own()
--- a/tests/jobs/test_intake.py
+++ b/tests/jobs/test_intake.py
@@ -1,3 +1,4 @@
+import anyio
 import testtools
 
 from persimmonsail import exceptions
@@ -22,6 +23,28 @@
         self.puts += 1
 
 
+class SilentStore:
+    """A store without any job, silent until it is told to speak.
+
+    Like the real one it leaves for good what it was asked in its silence,
+    and counts as lost after a while of it.
+    """
+
+    def __init__(self, timeout, lost=False):
+        self.timeout = timeout
+        self.is_lost = lost
+        self.speaks = False
+        self.reads = 0
+        self.silent_seconds = 0.0
+
+    async def get(self, key):
+        self.reads += 1
+        if not self.speaks:
+            await anyio.sleep(self.timeout)
+            self.is_lost = True
+            raise exceptions.StoreUnavailable('silent')
+
+
 def make_intake(store, known=None):
     known = known or capacities.Capacities()
     return intake.Intake(store, None, lambda: '', lambda: None, known)
@@ -58,3 +81,44 @@
         outcome = await own.store_job(cases.ID, '{}', until)
         self.assertIs(intake.Outcome.REFUSED, outcome)
         self.assertEqual(0, store.puts)
+
+    async def test_a_read_is_answered_as_soon_as_the_store_is_back(self):
+        """A caller is turned away for a store that is back at once.
+
+        The store fell silent while the read was under way; it counted as
+        lost after the first try, although most of the caller's time was
+        left. What it was asked in its silence it never answers.
+        """
+        store = SilentStore(timeout=4.0)
+        own = make_intake(store)
+        begun = clock.read()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.assert_absent, own, begun + 30.0)
+            await anyio.sleep(1.0)
+            store.speaks = True
+            back_at = clock.read()
+        # The first try would have gone on for 3 s.
+        self.assertLess(clock.read() - back_at, 2.0)
+
+    async def assert_absent(self, own, until):
+        found = await own.find_phase(cases.ID, until)
+        self.assertIs(intake.Outcome.ABSENT, found)
+
+    async def test_a_store_that_was_lost_is_asked_once(self):
+        """A caller waits out its deadline for nothing."""
+        store = SilentStore(timeout=0.1, lost=True)
+        own = make_intake(store)
+        found = await own.find_phase(cases.ID, clock.read() + 30.0)
+        self.assertIs(intake.Outcome.UNKNOWN, found)
+        self.assertEqual(1, store.reads)
+
+    async def test_a_read_ends_with_its_callers_time(self):
+        store = SilentStore(timeout=30.0)
+        own = make_intake(store)
+        with anyio.fail_after(20.0):
+            # One that allows no time at all gets one try.
+            for wait in (0.0, 0.7):
+                store.reads = 0
+                found = await own.find_phase(cases.ID, clock.read() + wait)
+                self.assertIs(intake.Outcome.UNKNOWN, found)
+                self.assertGreater(store.reads, 0)
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -303,6 +303,25 @@
             answer = await running.read('entry-1', IDS[0])
             self.assertEqual(410, answer.status_code)
 
+    async def test_a_read_outlasts_a_short_silence_of_the_store(self):
+        """A caller is turned away for a store that is back at once.
+
+        The store was silent for 1.2 s, as beside load; the entry gave it
+        up after 0.9 s (find-unanswered with store_silent above that) and
+        answered 503 after 1.1 s, with 1.9 s of the caller's time left.
+        """
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.set_faults(running.store, down='silent')
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.assert_gone, running, IDS[0])
+                await anyio.sleep(1.2)
+                await running.set_faults(running.store)
+
+    async def assert_gone(self, running, id):
+        answer = await running.call('entry-1', 'GET', id)
+        self.assertEqual(410, answer.status_code)
+
     async def test_a_lost_store_is_said_at_once(self):
         """A caller waits out its deadline for nothing.
 
