Have a slow leader wait less before a job takes what there is

Cause: a job of which nothing runs waits 2 s for an instance that lets it work at its speed. A leader with a tenth of a processor has 0.6 to 1.4 s between its rounds, and ends and starts are as long under way: 3.0 to 3.4 s in all. Why it holds: the wait is shorter by three times what rounds are further apart than they should be; nothing changes where they come in time.

--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -25,6 +25,12 @@
 # job that stands still for 3 s beside free room counts as lost. Most find
 # a better place sooner.
 _IDLE_SECONDS = 2.0
+# Rounds come at least so often, for what only time changes. A leader with a
+# tenth of a processor has 0.6 to 1.4 s between them, and the end of a run is
+# as long under way to it as its next start is from it: such a job takes what
+# there is earlier by all three.
+ROUND_SECONDS = 0.25
+_ROUNDS_AHEAD = 3
 # A round ends with so many claims, the most urgent: they are committed and
 # started before the next round looks for more. A claim takes 0.25 ms, so
 # that callers and renewals of leases wait 25 ms for a round at the most.
@@ -65,6 +71,7 @@
     approvals: advice.Approvals,
     now: float,
     wall: float,
+    apart: float = 0.0,
 ) -> list[Claim]:
     """Claim room for as many waiting tasks as one round takes.
 
@@ -89,10 +96,13 @@
         Seconds of the leader's clock.
     wall : float
         Seconds since the epoch.
+    apart : float, optional
+        Seconds since the round before began.
     """
     approvals.begin_round()
     places.refresh(fleet, model, now)
-    placing = _Round(board, places, model, approvals, now, wall)
+    longest = _choose_longest_idle(apart)
+    placing = _Round(board, places, model, approvals, now, wall, longest)
     claims = []
     for task, queue in _sort(board, known, slowdowns, now, wall):
         claims += placing.place(task, queue)
@@ -120,10 +130,17 @@
     return max(_GATHER_SECONDS, factor * took)
 
 
-def _is_idle(job: board_module.Job, now: float) -> bool:
+def _choose_longest_idle(apart: float) -> float:
+    """Return for how many seconds a job waits for a good instance."""
+    late = max(apart - ROUND_SECONDS, 0.0)
+    return max(_IDLE_SECONDS - _ROUNDS_AHEAD * late, 0.0)
+
+
+def _measure_idle(job: board_module.Job, now: float) -> float:
+    """Return for how many seconds a job has had nothing placed."""
     if job.placed_count or not job.idle_since:
         job.idle_since = now
-    return now - job.idle_since > _IDLE_SECONDS
+    return now - job.idle_since
 
 
 def _sort(
@@ -167,7 +184,9 @@
         approvals: advice.Approvals,
         now: float,
         wall: float,
+        longest_idle: float,
     ) -> None:
+        self._longest_idle = longest_idle
         self._board = board
         self._places = places
         self._model = model
@@ -193,7 +212,7 @@
         step = (task.job.id, task.key.of_step)
         if step in self._full:
             return []
-        idle = _is_idle(task.job, self._now)
+        idle = _measure_idle(task.job, self._now) > self._longest_idle
         if queue.service in self._kept and not idle:
             return []
         members = gangs.list_members(task, self._now)
