Take an unreadable leader's key or head for what it is

Nothing would start any more after another writer had left something else in the place of the leader's key, or a key whose name begins like it: every entry took it for a store that is away, or lost every election to it; an unreadable head let a leader go on that could write nothing. Cause: a value that does not validate was told as 'no answer', and the first key below the prefix was taken for the leader's. Why it holds: only the very key names a leader; one that names nobody is written anew, which does no harm where somebody leads, since the head decides; a head that is not this leader's own, readable or not, ends its term. Both tests fail before and pass now.

--- a/src/persimmonsail/jobs/election.py
+++ b/src/persimmonsail/jobs/election.py
@@ -100,11 +100,14 @@
         # The key may be older than the store's history; a watch from the
         # page's own revision is answered by what changes from now on.
         page = await self._store.scan(record.LEADER)
-        item = page.items[0] if page.items else None
+        item = _find_leader(page)
         if item is None:
             await self._stand(page.revision, 0)
             return
         known = _read_leader(item)
+        if known is None:
+            await self._stand(page.revision, item.revision)
+            return
         self._note_leader(known)
         if known.address == self.address:
             # Left by an earlier life of this very process.
@@ -262,10 +265,23 @@
     return error
 
 
-def _read_leader(item: store_module.Item) -> ledger.LeaderItem:
+def _find_leader(page: store_module.Page) -> store_module.Item | None:
+    """Return the leader's key, which other writers' keys may begin with."""
+    for item in page.items:
+        if item.key == record.LEADER:
+            return item
+    return None
+
+
+def _read_leader(item: store_module.Item) -> ledger.LeaderItem | None:
+    """Return who leads; nothing if another writer left something else.
+
+    Taken for a store that is away, it kept every entry from standing, and
+    nothing started any more. No leader is known to be there; if there is
+    one all the same, its head tells it of the next term.
+    """
     try:
         return ledger.LeaderItem.model_validate_json(item.value)
     except pydantic.ValidationError as error:
-        raise exceptions.StoreUnavailable(
-            f'{item.key}: not readable'
-        ) from error
+        logs.write_error('leader-unreadable', error=error)
+        return None
--- a/src/persimmonsail/jobs/ledger.py
+++ b/src/persimmonsail/jobs/ledger.py
@@ -135,8 +135,9 @@
         """
         begun = clock.read()
         item = await self._store.get(record.HEAD)
-        if item is None or _read_head(item).leader != self.term.id:
-            raise exceptions.Deposed("the head is another leader's")
+        head = _read_head(item) if item is not None else None
+        if head is None or head.leader != self.term.id:
+            raise exceptions.Deposed("the head is not this leader's")
         self.confirmed_at = max(self.confirmed_at, begun)
 
     def _take_conflict(
@@ -149,10 +150,14 @@
         self._revision = item.revision
 
 
-def _read_head(item: store_module.Item) -> Head:
+def _read_head(item: store_module.Item) -> Head | None:
+    """Return who may write; nothing if another writer left something else.
+
+    A term ends with that like with any head that is not its own: what it
+    writes next would be refused, and a new term writes a new head.
+    """
     try:
         return Head.model_validate_json(item.value)
     except pydantic.ValidationError as error:
-        raise exceptions.StoreUnavailable(
-            f'{item.key}: not readable'
-        ) from error
+        logs.write_error('head-unreadable', error=error)
+        return None
--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -21,9 +21,8 @@
         self.answer_seconds = 0.0
 
     async def scan(self, prefix):
-        found = self.items.get(prefix)
-        items = (found,) if found else ()
-        return store_module.Page(self.revision, items)
+        items = (i for key, i in self.items.items() if key.startswith(prefix))
+        return store_module.Page(self.revision, tuple(items))
 
     async def follow(self, prefix, after, wait):
         with anyio.move_on_after(wait):
@@ -113,6 +112,18 @@
         winner = await self.elect(small=0.516, large=2.15)
         self.assertEqual('large', winner)
 
+    async def test_keys_of_other_writers_keep_nobody_from_leading(self):
+        """Nothing starts any more, although every entry is well.
+
+        Another writer left a leader's key that can't be read, or one whose
+        name only begins like it; each entry took that for a store that is
+        away, or lost every election to it.
+        """
+        for key in (record.LEADER, record.LEADER + '-of-others'):
+            item = store_module.Item(key, 'other', 0)
+            self.store.items = {key: item}
+            self.assertEqual('any', await self.elect(any=None))
+
     async def test_few_of_many_entries_stand(self):
         """Nothing starts for a while after a leader of a large fleet died.
 
--- a/tests/jobs/test_ledger.py
+++ b/tests/jobs/test_ledger.py
@@ -1,4 +1,5 @@
 import anyio
+import testtools
 
 from persimmonsail import exceptions
 from persimmonsail.jobs import ledger
@@ -73,6 +74,22 @@
                 self.fail('it may still write')
         self.assertEqual([], store.commits)
 
+    async def test_a_head_of_another_writer_ends_the_term(self):
+        """Leases end under a leader that goes on for ever.
+
+        Another writer left something else in the head's place; read as a
+        store without an answer, it never told the leader that its writes
+        would be refused, and after 8 s its runs were renewed no more.
+        """
+        store, own = self.open()
+        await own.commit([])
+        store.head = 'other'
+        with testtools.ExpectedException(exceptions.Deposed):
+            await own.confirm()
+        store.revision += 1
+        with testtools.ExpectedException(exceptions.Deposed):
+            await own.commit([])
+
     async def test_only_its_own_head_confirms_a_leader(self):
         store, own = self.open()
         await own.commit([])
