--- a/src/persimmonsail/jobs/advice.py
+++ b/src/persimmonsail/jobs/advice.py
@@ -16,9 +16,9 @@
 
 from persimmonsail import exceptions
 from persimmonsail.jobs import advisor as advisor_module
-from persimmonsail.jobs import board
 from persimmonsail.jobs import clock
 from persimmonsail.jobs import instances
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import placement
 from persimmonsail import logs
 
@@ -63,7 +63,7 @@
 
     def want(
         self,
-        task: board.Task,
+        task: job_module.Task,
         fleet: t.Iterable[instances.Instance],
         service: str,
         now: float,
--- a/src/persimmonsail/jobs/fleet.py
+++ b/src/persimmonsail/jobs/fleet.py
@@ -4,11 +4,11 @@
 
 import anyio.abc
 
-from persimmonsail.jobs import board
 from persimmonsail.jobs import clock
 from persimmonsail.jobs import eviction
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import ledger as ledger_module
 from persimmonsail.jobs import link as link_module
 from persimmonsail.jobs import reports
@@ -77,7 +77,7 @@
             self._group.start_soon(link.run)
         return self.instances[address]
 
-    def count_claim(self, task: board.Task) -> None:
+    def count_claim(self, task: job_module.Task) -> None:
         """Count a run that an earlier leader has placed.
 
         That leader may have allowed leases until it knew that it was
@@ -99,7 +99,7 @@
             )
         )
 
-    def stop_task(self, task: board.Task) -> None:
+    def stop_task(self, task: job_module.Task) -> None:
         """Stop the run of a task that has a place."""
         instance = self.instances.get(task.state.instance)
         if instance is None:
--- a/src/persimmonsail/jobs/gangs.py
+++ b/src/persimmonsail/jobs/gangs.py
@@ -11,8 +11,8 @@
 
 import typing as t
 
-from persimmonsail.jobs import board
 from persimmonsail.jobs import instances
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import placement
 from persimmonsail.jobs import specification
 
@@ -22,7 +22,7 @@
 PATIENCE_SECONDS = 1.0
 
 
-def list_members(task: board.Task, now: float) -> list[board.Task]:
+def list_members(task: job_module.Task, now: float) -> list[job_module.Task]:
     """Return what has to be placed together; nothing if that can't be.
 
     The tasks of a gang wait for each other at their instances, but only
@@ -38,7 +38,7 @@
 
 
 def needs_room_kept(
-    members: t.Sequence[board.Task],
+    members: t.Sequence[job_module.Task],
     fleet: t.Iterable[instances.Instance],
     service: str,
     now: float,
@@ -47,7 +47,7 @@
 
     Parameters
     ----------
-    members : sequence of persimmonsail.jobs.board.Task
+    members : sequence of persimmonsail.jobs.job.Task
         The tasks of one step that found no room together.
     fleet : iterable of persimmonsail.jobs.instances.Instance
         All instances.
--- a/src/persimmonsail/jobs/intake.py
+++ b/src/persimmonsail/jobs/intake.py
@@ -4,7 +4,6 @@
 the key is absent: two entries, or a repeated request, make one job.
 """
 
-import collections
 import enum
 import time
 import typing as t
@@ -15,6 +14,7 @@
 from persimmonsail import exceptions
 from persimmonsail.jobs import capacities as capacities_module
 from persimmonsail.jobs import clock
+from persimmonsail.jobs import counts
 from persimmonsail.jobs import fleet_grpc
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import queues
@@ -42,10 +42,6 @@
 # A caller that was turned away since the store is out of reach: outages
 # last seconds, and another entry may reach it.
 RETRY_SECONDS = 1
-# A count of pending jobs that was asked for so lately is used again.
-_COUNT_AGE_SECONDS = 0.5
-# Callers may be told a count that is 2 s old; the rest is for its way.
-_OLDEST_COUNT_SECONDS = 1.5
 
 
 class Outcome(enum.Enum):
@@ -130,12 +126,7 @@
         self._links = links
         self._find_leader = find_leader
         self._get_own = get_own
-        # When the leader was asked for a queue's count, and the count.
-        self._counts: dict[str, tuple[float, int]] = {}
-        # The counts of all queues in the store, and how old they are.
-        self._scanned: collections.Counter[str] = collections.Counter()
-        self._scanned_at = -_OLDEST_COUNT_SECONDS
-        self._scanning = anyio.Lock()
+        self._counts = counts.Counts(store, self._call_leader, get_own)
 
     async def submit(
         self,
@@ -380,77 +371,4 @@
 
         Nothing is returned when neither leader nor store answers.
         """
-        own = self._get_own()
-        pending = own.count_pending(queue) if own else None
-        if pending is not None:
-            return pending
-        asked_at, count = self._counts.get(queue, (0.0, 0))
-        now = clock.read()
-        if asked_at and now - asked_at < _COUNT_AGE_SECONDS:
-            return count
-        if own is not None and not own.loaded:
-            # Its own reading of the jobs ends sooner without another one.
-            return None
-        query = fleet_pb2.QueueQuery(queue=queue)
-        reply = await self._call_leader('CountPending', query)
-        if reply is not None and reply.leads:
-            self._counts[queue] = (now, reply.pending)
-            return reply.pending
-        async with self._scanning:
-            oldest = clock.read() - _OLDEST_COUNT_SECONDS
-            if self._scanned_at > oldest:
-                # By the call that this one has waited for.
-                return self._scanned[queue]
-            if now < oldest:
-                # That took so long that another try would be as late.
-                return None
-            if not await self._scan_counts():
-                return None
-            return self._scanned[queue]
-
-    async def _scan_counts(self) -> bool:
-        """Count the jobs of all queues in the store; tell whether it can.
-
-        Load pattern: the leader is gone, and callers ask each entry for
-        the count of each queue. A scan takes all that the store has of the
-        jobs; over a link of 1 Mbit/s that is seconds in which a new leader
-        on this machine reads none of it. So one runs at a time, for all.
-        """
-        asked_at = clock.read()
-        try:
-            jobs = await self._store.scan(record.JOBS)
-            progress = await self._store.scan(record.PROGRESS)
-        except exceptions.StoreUnavailable as error:
-            logs.write_event('count-unanswered', error=error)
-            return False
-        begun = {
-            item.key.removeprefix(record.PROGRESS)
-            for item in progress.items
-            if _has_begun(item)
-        }
-        self._scanned = collections.Counter(
-            _read_queue(item)
-            for item in jobs.items
-            if item.key.removeprefix(record.JOBS) not in begun
-        )
-        self._scanned_at = asked_at
-        return True
-
-
-def _has_begun(progress: store_module.Item) -> bool:
-    try:
-        phase = record.decode_phase(progress.value)
-    except ValueError as error:
-        logs.write_error('job-unreadable', key=progress.key, error=error)
-        return True
-    return phase is not record.JobPhase.QUEUED
-
-
-def _read_queue(job: store_module.Item) -> str:
-    """Return the queue of a stored job; none that there is if unreadable."""
-    try:
-        stored = record.StoredSubmission.model_validate_json(job.value)
-    except ValueError as error:
-        logs.write_error('job-unreadable', key=job.key, error=error)
-        return ''
-    return stored.queue
+        return await self._counts.count(queue)
--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -22,6 +22,7 @@
 from persimmonsail.jobs import fleet as fleet_module
 from persimmonsail.jobs import inbox
 from persimmonsail.jobs import interference
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import ledger as ledger_module
 from persimmonsail.jobs import memory
 from persimmonsail.jobs import places
@@ -207,10 +208,10 @@
 
     def _read_job(
         self, id: str, text: str, progress: str | None
-    ) -> board_module.Job | None:
+    ) -> job_module.Job | None:
         try:
             stored = record.StoredSubmission.model_validate_json(text)
-            job = board_module.Job(
+            job = job_module.Job(
                 id,
                 stored.queue,
                 stored.accepted_ms,
@@ -334,7 +335,7 @@
                 if phase.is_final:
                     self._forget(job)
 
-    def _forget(self, job: board_module.Job) -> None:
+    def _forget(self, job: job_module.Job) -> None:
         """Drop what was learnt of an ended job's steps."""
         self._approvals.forget(job.id)
         for task in job.tasks.values():
@@ -366,7 +367,7 @@
                 ):
                     await self._remove(job)
 
-    async def _remove(self, job: board_module.Job) -> None:
+    async def _remove(self, job: job_module.Job) -> None:
         # Written past the head: nothing else writes these keys any more.
         keys = [
             record.JOBS + job.id,
--- a/src/persimmonsail/jobs/observations.py
+++ b/src/persimmonsail/jobs/observations.py
@@ -1,8 +1,8 @@
 """What a report says of an instance and of the runs that are there."""
 
-from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import specification
 from persimmonsail import logs
 
@@ -26,7 +26,7 @@
 def adopt(
     instance: instances.Instance,
     row: fleet_pb2.Running,
-    task: board_module.Task | None,
+    task: job_module.Task | None,
     now: float,
 ) -> instances.Run:
     """Count a run that is there although no claim named it here."""
--- a/src/persimmonsail/jobs/order.py
+++ b/src/persimmonsail/jobs/order.py
@@ -16,7 +16,7 @@
 import dataclasses
 import typing as t
 
-from persimmonsail.jobs import board
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import queues
 
 # A late job still earns a part until three times its objective.
@@ -55,7 +55,7 @@
 
 
 def rate(
-    task: board.Task,
+    task: job_module.Task,
     queue: queues.Queue,
     now_ms: float,
     slowdown: float,
@@ -65,7 +65,7 @@
 
     Parameters
     ----------
-    task : persimmonsail.jobs.board.Task
+    task : persimmonsail.jobs.job.Task
         A waiting task.
     queue : persimmonsail.jobs.queues.Queue
         Its job's queue.
@@ -89,7 +89,7 @@
     return Urgency(queue.priority, 1 if late else 2, remaining_ms)
 
 
-def measure_mean_works(jobs: t.Iterable[board.Job]) -> dict[str, float]:
+def measure_mean_works(jobs: t.Iterable[job_module.Job]) -> dict[str, float]:
     """Return the mean work of each queue's jobs, in core-milliseconds."""
     works = collections.defaultdict(list)
     for job in jobs:
@@ -99,7 +99,7 @@
     }
 
 
-def find_objective_ms(job: board.Job, queue: queues.Queue) -> float:
+def find_objective_ms(job: job_module.Job, queue: queues.Queue) -> float:
     """Return how long a job may take from its acceptance to its end."""
     path_ms = job.specification.critical_path_ms
     return queue.slack_factor * path_ms + queue.target_ms
--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -14,8 +14,8 @@
 
 import numpy
 
-from persimmonsail.jobs import board
 from persimmonsail.jobs import instances
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import places as places_module
 from persimmonsail.jobs import specification
 
@@ -185,7 +185,7 @@
 
 
 def list_fitting(
-    task: board.Task,
+    task: job_module.Task,
     fleet: t.Iterable[instances.Instance],
     service: str,
     now: float,
@@ -211,7 +211,7 @@
     )
 
 
-def has_room(task: board.Task, instance: instances.Instance) -> bool:
+def has_room(task: job_module.Task, instance: instances.Instance) -> bool:
     """Tell whether a task may be started on an instance."""
     step = task.step
     if step.label and step.label not in instance.labels:
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -9,6 +9,7 @@
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import interference
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import observations
 from persimmonsail.jobs import pace
 from persimmonsail import logs
@@ -131,13 +132,13 @@
         reaction.paces = pace.decide(instance, self._model, now)
         return reaction
 
-    def take_broken(self) -> list[board_module.Task]:
+    def take_broken(self) -> list[job_module.Task]:
         """Return what broke its gang since the last call."""
         broken = self._board.broken
         self._board.broken = []
         return broken
 
-    def take_recalled(self) -> list[board_module.Task]:
+    def take_recalled(self) -> list[job_module.Task]:
         """Return whose last run is not needed any more since then."""
         recalled = self._board.recalled
         self._board.recalled = []
@@ -170,7 +171,7 @@
 
     def _end(
         self,
-        task: board_module.Task,
+        task: job_module.Task,
         run: int,
         end: board_module.End,
         checkpoint: str,
@@ -256,7 +257,7 @@
     def _judge(
         self,
         instance: instances.Instance,
-        task: board_module.Task,
+        task: job_module.Task,
         end: board_module.End,
         now: float,
     ) -> None:
@@ -380,7 +381,7 @@
 
 
 def _is_wanted(
-    task: board_module.Task | None,
+    task: job_module.Task | None,
     run: instances.Run,
     instance: instances.Instance,
 ) -> bool:
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -10,6 +10,7 @@
 from persimmonsail.jobs import gangs
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import interference
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import order
 from persimmonsail.jobs import pace
 from persimmonsail.jobs import placement
@@ -55,7 +56,7 @@
     ``ticket`` is the advisor's permission, where the queue has one.
     """
 
-    task: board_module.Task
+    task: job_module.Task
     run: instances.Run
     instance: instances.Instance
     ticket: str = ''
@@ -136,7 +137,7 @@
     return max(_IDLE_SECONDS - _ROUNDS_AHEAD * late, 0.0)
 
 
-def _measure_idle(job: board_module.Job, now: float) -> float:
+def _measure_idle(job: job_module.Job, now: float) -> float:
     """Return for how many seconds a job has had nothing placed."""
     if job.placed_count or not job.idle_since:
         job.idle_since = now
@@ -149,7 +150,7 @@
     slowdowns: t.Mapping[str, float],
     now: float,
     wall: float,
-) -> list[tuple[board_module.Task, queues.Queue]]:
+) -> list[tuple[job_module.Task, queues.Queue]]:
     rated = []
     wall_ms = wall * _MILLISECONDS
     works = order.measure_mean_works(board.jobs.values())
@@ -205,9 +206,7 @@
         self._placing: _StepId | None = None
         self._placer: _Placer
 
-    def place(
-        self, task: board_module.Task, queue: queues.Queue
-    ) -> list[Claim]:
+    def place(self, task: job_module.Task, queue: queues.Queue) -> list[Claim]:
         """Claim room for a task and its gang, if there is any."""
         step = (task.job.id, task.key.of_step)
         if step in self._full:
@@ -230,7 +229,7 @@
         return found
 
     def _make_placer(
-        self, task: board_module.Task, queue: queues.Queue
+        self, task: job_module.Task, queue: queues.Queue
     ) -> '_Placer':
         objective_ms = order.find_objective_ms(task.job, queue)
         left_ms = objective_ms - (self._wall_ms - task.since_ms)
@@ -256,8 +255,8 @@
 
     def _note_missing(
         self,
-        members: t.Sequence[board_module.Task],
-        task: board_module.Task,
+        members: t.Sequence[job_module.Task],
+        task: job_module.Task,
         queue: queues.Queue,
     ) -> None:
         service = queue.service
@@ -286,7 +285,7 @@
         self._tickets = tickets
 
     def place(
-        self, tasks: t.Sequence[board_module.Task], least_speed: float
+        self, tasks: t.Sequence[job_module.Task], least_speed: float
     ) -> list[Claim]:
         """Find room for all of these tasks, or for none of them."""
         if not tasks:
@@ -300,7 +299,7 @@
 
     def _try(
         self,
-        tasks: t.Sequence[board_module.Task],
+        tasks: t.Sequence[job_module.Task],
         least_speed: float,
         rack: str | None = None,
     ) -> list[Claim]:
@@ -326,7 +325,7 @@
 
     def _add_run(
         self,
-        task: board_module.Task,
+        task: job_module.Task,
         number: int,
         instance: instances.Instance,
     ) -> Claim:
--- a/tests/jobs/cases.py
+++ b/tests/jobs/cases.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from persimmonsail.jobs import board
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import queues
 from persimmonsail.jobs import specification
 
@@ -28,9 +28,9 @@
     return specification.Step(count=count, **fields)
 
 
-def make_job(*steps, id=ID, accepted_ms=0) -> board.Job:
+def make_job(*steps, id=ID, accepted_ms=0) -> job_module.Job:
     """Return a job that nothing was done for."""
-    return board.Job(
+    return job_module.Job(
         id,
         QUEUE.name,
         accepted_ms,
--- a/tests/jobs/scalar_placement.py
+++ b/tests/jobs/scalar_placement.py
@@ -6,9 +6,9 @@
 
 import typing as t
 
-from persimmonsail.jobs import board
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import interference
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import placement
 from persimmonsail.jobs import specification
 
@@ -18,7 +18,7 @@
 
 
 def choose(
-    task: board.Task,
+    task: job_module.Task,
     fleet: t.Iterable[instances.Instance],
     service: str,
     model: interference.Model,
@@ -93,7 +93,7 @@
 
 
 def _choose_fastest(
-    task: board.Task,
+    task: job_module.Task,
     fitting: t.Iterable[instances.Instance],
     model: interference.Model,
     least_speed: float,
@@ -114,12 +114,12 @@
     return best
 
 
-def _is_remote(task: board.Task, instance: instances.Instance) -> bool:
+def _is_remote(task: job_module.Task, instance: instances.Instance) -> bool:
     return bool(task.step.data_rack) and task.step.data_rack != instance.rack
 
 
 def _score(
-    task: board.Task,
+    task: job_module.Task,
     instance: instances.Instance,
     model: interference.Model,
 ) -> _Score:
--- a/tests/jobs/test_board.py
+++ b/tests/jobs/test_board.py
@@ -1,4 +1,5 @@
 from persimmonsail.jobs import board
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import record
 from persimmonsail.jobs import specification
 from tests import base
@@ -207,7 +208,9 @@
         self.board.place(second, 'b', 'other')
         progress = record.decode_progress(job.progress.encode())
         self.assertEqual(job.progress, progress)
-        again = board.Job(job.id, job.queue, 0, job.specification, progress)
+        again = job_module.Job(
+            job.id, job.queue, 0, job.specification, progress
+        )
         self.assertEqual({}, again.waiting)
         self.assertEqual([second.key], [t.key for t in again.list_placed()])
 
@@ -220,7 +223,9 @@
         progress = record.decode_progress(text)
         self.assertIs(record.JobPhase.COMPLETE, progress.phase)
         self.assertEqual(job.progress.ended_ms, progress.ended_ms)
-        again = board.Job(job.id, job.queue, 0, job.specification, progress)
+        again = job_module.Job(
+            job.id, job.queue, 0, job.specification, progress
+        )
         self.assertEqual({}, again.waiting)
         self.assertEqual([], again.list_placed())
 
--- a/tests/jobs/test_intake.py
+++ b/tests/jobs/test_intake.py
@@ -5,9 +5,7 @@
 from persimmonsail.jobs import capacities
 from persimmonsail.jobs import clock
 from persimmonsail.jobs import intake
-from persimmonsail.jobs import record
 from persimmonsail.jobs import specification
-from persimmonsail import store as store_module
 from tests import base
 from tests.jobs import cases
 
@@ -47,33 +45,6 @@
             raise exceptions.StoreUnavailable('silent')
 
 
-class KeptStore:
-    """A store with queued jobs of two queues; a scan takes its time."""
-
-    is_lost = False
-
-    def __init__(self, seconds):
-        self.seconds = seconds
-        self.scans = []
-
-    async def scan(self, prefix):
-        self.scans.append(prefix)
-        await anyio.sleep(self.seconds)
-        if prefix == record.PROGRESS:
-            return store_module.Page(1, ())
-        items = [
-            store_module.Item(prefix + id, make_submission(queue), 1)
-            for id, queue in (('a', 'one'), ('b', 'two'), ('c', 'two'))
-        ]
-        return store_module.Page(1, (*items, store_module.Item('x', '?', 1)))
-
-
-def make_submission(queue):
-    return record.StoredSubmission(
-        queue=queue, accepted_ms=1, specification={}
-    ).model_dump_json()
-
-
 def make_intake(store, known=None):
     known = known or capacities.Capacities()
     return intake.Intake(store, None, lambda: '', lambda: None, known)
@@ -151,31 +122,3 @@
                 found = await own.find_phase(cases.ID, clock.read() + wait)
                 self.assertIs(intake.Outcome.UNKNOWN, found)
                 self.assertGreater(store.reads, 0)
-
-    async def count(self, own, queue, found):
-        found[queue] = await own.count_pending(queue)
-
-    async def test_counts_share_what_is_read_from_the_store(self):
-        """A leader that has just been elected loads its jobs for ever.
-
-        Each count that callers asked its entry for read all jobs from the
-        store, too, over the same link, and none of them came to its end.
-        """
-        store = KeptStore(seconds=0.1)
-        own = make_intake(store)
-        found = {}
-        async with anyio.create_task_group() as group:
-            for queue in ('one', 'two', 'three'):
-                group.start_soon(self.count, own, queue, found)
-        self.assertEqual({'one': 1, 'two': 2, 'three': 0}, found)
-        self.assertEqual([record.JOBS, record.PROGRESS], store.scans)
-
-    async def test_a_count_that_would_be_too_old_is_not_told(self):
-        store = KeptStore(seconds=1.0)
-        own = make_intake(store)
-        found = {}
-        async with anyio.create_task_group() as group:
-            group.start_soon(self.count, own, 'one', found)
-            await anyio.sleep(0.1)
-            group.start_soon(self.count, own, 'two', found)
-        self.assertEqual({'one': 1, 'two': None}, found)
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -1,6 +1,7 @@
 from persimmonsail.jobs import advice
 from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import interference
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import places
 from persimmonsail.jobs import scheduling
 from persimmonsail.jobs import specification
@@ -95,7 +96,7 @@
 
         All occurrences were placed as soon as the job was accepted.
         """
-        job = board_module.Job(
+        job = job_module.Job(
             cases.ID,
             cases.QUEUE.name,
             round((WALL - 60) * 1000),
--- a/tools/emulator/day.py
+++ b/tools/emulator/day.py
@@ -7,6 +7,7 @@
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import interference
+from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import places
 from persimmonsail.jobs import reports
 from persimmonsail.jobs import scheduling
@@ -128,7 +129,7 @@
 
     def _submit(self, arrival: load_module.Arrival) -> None:
         self.board.add(
-            board_module.Job(
+            job_module.Job(
                 arrival.id,
                 arrival.queue,
                 round((_CLOCK_OFFSET + arrival.at) * 1000),
