Count a slow leader's rounds from 0.5 s apart on

A round each 0.25 s and a commit of a slow store are no sign of a leader that falls behind, and made jobs wait a tenth less.

--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -26,12 +26,14 @@
 # job that stands still for 3 s beside free room counts as lost. Most find
 # a better place sooner.
 _IDLE_SECONDS = 2.0
-# Rounds come at least so often, for what only time changes. A leader with a
-# tenth of a processor has 0.6 to 1.4 s between them, and the end of a run is
-# as long under way to it as its next start is from it: such a job takes what
-# there is earlier by all three.
+# Rounds come at least so often, for what only time changes.
 ROUND_SECONDS = 0.25
-_ROUNDS_AHEAD = 3
+# With a commit that a slow store takes as long for they begin so far apart. A
+# leader with a tenth of a processor has 0.6 to 1.4 s between them, and the end
+# of a run is as long under way to it as its next start is from it: there a job
+# takes what there is earlier by what these and the commit take longer.
+_USUAL_APART_SECONDS = 0.5
+_ROUNDS_AHEAD = 4
 # A round ends with so many claims, the most urgent: they are committed and
 # started before the next round looks for more. A claim takes 0.25 ms, so
 # that callers and renewals of leases wait 25 ms for a round at the most.
@@ -133,7 +135,7 @@
 
 def _choose_longest_idle(apart: float) -> float:
     """Return for how many seconds a job waits for a good instance."""
-    late = max(apart - ROUND_SECONDS, 0.0)
+    late = max(apart - _USUAL_APART_SECONDS, 0.0)
     return max(_IDLE_SECONDS - _ROUNDS_AHEAD * late, 0.0)
 
 
