--- a/src/persimmonsail/jobs/board.py
+++ b/src/persimmonsail/jobs/board.py
@@ -139,7 +139,6 @@
         state.run = number or state.run + 1
         state.instance = instance
         state.boot = boot
-        state.earlier_done = False
         task.job.note_placed(task)
         task.job.progress.phase = record.JobPhase.ACTIVE
         self.changed.add(task.job.id)
--- a/src/persimmonsail/jobs/link.py
+++ b/src/persimmonsail/jobs/link.py
@@ -38,8 +38,9 @@
     UnicodeError,
 )
 
-# What a sidecar answers to a leader of an earlier term than it has seen.
-STALE = grpclib.const.Status.FAILED_PRECONDITION
+# What a sidecar answers to a leader of an earlier term than it has seen, and
+# to nobody else.
+_STALE = grpclib.const.Status.FAILED_PRECONDITION
 
 OnReport = t.Callable[[instances.Instance, fleet_pb2.Report], None]
 
@@ -205,5 +206,5 @@
     """Tell whether a sidecar refused a link for its epoch."""
     return (
         isinstance(error, grpclib.exceptions.GRPCError)
-        and error.status is STALE
+        and error.status is _STALE
     )
