--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -8,6 +8,7 @@
 sidecar out of its reach can have granted, however late calls arrive.
 """
 
+import collections
 import contextlib
 import typing as t
 
@@ -39,6 +40,8 @@
 _RETRY_SECONDS = 0.1
 # So many boots that ended are named in each report.
 _KEPT_BOOTS = 8
+# A line about a crash names so many of the runs that were started last.
+_LATEST_RUNS = 4
 
 
 class _Link:
@@ -80,6 +83,9 @@
         self._life: life_module.Life | None = None
         self._successor: worker_module.Heartbeat | None = None
         self._over: list[str] = []
+        self._crashes: collections.deque[life_module.Crash] = (
+            collections.deque(maxlen=_KEPT_BOOTS)
+        )
         self._link: _Link | None = None
         self._changed = anyio.Event()
         self._renew = anyio.Event()
@@ -124,20 +130,43 @@
         )
         self._renew.set()
 
-    def note_boot_over(self, boot: str) -> None:
-        """Note that a boot of the worker's agent has ended."""
+    def note_boot_over(self, boot: str, asked: bool = False) -> None:
+        """Note that a boot of the worker's agent has ended.
+
+        Parameters
+        ----------
+        boot : str
+            Which boot; one that is not the latest changes nothing.
+        asked : bool
+            Whether it said so itself, as it does when it is stopped.
+        """
         if not boot or boot in self._over:
             return
         self._over.append(boot)
         if self._life is not None and self._life.boot == boot:
             logs.write_event('worker-gone', boot=boot)
             self._life.over = True
+            if not asked and not self._life.heartbeat.leaving:
+                self._note_crash(self._life.describe_crash(clock.read()))
             self._life = None
             successor = self._successor
             if successor is not None and successor.boot not in self._over:
                 self._begin_life(successor)
             self._notify()
 
+    def _note_crash(self, crash: life_module.Crash) -> None:
+        self._crashes.append(crash)
+        logs.write_warning(
+            'worker-crashed',
+            boot=crash.boot,
+            quiet_seconds=crash.failed_at - crash.answered_at,
+            runs=len(crash.runs),
+            latest=' '.join(
+                f'{run.task}:{run.run}@{run.seconds:.3f}'
+                for run in crash.runs[:_LATEST_RUNS]
+            ),
+        )
+
     async def run(self) -> None:
         """Renew leases and read ends, until cancelled."""
         async with anyio.create_task_group() as group:
@@ -342,6 +371,8 @@
             if not life.failing:
                 logs.write_warning('worker-lost', boot=life.boot, error=error)
             life.failing = True
+            if isinstance(error, exceptions.WorkerUnavailable):
+                life.note_silence(clock.read())
         else:
             return True
         return False
--- a/src/persimmonsail/jobs/life.py
+++ b/src/persimmonsail/jobs/life.py
@@ -1,6 +1,7 @@
 """What a sidecar knows of one life of its worker's agent."""
 
 import dataclasses
+import math
 
 from persimmonsail.jobs import specification
 from persimmonsail.jobs import worker as worker_module
@@ -27,6 +28,40 @@
     row: worker_module.RunningRow
 
 
+@dataclasses.dataclass(frozen=True)
+class CrashedRun:
+    """A run that was, or may have been, on an agent that ended unasked.
+
+    ``seconds`` is the time from the order of its start, or the first look
+    that showed it, to the first call that the agent left unanswered.
+    """
+
+    task: str
+    run: int
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Crash:
+    """The end of a boot that nobody had asked for or announced.
+
+    Attributes
+    ----------
+    boot : str
+        The boot that ended.
+    answered_at, failed_at : float
+        When it last answered, and when a call first failed; the crash lies
+        between the two. Seconds of the sidecar's clock.
+    runs : tuple of CrashedRun
+        What ran there, the latest start first.
+    """
+
+    boot: str
+    answered_at: float
+    failed_at: float
+    runs: tuple[CrashedRun, ...]
+
+
 class Life:
     """Runs, ends and clock of one boot of the worker's agent.
 
@@ -48,6 +83,8 @@
         Whether the last look failed.
     answered_at : float
         When the agent last answered.
+    failed_at : float
+        When the first call after that failed; 0 if none has.
     granted_until : float
         Until when leases were granted at the most, by orders that were
         answered or not.
@@ -65,7 +102,10 @@
         self.over = False
         self.failing = False
         self.answered_at = now
+        self.failed_at = 0.0
         self.granted_until = now
+        # When each start was sent that has, or may have, been carried out.
+        self._sent: dict[RunId, float] = {}
         self._provisional: dict[RunId, _Provisional] = {}
         self._clock_ms = 0
         self._clock_read_at = 0.0
@@ -76,6 +116,38 @@
         """The agent's life that this is."""
         return self.heartbeat.boot
 
+    def note_answer(self, now: float) -> None:
+        """Note that the agent has answered a call."""
+        self.answered_at = now
+        self.failed_at = 0.0
+
+    def note_silence(self, now: float) -> None:
+        """Note that a call got no answer."""
+        self.failed_at = self.failed_at or now
+
+    def note_sent(self, key: RunId, at: float) -> None:
+        """Note that a start was sent and may have been carried out."""
+        # A look may have shown the run before its start was answered, and a
+        # start that was left unanswered is sent again.
+        if self._sent.get(key, -math.inf) == -math.inf:
+            self._sent[key] = at
+
+    def describe_crash(self, now: float) -> Crash:
+        """Tell what ran when this boot ended, which nobody had asked for.
+
+        Of a start that was sent after the first failed call nothing can
+        have been carried out: the boot had ended.
+        """
+        failed_at = self.failed_at or now
+        there = self.running.keys() | self.pending.keys()
+        runs = [
+            CrashedRun(task, run, failed_at - self._sent[task, run])
+            for task, run in there & self._sent.keys()
+            if self._sent[task, run] <= failed_at
+        ]
+        runs.sort(key=lambda run: (run.seconds, run.task))
+        return Crash(self.boot, self.answered_at, failed_at, tuple(runs))
+
     def note_clock(self, clock_ms: int, now: float) -> None:
         """Note the agent's clock, read before ``now``."""
         if clock_ms >= self._clock_ms:
@@ -139,6 +211,10 @@
         self.looked = True
         known = running.keys() | self.pending.keys()
         self.sizes = {k: s for k, s in self.sizes.items() if k in known}
+        self._sent = {k: at for k, at in self._sent.items() if k in known}
+        for key in running.keys() - self._sent.keys():
+            # Started before this sidecar was: how long ago isn't known.
+            self._sent[key] = -math.inf
         return changed
 
     def note_started(
--- a/src/persimmonsail/jobs/orders.py
+++ b/src/persimmonsail/jobs/orders.py
@@ -99,7 +99,7 @@
                 self._on_over(life.boot)
                 return
             except exceptions.OrderRefused as error:
-                life.answered_at = clock.read()
+                life.note_answer(clock.read())
                 await self._settle(life, key, error.reason, unanswered)
                 return
             except exceptions.WorkerNotReached as error:
@@ -117,9 +117,12 @@
                         error=error,
                     )
                 unanswered = True
+                life.note_sent(key, now)
+                life.note_silence(clock.read())
                 await anyio.sleep(_ORDER_PAUSE_SECONDS)
                 continue
-            life.answered_at = clock.read()
+            life.note_answer(clock.read())
+            life.note_sent(key, now)
             life.note_started(order, clock_ms, clock.read())
             life.pending.pop(key, None)
             logs.write_event('started', task=start.task, run=start.run)
@@ -244,7 +247,7 @@
             life.boot, epoch, life.acknowledged, until, wait
         )
         life.fenced_epoch = max(life.fenced_epoch, epoch)
-        life.answered_at = clock.read()
+        life.note_answer(clock.read())
         if life.failing:
             life.failing = False
             logs.write_event('worker-regained', boot=life.boot)
--- a/tests/jobs/test_agent.py
+++ b/tests/jobs/test_agent.py
@@ -1,3 +1,4 @@
+import dataclasses
 import statistics
 
 import anyio
@@ -66,6 +67,18 @@
         self.agent.note_boot_over('first')
         self.assertEqual('', self.boot)
 
+    def test_only_an_end_that_nobody_asked_for_is_a_crash(self):
+        leaving = dataclasses.replace(beat('third'), leaving=True)
+        self.agent.note_heartbeat(beat('first'))
+        self.agent.note_boot_over('first')
+        self.agent.note_heartbeat(beat('second'))
+        self.agent.note_boot_over('second', asked=True)
+        self.agent.note_heartbeat(leaving)
+        self.agent.note_boot_over('third')
+        self.assertEqual(
+            ['first'], [crash.boot for crash in self.agent._crashes]
+        )
+
     async def test_short_leases_are_renewed_more_often(self):
         """Builds run anew beside load wherever leases last for a second.
 
--- a/tests/jobs/test_life.py
+++ b/tests/jobs/test_life.py
@@ -1,3 +1,5 @@
+import math
+
 from persimmonsail.jobs import life
 from persimmonsail.jobs import specification
 from persimmonsail.jobs import worker
@@ -83,3 +85,33 @@
         self.life.sizes[KEY] = specification.Size(3000, 100)
         self.life.pending[KEY] = specification.Size(3000, 100)
         self.assertEqual(1000, self.life.measure_free().millicores)
+
+    def test_a_crash_names_what_was_there_the_latest_first(self):
+        """A task ends its agent, and nothing tells which of them did.
+
+        What had ended before is none of them, nor is a start that was sent
+        to an agent that had answered nothing any more.
+        """
+        older = ('00000000000000bb.0.0.0', 1)
+        ended = ('00000000000000cc.0.0.0', 1)
+        refused = ('00000000000000dd.0.0.0', 1)
+        for key, at in ((ended, 10.5), (older, 11.0), (KEY, 12.0)):
+            self.life.pending[key] = specification.Size()
+            self.life.note_sent(key, at)
+        del self.life.pending[ended]
+        self.life.note_silence(12.25)
+        self.life.note_silence(13.0)
+        self.life.pending[refused] = specification.Size()
+        self.life.note_sent(refused, 13.5)
+        crash = self.life.describe_crash(15.0)
+        self.assertEqual('boot-1', crash.boot)
+        self.assertEqual(12.25, crash.failed_at)
+        self.assertEqual(
+            [(KEY[0], 0.25), (older[0], 1.25)],
+            [(run.task, run.seconds) for run in crash.runs],
+        )
+
+    def test_a_run_of_an_earlier_sidecar_is_of_unknown_age(self):
+        self.look(2000, KEY)
+        (run,) = self.life.describe_crash(11.0).runs
+        self.assertEqual(math.inf, run.seconds)
