--- a/standins/runner.py
+++ b/standins/runner.py
@@ -3,7 +3,9 @@
 ``POST /connect`` names the sidecar's address for heartbeats; ``POST
 /faults`` sets what goes wrong; ``GET /starts`` returns every start that
 was carried out, in order. A task's payload says how long it runs, in
-milliseconds; ``lasts`` runs until it is stopped.
+milliseconds; ``lasts`` runs until it is stopped. A word ``crash=KEYS`` in
+front of that names tasks of the job, as ``0.0.0/0.0.1``, that end the agent
+shortly after each of their starts.
 """
 
 import dataclasses
@@ -44,6 +46,10 @@
     needs_ticket : bool
         A start has to carry the advisor's ticket, as with a queue that
         has an advisor.
+    crash_seconds : float
+        How long after its start a task that ends the agent does so.
+    down_seconds : float
+        How long the agent is gone then.
     """
 
     late_starts: int = 0
@@ -51,6 +57,8 @@
     silent: bool = False
     fail: bool = False
     needs_ticket: bool = False
+    crash_seconds: float = 0.02
+    down_seconds: float = 0.2
 
 
 @dataclasses.dataclass
@@ -61,6 +69,21 @@
     fails: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class _Payload:
+    """What a job's tasks do; ``seconds`` is None for those that last."""
+
+    seconds: float | None
+    crashing: frozenset[str]
+
+    @classmethod
+    def read(cls, text: str) -> '_Payload':
+        *words, length = text.split()
+        crashing = ''.join(words).removeprefix('crash=').split('/')
+        seconds = None if length == 'lasts' else int(length) / 1000
+        return cls(seconds, frozenset(crashing))
+
+
 @dataclasses.dataclass
 class Start:
     """A start that was carried out, and when it ended."""
@@ -221,14 +244,25 @@
         if known is not None or number <= self._barred.get(task, 0):
             return _refuse('old')
         self._until = max(self._until, body['untilMs'])
-        payload = body['spec']
+        payload = _Payload.read(body['spec'])
         ends_at = None
-        if payload != 'lasts':
-            ends_at = time.monotonic() + int(payload) / 1000
+        if payload.seconds is not None:
+            ends_at = time.monotonic() + payload.seconds
         self._runs[task] = _Run(task, number, ends_at, self.faults.fail)
         self.starts.append(Start(self.boot, task, number, time.time()))
+        if task.partition('.')[2] in payload.crashing:
+            self._group.start_soon(self._crash_soon, self.boot)
         return _answer({})
 
+    async def _crash_soon(self, boot: str) -> None:
+        await anyio.sleep(self.faults.crash_seconds)
+        if boot != self.boot:
+            return
+        self.restart()
+        faults, self.faults.silent = self.faults, True
+        await anyio.sleep(faults.down_seconds)
+        faults.silent = False
+
     async def _stop(self, request: requests.Request) -> responses.Response:
         body, refusal = await self._check(request)
         if refusal is not None:
