--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -51,6 +51,7 @@
         self.seen = 0
         self.scope = anyio.CancelScope()
         self.barred: list[fleet_pb2.Barred] = []
+        self.crashes: list[life_module.Crash] = []
 
 
 class Agent(fleet_grpc.AgentBase):
@@ -156,6 +157,8 @@
 
     def _note_crash(self, crash: life_module.Crash) -> None:
         self._crashes.append(crash)
+        if self._link is not None:
+            self._link.crashes.append(crash)
         logs.write_warning(
             'worker-crashed',
             boot=crash.boot,
@@ -191,6 +194,9 @@
         if self._link is not None:
             self._link.scope.cancel()
         link = self._link = _Link()
+        # Whoever led before may have heard of them without having written
+        # down what follows; a leader counts none of them twice.
+        link.crashes.extend(self._crashes)
         self._authority.epoch = first.epoch
         logs.write_event('leader-attached', epoch=first.epoch)
         with link.scope:
@@ -226,6 +232,9 @@
         report.barred.extend(link.barred)
         link.barred.clear()
         report.over.extend(self._over[-_KEPT_BOOTS:])
+        for crash in link.crashes:
+            _fill_crash(report.crashes.add(), crash, now)
+        link.crashes.clear()
         life = self._life
         if life is None:
             return report
@@ -378,6 +387,15 @@
         return False
 
 
+def _fill_crash(
+    row: fleet_pb2.Crash, crash: life_module.Crash, now: float
+) -> None:
+    row.boot = crash.boot
+    row.ago_seconds = now - crash.answered_at
+    for run in crash.runs:
+        row.runs.add(task=run.task, run=run.run, seconds=run.seconds)
+
+
 def _read_size(size: fleet_pb2.Size) -> specification.Size:
     return specification.Size(
         size.millicores, size.memory_mib, size.accelerators
--- /dev/null
+++ b/src/persimmonsail/jobs/crashes.py
@@ -0,0 +1,377 @@
+"""Which task is held responsible when a worker's agent crashes under it.
+
+Load pattern: one task ends every agent that starts it, within milliseconds,
+and takes a dozen innocent runs with it each time. All of them have a crash
+to their name, and one of them did it. Agents also crash for reasons of
+their own, one at a time, by racks, or many at once.
+
+A crash is counted for a run that began shortly before it. A suspect is
+started again apart from other suspects, one whose crash came at once where
+least is lost and with nothing else beginning beside it: if the agent
+crashes again, that tells who it was. Three crashes that came at once, one
+of them apart, end a task's job; crashes that are slower to come tell
+less, since an agent may well crash by itself in the same time, and five of
+them do. A run that outlives the time in which its crashes came clears its
+task. Where many instances crash at once, no task has done it.
+"""
+
+import dataclasses
+import typing as t
+
+from persimmonsail.jobs import board as board_module
+from persimmonsail.jobs import fleet_pb2
+from persimmonsail.jobs import instances
+from persimmonsail.jobs import job as job_module
+from persimmonsail.jobs import record
+from persimmonsail import logs
+from persimmonsail import metrics
+
+# A run that had lasted for longer than this has nothing to do with its
+# agent's crash.
+_LONGEST_SECONDS = 20.0
+# A crash that came within this time of a start came at once.
+_QUICK_SECONDS = 2.0
+# So few runs that began just before a crash can each be tried apart.
+_JUST_SECONDS = 0.5
+_FEW = 4
+# After so many crashes a task's job is given up.
+_MOST_QUICK = 3
+_MOST = 5
+# The share of a service's instances that suspects may have for themselves;
+# a task that waits for one for so long is started without.
+_APART_SHARE = 0.25
+_PATIENCE_SECONDS = 3.0
+# For how long nothing is started beside a run that is apart: until a crash
+# is noticed at least.
+_LEAST_APART_SECONDS = 1.0
+_LONGEST_APART_SECONDS = 4.0
+# What began on an instance so shortly ago may be another that crashes it.
+_YOUNG_SECONDS = 0.5
+# Agents that last answered within this time may have crashed together: each
+# is asked about as often.
+_MOMENT_SECONDS = 0.5
+# An agent that is silent for so long may have crashed, too.
+_SILENT_SECONDS = 0.7
+# Crashes of one moment are heard of within this time.
+_SETTLE_SECONDS = 1.2
+_KEPT_SECONDS = 10.0
+# After a crash of many at once, tasks that had just begun begin this far
+# apart, and none of them later than the second figure: should some of them
+# be to blame, their next crashes are told apart.
+_STAGGER_SECONDS = 0.35
+_LONGEST_STAGGER_SECONDS = 2.0
+# With fewer instances than this crashing at once, it may be chance.
+_LEAST_AT_ONCE = 3
+_NAMED = 4
+_MILLISECONDS = 1000
+
+
+@dataclasses.dataclass
+class _Moment:
+    """Crashes that may have one cause, and what was counted for them."""
+
+    at: float
+    addresses: set[str] = dataclasses.field(default_factory=set)
+    counted: list[job_module.Task] = dataclasses.field(default_factory=list)
+
+    def includes(self, address: str, at: float) -> bool:
+        """Tell whether a crash may be of this moment.
+
+        An agent that crashes again does so at another one, however soon.
+        """
+        near = abs(at - self.at) <= _MOMENT_SECONDS
+        return near and address not in self.addresses
+
+
+class Tracker:
+    """Counts crashes for tasks, over all instances.
+
+    Parameters
+    ----------
+    board : persimmonsail.jobs.board.Board
+        The leader's jobs.
+    list_fleet : callable
+        Returns all instances.
+    """
+
+    def __init__(
+        self,
+        board: board_module.Board,
+        list_fleet: t.Callable[[], t.Iterable[instances.Instance]],
+    ) -> None:
+        self._board = board
+        self._list_fleet = list_fleet
+        self._moments: list[_Moment] = []
+        self._next_start = 0.0
+
+    def note(
+        self, instance: instances.Instance, crash: fleet_pb2.Crash, now: float
+    ) -> None:
+        """Take a crash in, before the runs that it ended are given up."""
+        at = now - crash.ago_seconds
+        moment = self._find_moment(instance.address, at, now)
+        moment.addresses.add(instance.address)
+        crashed = moment.addresses | self._find_silent(moment, now)
+        suspects = self._list_suspects(crash)
+        if self._is_at_once(crashed):
+            self._withdraw(moment)
+            self._stagger(suspects, now)
+            logs.write_warning(
+                'crash-at-once',
+                instance=instance.address,
+                boot=crash.boot,
+                instances=len(crashed),
+                runs=len(crash.runs),
+            )
+            return
+        few = sum(run.seconds <= _JUST_SECONDS for _, run in suspects) <= _FEW
+        for task, run in suspects:
+            self._count(moment, instance, task, run, now, few)
+            self._log(instance, crash, task, run)
+
+    def _find_moment(self, address: str, at: float, now: float) -> _Moment:
+        self._moments = [
+            moment
+            for moment in self._moments
+            if now - moment.at < _KEPT_SECONDS
+        ]
+        for moment in self._moments:
+            if moment.includes(address, at):
+                return moment
+        self._moments.append(_Moment(at))
+        return self._moments[-1]
+
+    def _list_suspects(
+        self, crash: fleet_pb2.Crash
+    ) -> list[tuple[job_module.Task, fleet_pb2.CrashedRun]]:
+        """Return the tasks that may have done it and were not looked at.
+
+        A crash counts when it is learnt of, whoever led meanwhile; sidecars
+        tell each leader of theirs anew, so that one may come again.
+        """
+        found = []
+        for run in crash.runs:
+            task = self._board.find(run.task)
+            if task is None or task.job.phase.is_final:
+                continue
+            state = task.state
+            if state.phase is record.TaskPhase.DONE or state.earlier_done:
+                continue
+            if not state.crashes.run < run.run <= state.run:
+                continue
+            if run.seconds <= _LONGEST_SECONDS:
+                found.append((task, run))
+        return found
+
+    def _count(
+        self,
+        moment: _Moment,
+        instance: instances.Instance,
+        task: job_module.Task,
+        run: fleet_pb2.CrashedRun,
+        now: float,
+        few: bool,
+    ) -> None:
+        before = task.state.crashes
+        took_ms = round(run.seconds * _MILLISECONDS)
+        if not few and not before.count:
+            # Too many began just now to try each of them apart.
+            took_ms = max(took_ms, round(_JUST_SECONDS * _MILLISECONDS) + 1)
+        crashes = before._replace(
+            count=before.count + 1,
+            longest_ms=max(before.longest_ms, took_ms),
+            run=run.run,
+            proofs=before.proofs + before.apart,
+        )
+        self._board.note_crashes(task, crashes)
+        moment.counted.append(task)
+        task.avoid.add(instance.address)
+        if is_spent(task):
+            # Crashes of the same moment elsewhere would clear it.
+            task.not_before = max(task.not_before, now + _SETTLE_SECONDS)
+
+    def _withdraw(self, moment: _Moment) -> None:
+        """Take back what was counted for a crash of many at once."""
+        for task in moment.counted:
+            crashes = task.state.crashes
+            count = max(crashes.count - 1, 0)
+            proofs = max(crashes.proofs - crashes.apart, 0)
+            longest_ms = crashes.longest_ms if count else 0
+            withdrawn = crashes._replace(
+                count=count, longest_ms=longest_ms, proofs=proofs
+            )
+            self._board.note_crashes(task, withdrawn)
+        moment.counted.clear()
+
+    def _stagger(
+        self,
+        suspects: t.Sequence[tuple[job_module.Task, fleet_pb2.CrashedRun]],
+        now: float,
+    ) -> None:
+        for task, run in suspects:
+            # Heard of again, it would be counted as a crash by itself.
+            crashes = task.state.crashes._replace(run=run.run)
+            self._board.note_crashes(task, crashes)
+            if run.seconds > _JUST_SECONDS:
+                continue
+            begin = max(self._next_start, now)
+            self._next_start = begin + _STAGGER_SECONDS
+            begin = min(begin, now + _LONGEST_STAGGER_SECONDS)
+            task.not_before = max(task.not_before, begin)
+
+    def _find_silent(self, moment: _Moment, now: float) -> set[str]:
+        """Return what may have crashed then and isn't back yet."""
+        return {
+            instance.address
+            for instance in self._list_fleet()
+            if now - instance.answered_at > _SILENT_SECONDS
+            and moment.includes(instance.address, instance.answered_at)
+        }
+
+    def _is_at_once(self, addresses: t.Collection[str]) -> bool:
+        """Tell whether so many crashed that no task can have done it."""
+        fleet = [one for one in self._list_fleet() if one.attached]
+        crashed = [one for one in fleet if one.address in addresses]
+        if len(crashed) < 2:
+            return False
+        least = min(_LEAST_AT_ONCE, len(fleet))
+        if len(crashed) >= max(least, len(fleet) / 2):
+            return True
+        racks = {one.rack for one in crashed if one.rack}
+        return any(_is_whole(rack, fleet, addresses) for rack in racks)
+
+    def _log(
+        self,
+        instance: instances.Instance,
+        crash: fleet_pb2.Crash,
+        task: job_module.Task,
+        run: fleet_pb2.CrashedRun,
+    ) -> None:
+        crashes = task.state.crashes
+        others = [other.task for other in crash.runs if other.task != run.task]
+        metrics.CRASHES_COUNTED.increase(task.job.queue)
+        logs.write_event(
+            'crash-counted',
+            task=run.task,
+            run=run.run,
+            instance=instance.address,
+            boot=crash.boot,
+            seconds=run.seconds,
+            count=crashes.count,
+            apart=crashes.apart,
+            runs=len(crash.runs),
+            others=' '.join(others[:_NAMED]),
+        )
+
+
+def _is_whole(
+    rack: str,
+    fleet: t.Iterable[instances.Instance],
+    addresses: t.Collection[str],
+) -> bool:
+    there = [one.address for one in fleet if one.rack == rack]
+    return len(there) > 1 and all(one in addresses for one in there)
+
+
+def is_spent(task: job_module.Task) -> bool:
+    """Tell whether a task has crashed its agents too often to be tried."""
+    crashes = task.state.crashes
+    quick = crashes.longest_ms <= _QUICK_SECONDS * _MILLISECONDS
+    most = _MOST_QUICK if quick and crashes.proofs else _MOST
+    return crashes.count >= most
+
+
+def give_up_spent(board: board_module.Board, now: float) -> None:
+    """Fail the jobs of tasks that go on crashing what starts them."""
+    for task in list(board.suspects.values()):
+        if task.key not in task.job.waiting or task.not_before > now:
+            continue
+        if not is_spent(task):
+            continue
+        crashes = task.state.crashes
+        reason = f'{task.name} crashed {crashes.count} agents that started it'
+        logs.write_warning(
+            'job-given-up',
+            job=task.job.id,
+            task=task.name,
+            run=task.state.run,
+            crashes=crashes.count,
+            longest_ms=crashes.longest_ms,
+        )
+        board.give_up(task, reason)
+
+
+def needs_apart(task: job_module.Task, now: float) -> bool:
+    """Tell whether a suspect has to be started apart, or wait for it.
+
+    The members of a gang begin together, so none of them can be tried by
+    itself; their job ends with them in any case.
+    """
+    crashes = task.state.crashes
+    if not crashes.count or task.step.gang:
+        return False
+    if crashes.count == 1 and (
+        crashes.longest_ms > _JUST_SECONDS * _MILLISECONDS
+    ):
+        return False
+    task.apart_since = task.apart_since or now
+    return now - task.apart_since <= _PATIENCE_SECONDS
+
+
+def find_watch_seconds(task: job_module.Task) -> float:
+    """Return for how long a suspect has to run to be cleared."""
+    return max(_QUICK_SECONDS, _measure_trial(task))
+
+
+def find_apart_seconds(task: job_module.Task) -> float:
+    """Return for how long nothing else is started beside a suspect."""
+    longest = max(_LEAST_APART_SECONDS, _measure_trial(task))
+    return min(longest, _LONGEST_APART_SECONDS)
+
+
+def _measure_trial(task: job_module.Task) -> float:
+    """Return within how many seconds a suspect's next crash would come."""
+    longest = task.state.crashes.longest_ms / _MILLISECONDS
+    return 2 * longest + _JUST_SECONDS
+
+
+def may_reserve(usable: int, reserved: int) -> bool:
+    """Tell whether one more instance may be left to a suspect alone.
+
+    Parameters
+    ----------
+    usable : int
+        The service's instances that get new work, none of them reserved.
+    reserved : int
+        Those that are reserved.
+    """
+    most = max(1, int(_APART_SHARE * (usable + reserved)))
+    return reserved < most
+
+
+def may_host(instance: instances.Instance, now: float) -> bool:
+    """Tell whether a crash there could only be the suspect's."""
+    return all(
+        now - run.ordered_at >= _YOUNG_SECONDS
+        for run in instance.runs.values()
+    )
+
+
+def note_running(
+    board: board_module.Board,
+    task: job_module.Task,
+    run: instances.Run,
+    now: float,
+) -> None:
+    """Clear a task whose run has outlived the time of its crashes."""
+    if not task.state.crashes.count:
+        return
+    seconds = now - run.seen_at
+    if seconds <= find_watch_seconds(task):
+        return
+    run.suspect = False
+    logs.write_event(
+        'crash-cleared', task=run.task, run=run.number, seconds=seconds
+    )
+    crashes = record.Crashes(run=task.state.crashes.run)
+    board.note_crashes(task, crashes)
--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -61,6 +61,11 @@
         Since when it has been over its latency target; 0 if it is not.
     under_looks : int
         How many looks in a row it has been below it since.
+    suspect : bool
+        Whether crashes are held against its task.
+    apart_seconds : float
+        For how long nothing else is started beside it, if it is one that
+        is kept apart.
     """
 
     task: str
@@ -81,6 +86,8 @@
     slow_since: float = 0.0
     over_since: float = 0.0
     under_looks: int = 0
+    suspect: bool = False
+    apart_seconds: float = 0.0
 
     @property
     def serves(self) -> bool:
@@ -123,10 +130,14 @@
         be started elsewhere only after it.
     silent_seconds : float
         For how long its worker's agent has not answered its sidecar.
+    answered_at : float
+        When that agent last answered, in seconds of the leader's clock.
     known : bool
         Whether its sidecar knows of a worker's agent at all.
     suspect_until : float
         Until when it gets no work after it failed what it ran.
+    apart : Run, optional
+        The last run beside which nothing else was to be started.
     committed : persimmonsail.jobs.specification.Size
         What all runs take, those that are being stopped too.
     processed : int
@@ -151,9 +162,11 @@
     reported: bool = False
     trusted_until: float = 0.0
     silent_seconds: float = 0.0
+    answered_at: float = 0.0
     known: bool = True
     suspect_until: float = 0.0
     runs: dict[RunId, Run] = dataclasses.field(default_factory=dict)
+    apart: Run | None = None
     committed: specification.Size = specification.Size()
     processed: int = 0
     committed_end: int = 0
@@ -201,6 +214,18 @@
         """The runs that take what others leave unused."""
         return [r for r in self.runs.values() if r.step.best_effort_cpu]
 
+    @property
+    def suspects(self) -> int:
+        """How many runs there crashes are held against."""
+        return sum(run.suspect for run in self.runs.values())
+
+    def is_reserved(self, now: float) -> bool:
+        """Tell whether nothing may be started beside a run that is apart."""
+        run = self.apart
+        if run is None or self.runs.get((run.task, run.number)) is not run:
+            return False
+        return now - (run.seen_at or run.ordered_at) < run.apart_seconds
+
     def count_step(self, step_name: str) -> int:
         """Return how many tasks of a step run here."""
         return self._counts[step_name]
--- a/src/persimmonsail/jobs/job.py
+++ b/src/persimmonsail/jobs/job.py
@@ -26,6 +26,9 @@
         Instances where it failed; others are tried first.
     not_before : float
         Seconds of the leader's clock before which it is not placed.
+    apart_since : float
+        Since when it waits for an instance where it is apart from other
+        suspects; 0 if it doesn't.
     """
 
     job: 'Job'
@@ -34,6 +37,7 @@
     state: record.TaskRecord
     avoid: set[str] = dataclasses.field(default_factory=set)
     not_before: float = 0.0
+    apart_since: float = 0.0
 
     @property
     def name(self) -> str:
--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -90,6 +90,7 @@
             self._model,
             self._get_attempts,
             self._approvals,
+            lambda: self._fleet.instances.values(),
         )
         self._fleet = fleet_module.Fleet(
             ledger, lease_seconds, self._reader, self._note_reaction
--- a/src/persimmonsail/jobs/orders.py
+++ b/src/persimmonsail/jobs/orders.py
@@ -100,6 +100,8 @@
                 return
             except exceptions.OrderRefused as error:
                 life.note_answer(clock.read())
+                if not unanswered:
+                    life.note_unsent(key)
                 await self._settle(life, key, error.reason, unanswered)
                 return
             except exceptions.WorkerNotReached as error:
@@ -198,6 +200,7 @@
         life.pending.pop(key, None)
         logs.write_event('stopped-run', task=task, run=run)
         if not life.has_ended(key):
+            life.note_unsent(key)
             self._on_barred(task, run, 'absent')
         self._on_change()
 
--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -14,6 +14,7 @@
 
 import numpy
 
+from persimmonsail.jobs import crashes
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import places as places_module
@@ -75,6 +76,7 @@
         avoid: t.Collection[str] = (),
         least_speed: float = LEAST_SPEED,
         rack: str | None = None,
+        suspect: bool = False,
     ) -> instances.Instance | None:
         """Return the best instance that has room for a task, or nothing.
 
@@ -86,6 +88,9 @@
             At which part of its speed a best-effort task has to work.
         rack : str, optional
             The only rack to look at.
+        suspect : bool, optional
+            Whether crashes are held against the task: beside another such
+            task, one more crash would not tell which of them it was.
         """
         fleet = self._places.fleet
         left = self._fits.copy()
@@ -98,6 +103,9 @@
         if avoid:
             avoided = [instance.address in avoid for instance in fleet]
             left = _keep_least(left, numpy.array(avoided))
+        if suspect:
+            suspects = [instance.suspects for instance in fleet]
+            left = _keep_least(left, numpy.array(suspects))
         if self._step.data_rack:
             rack = self._step.data_rack
             remote = [instance.rack != rack for instance in fleet]
@@ -106,6 +114,21 @@
             left = _keep_least(left, score)
         return fleet[int(left.argmax())]
 
+    def choose_apart(
+        self, avoid: t.Collection[str], now: float
+    ) -> instances.Instance | None:
+        """Return where a suspect is apart, and least is lost with it."""
+        fleet = self._places.fleet
+        hosts = [crashes.may_host(instance, now) for instance in fleet]
+        left = self._fits & numpy.array(hosts, dtype=bool)
+        if not left.any():
+            return None
+        avoided = [instance.address in avoid for instance in fleet]
+        left = _keep_least(left, numpy.array(avoided))
+        left = _keep_least(left, numpy.array([i.suspects for i in fleet]))
+        left = _keep_least(left, numpy.array([len(i.runs) for i in fleet]))
+        return fleet[int(left.argmax())]
+
     def list_racks(self) -> list[str]:
         """Return the racks of the instances that may run the step."""
         allowed = zip(self._places.fleet, self._allowed, strict=True)
@@ -208,6 +231,7 @@
         and instance.known
         and instance.silent_seconds < _SILENT_SECONDS
         and now >= instance.suspect_until
+        and not instance.is_reserved(now)
     )
 
 
--- a/src/persimmonsail/jobs/record.py
+++ b/src/persimmonsail/jobs/record.py
@@ -75,6 +75,30 @@
     return job, TaskKey(*(int(part) for part in parts))
 
 
+class Crashes(t.NamedTuple):
+    """What is held against a task whose worker's agents crashed under it.
+
+    Attributes
+    ----------
+    count : int
+        How many crashes are counted, in a row.
+    longest_ms : int
+        The longest time from a start to the crash, among them.
+    run : int
+        The last run whose crash was looked at.
+    apart : bool
+        Whether the last run was started apart from other suspects.
+    proofs : int
+        How many of the crashes came while it was apart.
+    """
+
+    count: int = 0
+    longest_ms: int = 0
+    run: int = 0
+    apart: bool = False
+    proofs: int = 0
+
+
 @dataclasses.dataclass
 class TaskRecord:
     """A task's state.
@@ -95,6 +119,8 @@
     earlier_done : bool
         Whether a run before the last one has done the work: the last one
         is stopped, and the task is done as soon as it has ended.
+    crashes : Crashes
+        What is held against it.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -104,6 +130,7 @@
     failures: int = 0
     checkpoint: str = ''
     earlier_done: bool = False
+    crashes: Crashes = Crashes()
 
 
 class _Row(t.NamedTuple):
@@ -122,6 +149,10 @@
     phase: JobPhase
     ended_ms: int
     tasks: list[_Row]
+    # By the tasks' keys, of the few that have any. Left out, as the reason
+    # is, by entries of an earlier version.
+    crashes: dict[str, Crashes] = {}
+    reason: str = ''
 
 
 class StoredSubmission(pydantic.BaseModel):
@@ -167,12 +198,15 @@
         How far the job is.
     ended_ms : int
         When it ended, in milliseconds since the epoch; 0 before.
+    reason : str
+        Why it failed; empty for a job that has not.
     tasks : dict of TaskKey to TaskRecord
         Tasks that were never touched are left out.
     """
 
     phase: JobPhase = JobPhase.QUEUED
     ended_ms: int = 0
+    reason: str = ''
     tasks: dict[TaskKey, TaskRecord] = dataclasses.field(default_factory=dict)
 
     def encode(self) -> str:
@@ -196,8 +230,17 @@
             )
             for key, task in tasks.items()
         ]
+        crashes = {
+            str(key): task.crashes
+            for key, task in tasks.items()
+            if task.crashes != Crashes()
+        }
         return _StoredProgress(
-            phase=self.phase, ended_ms=self.ended_ms, tasks=rows
+            phase=self.phase,
+            ended_ms=self.ended_ms,
+            tasks=rows,
+            crashes=crashes,
+            reason=self.reason,
         ).model_dump_json()
 
 
@@ -213,8 +256,9 @@
     tasks = {}
     for name, *state in stored.tasks:
         key = TaskKey(*(int(part) for part in name.split('.')))
-        tasks[key] = TaskRecord(*state)
-    return Progress(stored.phase, stored.ended_ms, tasks)
+        crashes = stored.crashes.get(name, Crashes())
+        tasks[key] = TaskRecord(*state, crashes=crashes)
+    return Progress(stored.phase, stored.ended_ms, stored.reason, tasks)
 
 
 def decode_phase(text: str) -> JobPhase:
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -6,6 +6,7 @@
 from persimmonsail.decisions import quarantine
 from persimmonsail.jobs import advice
 from persimmonsail.jobs import board as board_module
+from persimmonsail.jobs import crashes
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import interference
@@ -67,6 +68,8 @@
         Returns how often a task of a queue may fail.
     approvals : persimmonsail.jobs.advice.Approvals
         Loses the tickets that instances refuse.
+    list_fleet : callable
+        Returns all instances.
     """
 
     def __init__(
@@ -76,12 +79,14 @@
         model: interference.Model,
         get_attempts: t.Callable[[str], int],
         approvals: advice.Approvals,
+        list_fleet: t.Callable[[], t.Iterable[instances.Instance]] = tuple,
     ) -> None:
         self._approvals = approvals
         self._board = board
         self._tracker = tracker
         self._model = model
         self._get_attempts = get_attempts
+        self._crashes = crashes.Tracker(board, list_fleet)
         # How much longer tasks of a queue take than estimated.
         self.slowdowns: dict[str, float] = {}
 
@@ -94,9 +99,14 @@
         """Take one report in and return what follows from it."""
         reaction = Reaction()
         instance.note_report()
+        # Before the runs that they ended are given up: what they count for
+        # a task has to be known before it waits to be placed again.
+        for crash in report.crashes:
+            self._crashes.note(instance, crash, now)
         self._note_over(instance, report, reaction)
         instance.known = bool(report.boot)
         instance.silent_seconds = report.silent_seconds
+        instance.answered_at = now - report.silent_seconds
         if not report.boot:
             return reaction
         self._note_boot(instance, report, reaction)
@@ -303,6 +313,7 @@
         observations.note_progress(run, row, now)
         if not _is_wanted(task, run, instance):
             return run
+        crashes.note_running(self._board, task, run, now)
         if row.checkpoint:
             self._board.note_checkpoint(task, row.checkpoint)
         stopping = run.phase is instances.RunPhase.STOPPING
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -7,6 +7,7 @@
 
 from persimmonsail.jobs import advice
 from persimmonsail.jobs import board as board_module
+from persimmonsail.jobs import crashes
 from persimmonsail.jobs import gangs
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import interference
@@ -102,6 +103,7 @@
     apart : float, optional
         Seconds since the round before began.
     """
+    crashes.give_up_spent(board, now)
     approvals.begin_round()
     places.refresh(fleet, model, now)
     longest = _choose_longest_idle(apart)
@@ -220,6 +222,8 @@
         if self._placing != step:
             self._placer = self._make_placer(task, queue)
             self._placing = step
+        if crashes.needs_apart(task, self._now):
+            return self._place_apart(task, queue)
         least = 0.0 if idle else placement.LEAST_SPEED
         found = self._placer.place(members, least)
         if not found:
@@ -230,6 +234,27 @@
             _commit(self._board, claim, self._places.unused[row])
         return found
 
+    def _place_apart(
+        self, task: job_module.Task, queue: queues.Queue
+    ) -> list[Claim]:
+        """Try a suspect where its next crash tells that it was this one."""
+        usable = self._find_usable(queue.service)
+        fleet = self._places.fleet
+        reserved = sum(
+            one.service == queue.service and one.is_reserved(self._now)
+            for one in fleet
+        )
+        if not crashes.may_reserve(int(usable.sum()), reserved):
+            return []
+        found = self._placer.place_apart(task)
+        for claim in found:
+            row = self._places.find_row(claim.instance)
+            _commit(self._board, claim, self._places.unused[row])
+            # What this round places from now on goes elsewhere.
+            usable[row] = False
+            self._placing = None
+        return found
+
     def _make_placer(
         self, task: job_module.Task, queue: queues.Queue
     ) -> '_Placer':
@@ -299,6 +324,16 @@
                     return claims
         return self._try(tasks, least_speed)
 
+    def place_apart(self, task: job_module.Task) -> list[Claim]:
+        """Find an instance where a suspect is apart from others."""
+        instance = self._candidates.choose_apart(task.avoid, self._now)
+        if instance is None:
+            return []
+        claim = self._add_run(task, 1 + task.state.run, instance)
+        claim.run.apart_seconds = crashes.find_apart_seconds(task)
+        instance.apart = claim.run
+        return [claim]
+
     def _try(
         self,
         tasks: t.Sequence[job_module.Task],
@@ -311,7 +346,10 @@
         saved = [t.state.checkpoint for t in tasks if t.state.checkpoint]
         claims: list[Claim] = []
         for task in tasks:
-            instance = self._candidates.choose(task.avoid, least_speed, rack)
+            suspect = task.state.crashes.count > 0
+            instance = self._candidates.choose(
+                task.avoid, least_speed, rack, suspect
+            )
             if instance is None:
                 self._withdraw(claims)
                 return []
@@ -340,6 +378,7 @@
             order=_NOT_SENT,
             ordered_at=self._now,
             due=self._due,
+            suspect=task.state.crashes.count > 0,
         )
         if task.step.best_effort_cpu:
             run.pace = pace.choose_first_percent(
@@ -357,7 +396,14 @@
 ) -> None:
     run = claim.run
     instance = claim.instance
-    board.place(claim.task, instance.address, instance.boot, run.number)
+    claim.task.apart_since = 0.0
+    board.place(
+        claim.task,
+        instance.address,
+        instance.boot,
+        run.number,
+        apart=run.apart_seconds > 0,
+    )
     logs.write_event(
         'placed',
         task=run.task,
@@ -371,4 +417,6 @@
         resumes=bool(claim.task.state.checkpoint),
         gang=claim.task.step.gang,
         advised=bool(claim.ticket),
+        crashes=claim.task.state.crashes.count,
+        apart=run.apart_seconds > 0,
     )
--- a/src/persimmonsail/metrics.py
+++ b/src/persimmonsail/metrics.py
@@ -240,6 +240,11 @@
     ('method',),
 )
 
+CRASHES_COUNTED = Counter(
+    'persimmonsail_crashes_counted_total',
+    "Crashes of workers' agents counted for a task.",
+    ('queue',),
+)
 LOOP_LAG_SECONDS = Duration(
     'persimmonsail_loop_lag_seconds',
     'How much later than asked for the event loop ran a timer.',
@@ -264,6 +269,7 @@
     LEDGER_COMMITS,
     LEDGER_RECORDS,
     LINKS_LOST,
+    CRASHES_COUNTED,
     LOOP_LAG_SECONDS,
     Gauge(
         'process_cpu_seconds_total',
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -283,6 +283,9 @@
         if not self._ended and body.get('waitMs'):
             with anyio.move_on_after(body['waitMs'] / 1000):
                 await self._changed.wait()
+        if request.headers['Expected-Instance'] != self.boot:
+            # The agent has crashed meanwhile.
+            await anyio.sleep_forever()
         running = [[r.task, r.number, '', 0, 0] for r in self._runs.values()]
         return _answer({'running': running, 'finished': self._ended})
 
