--- a/tests/platform/test_crashing_tasks.py
+++ b/tests/platform/test_crashing_tasks.py
@@ -120,6 +120,20 @@
             for id in IDS[:6]:
                 await running.wait_state('entry-1', id, 'complete', 40.0)
 
+    async def test_a_dead_agent_clears_no_task(self):
+        """An agent that crashed is back after seconds, as most are.
+
+        Its sidecar goes on to report what ran at its last look, so that the
+        task looked as if it had outlived the time of its crashes: it was
+        cleared each time, and its job never given up.
+        """
+        async with self.deploy() as running:
+            await self.start(running)
+            for runner in running.runners.values():
+                await running.set_faults(runner, down_seconds=3.0)
+            await self.submit(running, BAD, 1, payload='crash=0.0.0 300')
+            await self.wait_given_up(running, BAD, '0.0.0')
+
     async def test_a_gang_with_a_bad_member_is_given_up(self):
         async with self.deploy() as running:
             await self.start(running)
