--- a/src/persimmonsail/jobs/crashes.py
+++ b/src/persimmonsail/jobs/crashes.py
@@ -361,12 +361,17 @@
     board: board_module.Board,
     task: job_module.Task,
     run: instances.Run,
-    now: float,
+    answered_at: float,
 ) -> None:
-    """Clear a task whose run has outlived the time of its crashes."""
+    """Clear a task whose run has outlived the time of its crashes.
+
+    A sidecar reports what ran at its last look for as long as its worker's
+    agent doesn't answer; a crashed one would clear the task that it died of.
+    So only the time until that answer counts.
+    """
     if not task.state.crashes.count:
         return
-    seconds = now - run.seen_at
+    seconds = answered_at - run.seen_at
     if seconds <= find_watch_seconds(task):
         return
     run.suspect = False
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -313,7 +313,8 @@
         observations.note_progress(run, row, now)
         if not _is_wanted(task, run, instance):
             return run
-        crashes.note_running(self._board, task, run, now)
+        answered_at = instance.answered_at
+        crashes.note_running(self._board, task, run, answered_at)
         if row.checkpoint:
             self._board.note_checkpoint(task, row.checkpoint)
         stopping = run.phase is instances.RunPhase.STOPPING
