--- a/src/persimmonsail/jobs/crashes.py
+++ b/src/persimmonsail/jobs/crashes.py
@@ -8,8 +8,9 @@
 A crash is counted for a run that began shortly before it. A suspect is
 started again apart from other suspects, one whose crash came at once where
 least is lost and with nothing else beginning beside it: if the agent
-crashes again, that tells who it was. Three crashes that came at once, one
-of them apart, end a task's job; crashes that are slower to come tell
+crashes again, that tells who it was; so it does if no other there had as
+many crashes before. Three crashes that came at once, one of them telling,
+end a task's job; crashes that are slower to come tell
 less, since an agent may well crash by itself in the same time, and five of
 them do. A run that outlives the time in which its crashes came clears its
 task. Where many instances crash at once, no task has done it.
@@ -55,6 +56,8 @@
 # Crashes of one moment are heard of within this time.
 _SETTLE_SECONDS = 1.2
 _KEPT_SECONDS = 10.0
+# A task that had just begun waits for so long for what else crashed then.
+_HOLD_SECONDS = 0.3
 # After a crash of many at once, tasks that had just begun begin this far
 # apart, and none of them later than the second figure: should some of them
 # be to blame, their next crashes are told apart.
@@ -72,6 +75,9 @@
 
     at: float
     addresses: set[str] = dataclasses.field(default_factory=set)
+    # Of these, the instances where a suspect had just been started again:
+    # no common cause is needed for them.
+    explained: set[str] = dataclasses.field(default_factory=set)
     counted: list[job_module.Task] = dataclasses.field(default_factory=list)
 
     def includes(self, address: str, at: float) -> bool:
@@ -111,11 +117,19 @@
         at = now - crash.ago_seconds
         moment = self._find_moment(instance.address, at, now)
         moment.addresses.add(instance.address)
-        crashed = moment.addresses | self._find_silent(moment, now)
         suspects = self._list_suspects(crash)
+        if any(_is_tried(task, run) for task, run in suspects):
+            moment.explained.add(instance.address)
+        crashed = moment.addresses - moment.explained
+        crashed |= self._find_silent(moment, now)
         if self._is_at_once(crashed):
-            self._withdraw(moment)
-            self._stagger(suspects, now)
+            self._withdraw(moment, now)
+            for task, run in suspects:
+                # Heard of again, it would be counted as a crash by itself.
+                crashes = task.state.crashes._replace(run=run.run)
+                self._board.note_crashes(task, crashes)
+                if run.seconds <= _JUST_SECONDS:
+                    self._stagger(task, now)
             logs.write_warning(
                 'crash-at-once',
                 instance=instance.address,
@@ -125,8 +139,10 @@
             )
             return
         few = sum(run.seconds <= _JUST_SECONDS for _, run in suspects) <= _FEW
+        lone = _find_lone(suspects)
         for task, run in suspects:
-            self._count(moment, instance, task, run, now, few)
+            proved = task is lone or task.state.crashes.apart
+            self._count(moment, instance, task, run, now, few, proved)
             self._log(instance, crash, task, run)
 
     def _find_moment(self, address: str, at: float, now: float) -> _Moment:
@@ -171,6 +187,7 @@
         run: fleet_pb2.CrashedRun,
         now: float,
         few: bool,
+        proved: bool,
     ) -> None:
         before = task.state.crashes
         took_ms = round(run.seconds * _MILLISECONDS)
@@ -181,43 +198,39 @@
             count=before.count + 1,
             longest_ms=max(before.longest_ms, took_ms),
             run=run.run,
-            proofs=before.proofs + before.apart,
+            proofs=before.proofs + proved,
         )
         self._board.note_crashes(task, crashes)
         moment.counted.append(task)
         task.avoid.add(instance.address)
+        # Crashes of the same moment elsewhere may clear it.
+        wait = 0.0
         if is_spent(task):
-            # Crashes of the same moment elsewhere would clear it.
-            task.not_before = max(task.not_before, now + _SETTLE_SECONDS)
+            wait = _SETTLE_SECONDS
+        elif run.seconds <= _JUST_SECONDS:
+            wait = _HOLD_SECONDS
+        task.not_before = max(task.not_before, now + wait)
 
-    def _withdraw(self, moment: _Moment) -> None:
+    def _withdraw(self, moment: _Moment, now: float) -> None:
         """Take back what was counted for a crash of many at once."""
         for task in moment.counted:
             crashes = task.state.crashes
             count = max(crashes.count - 1, 0)
-            proofs = max(crashes.proofs - crashes.apart, 0)
+            proofs = max(crashes.proofs - 1, 0)
             longest_ms = crashes.longest_ms if count else 0
             withdrawn = crashes._replace(
                 count=count, longest_ms=longest_ms, proofs=proofs
             )
             self._board.note_crashes(task, withdrawn)
+            if task.not_before > now:
+                self._stagger(task, now)
         moment.counted.clear()
 
-    def _stagger(
-        self,
-        suspects: t.Sequence[tuple[job_module.Task, fleet_pb2.CrashedRun]],
-        now: float,
-    ) -> None:
-        for task, run in suspects:
-            # Heard of again, it would be counted as a crash by itself.
-            crashes = task.state.crashes._replace(run=run.run)
-            self._board.note_crashes(task, crashes)
-            if run.seconds > _JUST_SECONDS:
-                continue
-            begin = max(self._next_start, now)
-            self._next_start = begin + _STAGGER_SECONDS
-            begin = min(begin, now + _LONGEST_STAGGER_SECONDS)
-            task.not_before = max(task.not_before, begin)
+    def _stagger(self, task: job_module.Task, now: float) -> None:
+        """Have a task that had just begun begin again in its turn."""
+        begin = max(self._next_start, now)
+        self._next_start = begin + _STAGGER_SECONDS
+        task.not_before = min(begin, now + _LONGEST_STAGGER_SECONDS)
 
     def _find_silent(self, moment: _Moment, now: float) -> set[str]:
         """Return what may have crashed then and isn't back yet."""
@@ -226,6 +239,7 @@
             for instance in self._list_fleet()
             if now - instance.answered_at > _SILENT_SECONDS
             and moment.includes(instance.address, instance.answered_at)
+            and not _tries_suspect(instance)
         }
 
     def _is_at_once(self, addresses: t.Collection[str]) -> bool:
@@ -264,6 +278,28 @@
         )
 
 
+def _find_lone(
+    suspects: t.Sequence[tuple[job_module.Task, fleet_pb2.CrashedRun]],
+) -> job_module.Task | None:
+    """Return the one task that was there at more crashes than all others."""
+    most = max((task.state.crashes.count for task, _ in suspects), default=0)
+    lone = [task for task, _ in suspects if task.state.crashes.count == most]
+    return lone[0] if most and len(lone) == 1 else None
+
+
+def _is_tried(task: job_module.Task, run: fleet_pb2.CrashedRun) -> bool:
+    """Tell whether a run was a suspect that had just been started again."""
+    return task.state.crashes.count > 0 and run.seconds <= _JUST_SECONDS
+
+
+def _tries_suspect(instance: instances.Instance) -> bool:
+    """Tell whether a suspect had just been started when it fell silent."""
+    return any(
+        run.suspect and instance.answered_at - run.ordered_at <= _JUST_SECONDS
+        for run in instance.runs.values()
+    )
+
+
 def _is_whole(
     rack: str,
     fleet: t.Iterable[instances.Instance],
--- a/src/persimmonsail/jobs/record.py
+++ b/src/persimmonsail/jobs/record.py
@@ -89,7 +89,8 @@
     apart : bool
         Whether the last run was started apart from other suspects.
     proofs : int
-        How many of the crashes came while it was apart.
+        How many of the crashes can hardly be another task's: it was apart,
+        or no other that was there had as many before.
     """
 
     count: int = 0
