--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -334,7 +334,8 @@
             self._approvals.drop_ticket(task.step_name, instance.boot)
         end = board_module.End.NOT_STARTED
         used = self._end(task, barred.run, end, '')
-        task.not_before = now + _REFUSED_PAUSE_SECONDS
+        pause_end = now + _REFUSED_PAUSE_SECONDS
+        task.not_before = max(task.not_before, pause_end)
         logs.write_event(
             'run-barred',
             task=barred.task,
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -50,6 +50,8 @@
         How long after its start a task that ends the agent does so.
     down_seconds : float
         How long the agent is gone then.
+    millicores : int
+        What it says that it has; it starts whatever it is told to.
     """
 
     late_starts: int = 0
@@ -59,6 +61,7 @@
     needs_ticket: bool = False
     crash_seconds: float = 0.02
     down_seconds: float = 0.2
+    millicores: int = 8000
 
 
 @dataclasses.dataclass
@@ -190,7 +193,11 @@
                     'state': 'draining' if self._leaving else 'ready',
                     'remainingMs': 500,
                     'seq': self._sequence,
-                    'capacity': {'cpu': 8000, 'memMb': 16000, 'gpu': 0},
+                    'capacity': {
+                        'cpu': self.faults.millicores,
+                        'memMb': 16000,
+                        'gpu': 0,
+                    },
                     'labels': ['a', 'r1-1'],
                     'clockMs': _read_clock(),
                 }
--- a/tests/jobs/test_capacities.py
+++ b/tests/jobs/test_capacities.py
@@ -92,3 +92,18 @@
         await self.store.put(record.CAPACITIES, '{"planner": 3}')
         await capacities_module.load(self.store, self.capacities)
         self.check(specification.Size(900_000, 1))
+
+    def test_rooms_that_swing_are_kept_by_the_largest(self):
+        """Jobs that fit nowhere are accepted, and never begin.
+
+        The capacity of an instance shrank and grew with each heartbeat; as
+        many different sizes as are kept were known soon, and from then on
+        no job was refused for its size.
+        """
+        self.note(WIDE)
+        for millicores in range(60000, 63900, 10):
+            self.note(specification.Size(millicores, 1000))
+        self.note(HIGH)
+        both = specification.Size(64000, 256000)
+        self.assertRaises(exceptions.JobInvalid, self.check, both)
+        self.check(WIDE, HIGH)
--- a/tests/jobs/test_life.py
+++ b/tests/jobs/test_life.py
@@ -114,3 +114,15 @@
         self.look(2000, KEY)
         (run,) = self.life.describe_crash(11.0).runs
         self.assertEqual(math.inf, run.seconds)
+
+    def test_what_is_being_stopped_takes_its_room_until_it_has_ended(self):
+        """A start beside a run that is being stopped overfills the agent."""
+        self.life.sizes[KEY] = specification.Size(3000, 100)
+        self.look(2000, KEY)
+        self.life.pending[KEY] = specification.Size(3000, 100)
+        self.assertEqual(1000, self.life.measure_free().millicores)
+        self.look(2100, KEY)
+        self.assertEqual(1000, self.life.measure_free().millicores)
+        self.look(2200, ended=[worker.EndedRow(1, *KEY, 'stopped')])
+        del self.life.pending[KEY]
+        self.assertEqual(4000, self.life.measure_free().millicores)
--- /dev/null
+++ b/tests/jobs/test_orders.py
@@ -0,0 +1,86 @@
+import dataclasses
+
+from persimmonsail import exceptions
+from persimmonsail.jobs import clock
+from persimmonsail.jobs import fleet_pb2
+from persimmonsail.jobs import life as life_module
+from persimmonsail.jobs import orders
+from persimmonsail.jobs import specification
+from persimmonsail.jobs import worker
+from tests import base
+
+BOOT = worker.Heartbeat(
+    boot='boot-1',
+    sequence=1,
+    service='planner',
+    capacity=specification.Size(4000, 1000),
+)
+KEY = ('00000000000000aa.0.0.0', 1)
+LEASE_SECONDS = 60.0
+
+
+class SlowWorker:
+    """A worker's agent that leaves the first start unanswered."""
+
+    def __init__(self, on_lost):
+        self.on_lost = on_lost
+        self.told = []
+
+    async def start(self, boot, epoch, order):
+        self.told.append('start')
+        if len(self.told) == 1:
+            self.on_lost()
+            raise exceptions.WorkerUnavailable('no answer')
+        return round(clock.read() * 1000)
+
+    async def stop(self, boot, epoch, task, run):
+        self.told.append('stop')
+
+    async def look(self, boot, epoch, acknowledged, until_ms=None, wait=0.0):
+        return worker.Look(round(clock.read() * 1000), (), ())
+
+
+class OrdersTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.life = life_module.Life(BOOT, clock.read())
+        self.life.note_clock(1000, clock.read())
+        self.life.sizes[KEY] = specification.Size(3000, 100)
+        self.life.pending[KEY] = self.life.sizes[KEY]
+        self.barred = []
+
+    async def order(self, on_lost):
+        """Order a start whose first call gets no answer."""
+        authority = orders.Authority(1, clock.read() + LEASE_SECONDS)
+        own = SlowWorker(on_lost)
+        ours = orders.Orders(
+            own,
+            authority,
+            on_over=lambda boot: None,
+            on_barred=lambda *row: self.barred.append(row),
+            on_change=lambda: None,
+            on_lease=lambda: None,
+        )
+        start = fleet_pb2.Start(task=KEY[0], run=KEY[1])
+        await ours.start(self.life, start)
+        return own.told
+
+    def shrink(self):
+        self.life.heartbeat = dataclasses.replace(
+            BOOT, sequence=2, capacity=specification.Size(2000, 1000)
+        )
+
+    async def test_a_start_without_an_answer_is_sent_again(self):
+        told = await self.order(lambda: None)
+        self.assertEqual(['start', 'start'], told)
+
+    async def test_it_is_not_sent_again_into_a_room_that_has_shrunk(self):
+        """An instance is brought over its capacity by an order repeated.
+
+        It had room when the order came, and none when the order, which had
+        got no answer, was sent once more. Only a stop makes certain that
+        the first one does no harm either.
+        """
+        told = await self.order(self.shrink)
+        self.assertEqual(['start', 'stop'], told)
+        self.assertEqual([(*KEY, 'absent')], self.barred)
