--- a/src/persimmonsail/jobs/life.py
+++ b/src/persimmonsail/jobs/life.py
@@ -237,6 +237,10 @@
         """Tell whether an end of a run waits to be acknowledged."""
         return any((r.task, r.run) == key for r in self.ended.values())
 
+    def has_room(self) -> bool:
+        """Tell whether all runs and open orders fit the capacity."""
+        return specification.Size().fits(self.measure_free())
+
     def measure_free(self) -> specification.Size:
         """Return the capacity that no run and no open order takes."""
         free = self.heartbeat.capacity
--- a/src/persimmonsail/jobs/orders.py
+++ b/src/persimmonsail/jobs/orders.py
@@ -82,6 +82,11 @@
                 # Without the leader's word no lease can be granted.
                 await self._settle(life, key, 'no-authority', unanswered)
                 return
+            if unanswered and not life.has_room():
+                # The room has shrunk since the order came, and an agent
+                # starts whatever it is told to.
+                await self._settle(life, key, 'room', unanswered)
+                return
             life.granted_until = max(life.granted_until, self._authority.until)
             order = worker_module.StartOrder(
                 start.task,
--- a/tests/jobs/test_life.py
+++ b/tests/jobs/test_life.py
@@ -1,3 +1,4 @@
+import dataclasses
 import math
 
 from persimmonsail.jobs import life
@@ -126,3 +127,12 @@
         self.look(2200, ended=[worker.EndedRow(1, *KEY, 'stopped')])
         del self.life.pending[KEY]
         self.assertEqual(4000, self.life.measure_free().millicores)
+
+    def test_a_room_that_shrank_has_none_left(self):
+        self.life.sizes[KEY] = specification.Size(3000, 100)
+        self.life.pending[KEY] = specification.Size()
+        self.assertTrue(self.life.has_room())
+        self.life.heartbeat = dataclasses.replace(
+            BOOT, sequence=2, capacity=specification.Size(2000, 1000)
+        )
+        self.assertFalse(self.life.has_room())
