--- a/src/persimmonsail/jobs/fleet.py
+++ b/src/persimmonsail/jobs/fleet.py
@@ -5,6 +5,7 @@
 import anyio.abc
 
 from persimmonsail.jobs import clock
+from persimmonsail.jobs import crashes
 from persimmonsail.jobs import eviction
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
@@ -86,18 +87,20 @@
         now = clock.read()
         instance = self.get(task.state.instance)
         instance.trusted_until = now + KNOWLEDGE_SECONDS + self._lease_bound
-        instance.add_run(
-            instances.Run(
-                task=task.name,
-                number=task.state.run,
-                boot=task.state.boot,
-                step=task.step,
-                queue=task.job.queue,
-                ordered_at=now,
-                # Unknown; the first order says what it is to be.
-                pace=0,
-            )
+        run = instances.Run(
+            task=task.name,
+            number=task.state.run,
+            boot=task.state.boot,
+            step=task.step,
+            queue=task.job.queue,
+            ordered_at=now,
+            # Unknown; the first order says what it is to be.
+            pace=0,
+            suspect=task.state.crashes.count > 0,
         )
+        instance.add_run(run)
+        if task.state.crashes.apart:
+            crashes.keep_apart(task, run, instance)
 
     def stop_task(self, task: job_module.Task) -> None:
         """Stop the run of a task that has a place."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 REGRESSIONS = ()
 FAULTS = {
     'change_configuration',
+    'crash_many',
     'crash_worker',
     'cut',
     'cut_one_way',
@@ -21,6 +22,7 @@
     'pause',
     'refuse_calls',
     'reload',
+    'shrink_room',
     'silence',
     'start_late',
     'stop',
--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -12,6 +12,7 @@
 
 _PAUSE_SECONDS = 0.25
 _CALL_SECONDS = 4.0
+_CRASHING_SHARE = 0.06
 _FINAL = ('complete', 'failed', 'canceled')
 
 
@@ -25,6 +26,8 @@
         The caller's name for it.
     lasts : bool
         Whether its tasks run until it is cancelled.
+    crashes : bool
+        Whether its first task ends each worker's agent that starts it.
     accepted, unknown, cancelled : bool
         What the caller was told: that it is kept, that it may be, and
         that its cancel is kept.
@@ -36,6 +39,7 @@
 
     id: str
     lasts: bool
+    crashes: bool = False
     accepted: bool = False
     unknown: bool = False
     cancelled: bool = False
@@ -78,7 +82,8 @@
             while self.open:
                 number += 1
                 lasts = self._random.random() < 0.15
-                call = Call(f'{number:016x}', lasts)
+                crashes = self._random.random() < _CRASHING_SHARE
+                call = Call(f'{number:016x}', lasts, crashes)
                 self.calls.append(call)
                 group.start_soon(self._follow, call)
                 await anyio.sleep(self._random.uniform(0.05, 0.5))
@@ -88,7 +93,9 @@
             return
         while not call.ended:
             await anyio.sleep(_PAUSE_SECONDS)
-            if call.lasts and not call.cancelled and call.states:
+            # One that crashes its agents ends without being cancelled.
+            lasts = call.lasts and not call.crashes
+            if lasts and not call.cancelled and call.states:
                 await self._cancel(call)
             await self._ask(call)
 
@@ -108,13 +115,16 @@
         return call.unknown
 
     def _make_body(self, call: Call) -> dict:
+        crashing = 'crash=0.0.0 ' if call.crashes else ''
         if call.lasts:
             return platform_deployment.make_body(
-                2, payload='lasts', longRunning=True
+                2, payload=f'{crashing}lasts', longRunning=True
             )
         counts = [self._random.randrange(1, 4) for _ in range(2)]
         payload = str(self._random.randrange(30, 900))
-        return platform_deployment.make_body(*counts, payload=payload)
+        return platform_deployment.make_body(
+            *counts, payload=crashing + payload
+        )
 
     async def _cancel(self, call: Call) -> None:
         call.cancelled |= await self._send('DELETE', call) == 200
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -18,6 +18,8 @@
 # Late answers of a worker's agent.
 _LATE = (0.5, 3.0)
 _RESTART_SECONDS = 0.3
+# Room for none, two, four and more tasks at once.
+_ROOMS = (400, 1000, 2000, 6000)
 # Of the losses of history, how many take the leased keys too.
 _REVOKED_SHARE = 0.5
 
@@ -207,6 +209,27 @@
     await site.set_faults(site.runners[name], restart=True)
 
 
+@register('instance')
+async def crash_many(
+    site: site_module.Site, drawn: random.Random, name: str
+) -> None:
+    """Let all workers' agents crash at one moment."""
+    for runner in site.runners.values():
+        await site.set_faults(runner, restart=True)
+
+
+@register('instance')
+async def shrink_room(
+    site: site_module.Site, drawn: random.Random, name: str
+) -> None:
+    """Let the capacity of an instance swing, and come back."""
+    for _ in range(drawn.randrange(1, 4)):
+        millicores = drawn.choice(_ROOMS)
+        await site.set_faults(site.runners[name], millicores=millicores)
+        await _sleep(drawn, _SHORT)
+    await site.set_faults(site.runners[name])
+
+
 @register('instance')
 async def start_late(
     site: site_module.Site, drawn: random.Random, name: str
--- a/tools/soaking/trial.py
+++ b/tools/soaking/trial.py
@@ -1,16 +1,23 @@
 """One seed of a soak: a site, its callers, faults, and the promises."""
 
 import dataclasses
+import math
 import pathlib
 import random
+import time
+import typing as t
 
 import anyio
 
+from persimmonsail.auditing import evidence
 from standins import platform_deployment
 from tools.soaking import callers as callers_module
 from tools.soaking import faults
 from tools.soaking import site as site_module
 
+# A task that crashes its agents may need three starts more once nothing else
+# fails, and two may be on their way.
+_MOST_STARTS = 5
 # After the last fault everything has to end: a successor waits 8 s for
 # what a leader without the store may have allowed, and a lease.
 _END_SECONDS = 60.0
@@ -62,6 +69,7 @@
         )
         self._report = Report(plan.seed)
         self._story: list[str] = []
+        self._healed_at = math.inf
 
     async def run(self) -> Report:
         """Play the trial and check its promises."""
@@ -94,6 +102,7 @@
                 busy.add(target)
                 group.start_soon(self._bring_about, fault, target, busy)
         await faults.heal(self._site)
+        self._healed_at = time.time()
 
     async def _bring_about(
         self, fault: faults.Fault, target: str, busy: set[str]
@@ -123,6 +132,41 @@
             report.broken += [f'{call.id}: {text}' for text in call.broken]
             if not call.settled:
                 report.broken.append(f'{call.id}: no end, {call.states}')
+            report.broken += self._check_crashing(call, starts)
             refused = not call.accepted and not call.unknown
             if refused and call.id in started:
                 report.broken.append(f'{call.id}: refused, and ran')
+        crashing = {call.id for call in self._callers.calls if call.crashes}
+        for id in self._list_given_up() - crashing:
+            report.broken.append(f'{id}: given up, and crashed nothing')
+
+    def _check_crashing(
+        self, call: callers_module.Call, starts: list[dict[str, t.Any]]
+    ) -> list[str]:
+        """Tell what should not have become of a job that crashes agents."""
+        if not call.crashes:
+            return []
+        name = f'{call.id}.0.0.0'
+        found = []
+        late = [
+            start
+            for start in starts
+            if start['task'] == name and start['began'] > self._healed_at
+        ]
+        if len(late) > _MOST_STARTS:
+            found.append(
+                f'{name}: started {len(late)} times when all was well'
+            )
+        if call.states[-1:] == ['complete']:
+            found.append(f'{call.id}: complete, and its task never ended')
+        return found
+
+    def _list_given_up(self) -> set[str]:
+        """Return the jobs that a leader gave up for their crashes."""
+        given_up = set()
+        for path in self._site.running.log_files:
+            for line in path.read_text(errors='replace').splitlines():
+                event = evidence.read_event(line, str(path), 0)
+                if event is not None and event.name == 'job-given-up':
+                    given_up.add(event.get('job'))
+        return given_up
