--- a/src/persimmonsail/auditing/explanation.py
+++ b/src/persimmonsail/auditing/explanation.py
@@ -176,6 +176,20 @@
     )
 
 
+@register
+def _find_crashes(case: Case) -> t.Iterator[Cause]:
+    """Tell that a task crashed the agents that started it."""
+    for event in case.select('job-given-up'):
+        task = event.get('task')
+        crashes = case.select('crash-counted', task=task)
+        places = {other.get('instance') for other in crashes}
+        yield Cause(
+            f'failed: {task} crashed {event.get("crashes")} agents that '
+            f'started it, on {len(places)} instances: the job is to blame',
+            event,
+        )
+
+
 @register
 def _find_absent_leader(case: Case) -> t.Iterator[Cause]:
     """Find a time without a leader that saw it."""
--- a/src/persimmonsail/jobs/counts.py
+++ b/src/persimmonsail/jobs/counts.py
@@ -117,7 +117,7 @@
 
 def _has_begun(progress: store_module.Item) -> bool:
     try:
-        phase = record.decode_phase(progress.value)
+        phase = record.decode_state(progress.value).phase
     except ValueError as error:
         logs.write_error('job-unreadable', key=progress.key, error=error)
         return True
--- a/src/persimmonsail/jobs/gateway.py
+++ b/src/persimmonsail/jobs/gateway.py
@@ -117,12 +117,14 @@
         until = _read_until(request)
         queue = self._find_queue(request)
         id = _read_id(request)
-        found = await self._intake.find_phase(id, until)
+        found = await self._intake.find_state(id, until)
+        if isinstance(found, record.JobState):
+            _log('find', request, id, found.phase.value)
+            body = {'job': id, 'queue': queue.name, 'phase': found.phase.value}
+            if found.reason:
+                body['reason'] = found.reason
+            return responses.JSONResponse(body)
         _log('find', request, id, found.value)
-        if isinstance(found, record.JobPhase):
-            return responses.JSONResponse(
-                {'job': id, 'queue': queue.name, 'phase': found.value}
-            )
         if found is intake_module.Outcome.ABSENT:
             raise _describe_absent(id)
         raise problems.Problem(
--- a/src/persimmonsail/jobs/intake.py
+++ b/src/persimmonsail/jobs/intake.py
@@ -276,10 +276,10 @@
             own.note_cancel(id)
         return Outcome.ACCEPTED
 
-    async def find_phase(
+    async def find_state(
         self, id: str, until: float
-    ) -> record.JobPhase | Outcome:
-        """Return a job's committed phase.
+    ) -> record.JobState | Outcome:
+        """Return a job's committed state.
 
         ``ABSENT`` is only returned when the store itself has no such job;
         ``UNKNOWN`` when neither store nor leader could be asked in time.
@@ -296,7 +296,7 @@
             return Outcome.UNKNOWN if found is None else found
         # A caller without time of its own gets one try.
         until = max(until, clock.read() + _ASK_AGAIN_SECONDS)
-        answers: list[record.JobPhase | Outcome] = []
+        answers: list[record.JobState | Outcome] = []
         async with anyio.create_task_group() as group:
 
             async def try_once() -> None:
@@ -312,10 +312,10 @@
             group.cancel_scope.cancel()
         return answers[0] if answers else Outcome.UNKNOWN
 
-    async def _try_find(self, id: str) -> record.JobPhase | Outcome | None:
+    async def _try_find(self, id: str) -> record.JobState | Outcome | None:
         """Ask the store once, then the leader; return nothing for none."""
         try:
-            return await self._read_phase(id)
+            return await self._read_state(id)
         except exceptions.StoreUnavailable as error:
             logs.write_event(
                 'find-unanswered',
@@ -325,33 +325,34 @@
             )
         return await self._ask_leader(id)
 
-    async def _read_phase(self, id: str) -> record.JobPhase | Outcome:
+    async def _read_state(self, id: str) -> record.JobState | Outcome:
         own = self._get_own()
         if own is not None and own.loaded and id in own.board.jobs:
-            phase = own.board.jobs[id].committed_phase
-            if phase.is_final:
-                return phase
+            state = own.board.jobs[id].committed_state
+            if state.phase.is_final:
+                return state
         item = await self._store.get(record.PROGRESS + id)
         if item is not None:
             try:
-                return record.decode_phase(item.value)
+                return record.decode_state(item.value)
             except pydantic.ValidationError as error:
                 raise exceptions.StoreUnavailable(
                     f'{item.key}: not readable'
                 ) from error
         if await self._store.get(record.JOBS + id) is not None:
-            return record.JobPhase.QUEUED
+            return record.JobState(record.JobPhase.QUEUED)
         return Outcome.ABSENT
 
-    async def _ask_leader(self, id: str) -> record.JobPhase | None:
+    async def _ask_leader(self, id: str) -> record.JobState | None:
         own = self._get_own()
         if own is not None:
             job = own.board.jobs.get(id)
-            return job.committed_phase if job else None
+            return job.committed_state if job else None
         reply = await self._call_leader('FindJob', fleet_pb2.JobQuery(job=id))
         if reply is None or not reply.known:
             return None
-        return record.JobPhase(reply.phase)
+        phase = record.JobPhase(reply.phase)
+        return record.JobState(phase, reply.reason)
 
     async def _call_leader(self, method: str, query: t.Any) -> t.Any:
         """Ask the leader's entry; return nothing if it is not heard."""
--- a/src/persimmonsail/jobs/job.py
+++ b/src/persimmonsail/jobs/job.py
@@ -106,6 +106,13 @@
         """How far the job is; may not be committed yet."""
         return self.progress.phase
 
+    @property
+    def committed_state(self) -> record.JobState:
+        """What the store has, and callers may be told."""
+        failed = self.committed_phase is record.JobPhase.FAILED
+        reason = self.progress.reason if failed else ''
+        return record.JobState(self.committed_phase, reason)
+
     @functools.cached_property
     def tails_ms(self) -> tuple[int, ...]:
         """For each step, the estimated time from its start to the end."""
--- a/src/persimmonsail/jobs/leaderservice.py
+++ b/src/persimmonsail/jobs/leaderservice.py
@@ -50,7 +50,9 @@
             job = own.board.jobs.get(query.job)
             if job is not None:
                 reply.known = True
-                reply.phase = job.committed_phase.value
+                state = job.committed_state
+                reply.phase = state.phase.value
+                reply.reason = state.reason
         await stream.send_message(reply)
 
     async def CountPending(self, stream: t.Any) -> None:
--- a/src/persimmonsail/jobs/record.py
+++ b/src/persimmonsail/jobs/record.py
@@ -41,6 +41,22 @@
         return self not in (JobPhase.QUEUED, JobPhase.ACTIVE)
 
 
+@dataclasses.dataclass(frozen=True)
+class JobState:
+    """What a caller is told of a job.
+
+    Attributes
+    ----------
+    phase : JobPhase
+        How far it is.
+    reason : str
+        Why it has failed; empty for a job that has not.
+    """
+
+    phase: JobPhase
+    reason: str = ''
+
+
 class TaskPhase(enum.StrEnum):
     """How far a task is."""
 
@@ -262,6 +278,7 @@
     return Progress(stored.phase, stored.ended_ms, stored.reason, tasks)
 
 
-def decode_phase(text: str) -> JobPhase:
-    """Return only the phase of a stored progress."""
-    return _StoredProgress.model_validate_json(text).phase
+def decode_state(text: str) -> JobState:
+    """Return only what callers are told of a stored progress."""
+    stored = _StoredProgress.model_validate_json(text)
+    return JobState(stored.phase, stored.reason)
--- a/src/persimmonsail/platform/front.py
+++ b/src/persimmonsail/platform/front.py
@@ -105,10 +105,10 @@
     async def _find(
         self, request: '_Request', queue: queues.Queue, id: str
     ) -> None:
-        found = await self._intake.find_phase(id, request.until)
-        if isinstance(found, record.JobPhase):
-            request.log('find', queue, id, found.value)
-            await request.answer({'state': _STATES[found]})
+        found = await self._intake.find_state(id, request.until)
+        if isinstance(found, record.JobState):
+            request.log('find', queue, id, found.phase.value)
+            await request.answer({'state': _STATES[found.phase]})
         elif found is intake_module.Outcome.ABSENT:
             request.log('find', queue, id, 'absent')
             await request.refuse(410, 'no such job')
--- a/tests/auditing/test_explanation.py
+++ b/tests/auditing/test_explanation.py
@@ -76,6 +76,24 @@
         ((text, _),) = self.explain(*ends[:1], phase)
         self.assertIn('look at that instance', text)
 
+    def test_a_task_that_crashes_its_agents_is_named(self):
+        """A job failed, and none of its runs ended as failed."""
+        crash = {'task': TASK, 'seconds': 0.01}
+        found = self.explain(
+            (1, 'entry-1', 'crash-counted', {**crash, 'instance': 'a:1'}),
+            (2, 'entry-1', 'crash-counted', {**crash, 'instance': 'b:1'}),
+            (3, 'entry-1', 'crash-counted', {**crash, 'instance': 'b:1'}),
+            (
+                4,
+                'entry-1',
+                'job-given-up',
+                {'job': JOB, 'task': TASK, 'crashes': 3},
+            ),
+        )
+        ((text, event),) = found
+        self.assertIn('crashed 3 agents that started it, on 2 inst', text)
+        self.assertEqual('job-given-up', event)
+
     def test_a_late_job_names_everything_that_held_it_up(self):
         found = self.explain(
             (0, 'entry-2', 'leading', {'epoch': 9}),
--- a/tests/jobs/test_gateway.py
+++ b/tests/jobs/test_gateway.py
@@ -29,7 +29,7 @@
 
     def __init__(self):
         self.outcome = intake.Outcome.ACCEPTED
-        self.phase = record.JobPhase.ACTIVE
+        self.phase = record.JobState(record.JobPhase.ACTIVE)
         self.pending = 3
         self.submitted = []
 
@@ -40,7 +40,7 @@
     async def cancel(self, id, until):
         return self._end(self.outcome)
 
-    async def find_phase(self, id, until):
+    async def find_state(self, id, until):
         return self._end(self.phase)
 
     async def count_pending(self, queue):
@@ -100,6 +100,18 @@
             named = set(schemas[model.__name__]['properties'])
             self.assertEqual(fields, named)
 
+    async def test_a_caller_reads_why_a_job_has_failed(self):
+        failed = record.JobState(record.JobPhase.FAILED, 'it crashed agents')
+        for state, told in ((failed, 'it crashed agents'), (None, None)):
+            if state is not None:
+                self.intake.phase = state
+            else:
+                self.intake.phase = record.JobState(record.JobPhase.ACTIVE)
+            answer = await self.client.get(
+                f'/v1/queues/builds/jobs/{cases.ID}'
+            )
+            self.assertEqual(told, answer.json().get('reason'))
+
     async def test_a_job_is_submitted_found_and_cancelled(self):
         answer = await self.put(BODY, 202)
         self.assertEqual(ONE_JOB, answer.headers['location'])
--- a/tests/jobs/test_intake.py
+++ b/tests/jobs/test_intake.py
@@ -101,14 +101,14 @@
         self.assertLess(clock.read() - back_at, 2.0)
 
     async def assert_absent(self, own, until):
-        found = await own.find_phase(cases.ID, until)
+        found = await own.find_state(cases.ID, until)
         self.assertIs(intake.Outcome.ABSENT, found)
 
     async def test_a_store_that_was_lost_is_asked_once(self):
         """A caller waits out its deadline for nothing."""
         store = SilentStore(timeout=0.1, lost=True)
         own = make_intake(store)
-        found = await own.find_phase(cases.ID, clock.read() + 30.0)
+        found = await own.find_state(cases.ID, clock.read() + 30.0)
         self.assertIs(intake.Outcome.UNKNOWN, found)
         self.assertEqual(1, store.reads)
 
@@ -119,6 +119,6 @@
             # One that allows no time at all gets one try.
             for wait in (0.0, 0.7):
                 store.reads = 0
-                found = await own.find_phase(cases.ID, clock.read() + wait)
+                found = await own.find_state(cases.ID, clock.read() + wait)
                 self.assertIs(intake.Outcome.UNKNOWN, found)
                 self.assertGreater(store.reads, 0)
