--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -196,3 +196,21 @@
         async with self.open(b'\x00\x01garbage\r\n\r\n') as (client, _):
             with self.assertRaises(exceptions.ServiceUnanswered):
                 await client.call('GET', '/')
+
+    async def test_an_answer_at_the_very_limit_is_no_answer(self):
+        """An entry answers a read with 500 and an empty body.
+
+        The limit of its call to the store was over, and in the same moment
+        bytes came that moved the limit on: the call was cancelled and took
+        itself for one that had ended well, without an answer.
+        """
+        limit = httpclient._Limit(30.0, 60.0)
+
+        async def call():
+            with limit.enforce():
+                limit._scope.cancel()
+                limit.note_data(1)
+                await anyio.sleep(0.0)
+
+        with self.assertRaises(TimeoutError):
+            await call()
