--- a/src/persimmonsail/httpclient.py
+++ b/src/persimmonsail/httpclient.py
@@ -174,8 +174,12 @@
     def enforce(self) -> t.Iterator[None]:
         """End what is done inside with ``TimeoutError`` at the limit."""
         left = self._until - anyio.current_time()
-        with anyio.fail_after(max(left, 0.0)) as self._scope:
+        with anyio.move_on_after(max(left, 0.0)) as self._scope:
             yield
+        # Bytes that came when the limit was over have moved it on: the call
+        # was cancelled all the same, and has no answer.
+        if self._scope.cancelled_caught:
+            raise TimeoutError
 
     def note_data(self, count: int) -> None:
         """Move the limit on, since so many bytes have come."""
