--- a/src/persimmonsail/sidecars/announcer.py
+++ b/src/persimmonsail/sidecars/announcer.py
@@ -111,7 +111,7 @@
         stub = control_grpc.EntryStub(self._links.open(address))
         sequence = 0
         told = colocation_module.LinkState()
-        with anyio.fail_after(settings.links.silence) as scope:
+        with anyio.move_on_after(settings.links.silence) as scope:
             async with stub.Link.open() as stream:
                 while True:
                     sequence += 1
@@ -130,6 +130,8 @@
                     )
                     with anyio.move_on_after(self._choose_interval()):
                         await self.changed.wait()
+        # Also where a notice has moved the limit on in the same moment.
+        raise TimeoutError
 
     def _choose_interval(self) -> float:
         interval = self._settings.sidecar.report_interval
