--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -24,6 +24,7 @@
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import leases
 from persimmonsail.jobs import life as life_module
+from persimmonsail.jobs import lifereport
 from persimmonsail.jobs import orders as orders_module
 from persimmonsail.jobs import specification
 from persimmonsail.jobs import worker as worker_module
@@ -233,43 +234,13 @@
         link.barred.clear()
         report.over.extend(self._over[-_KEPT_BOOTS:])
         for crash in link.crashes:
-            _fill_crash(report.crashes.add(), crash, now)
+            lifereport.fill_crash(report.crashes.add(), crash, now)
         link.crashes.clear()
         life = self._life
         if life is None:
             return report
-        heartbeat = life.heartbeat
-        report.boot = life.boot
-        report.silent_seconds = now - life.answered_at
-        report.lapsed = life.is_lapsed(now)
-        report.looked = life.looked
+        lifereport.fill(report, life, now)
         report.fenced = life.fenced_epoch >= self._authority.epoch
-        report.service = heartbeat.service
-        report.rack = heartbeat.rack
-        report.labels.extend(heartbeat.labels)
-        report.capacity.millicores = heartbeat.capacity.millicores
-        report.capacity.memory_mib = heartbeat.capacity.memory_mib
-        report.capacity.accelerators = heartbeat.capacity.accelerators
-        report.leaving = heartbeat.leaving
-        report.remaining_seconds = heartbeat.remaining_seconds
-        for row in life.running.values():
-            report.running.add(
-                task=row.task,
-                run=row.run,
-                checkpoint=row.checkpoint,
-                percent=row.percent,
-                gauge=row.gauge,
-            )
-        for ended in life.ended.values():
-            report.ended.add(
-                number=ended.number,
-                task=ended.task,
-                run=ended.run,
-                how=ended.how,
-                checkpoint=ended.checkpoint,
-            )
-        for task, run in life.pending:
-            report.pending.add(task=task, run=run)
         return report
 
     def _notify(self) -> None:
@@ -296,7 +267,9 @@
             life.acknowledged = orders.acknowledged
             self._renew.set()
         for start in (*orders.known, *orders.starts):
-            life.sizes[start.task, start.run] = _read_size(start.size)
+            life.sizes[start.task, start.run] = lifereport.read_size(
+                start.size
+            )
         for start in orders.starts:
             self._admit(life, start)
         for stop in orders.stops:
@@ -385,18 +358,3 @@
         else:
             return True
         return False
-
-
-def _fill_crash(
-    row: fleet_pb2.Crash, crash: life_module.Crash, now: float
-) -> None:
-    row.boot = crash.boot
-    row.ago_seconds = now - crash.answered_at
-    for run in crash.runs:
-        row.runs.add(task=run.task, run=run.run, seconds=run.seconds)
-
-
-def _read_size(size: fleet_pb2.Size) -> specification.Size:
-    return specification.Size(
-        size.millicores, size.memory_mib, size.accelerators
-    )
--- a/src/persimmonsail/jobs/board.py
+++ b/src/persimmonsail/jobs/board.py
@@ -62,7 +62,8 @@
             return False
         self.jobs[job.id] = job
         for task in job.tasks.values():
-            self.note_crashes(task, task.state.crashes)
+            if task.state.crashes.count:
+                self.note_crashes(task, task.state.crashes)
         if job.id in self._cancelled:
             self.cancel(job.id)
         return True
--- a/src/persimmonsail/jobs/fleet.py
+++ b/src/persimmonsail/jobs/fleet.py
@@ -5,15 +5,15 @@
 import anyio.abc
 
 from persimmonsail.jobs import clock
-from persimmonsail.jobs import crashes
 from persimmonsail.jobs import eviction
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import ledger as ledger_module
 from persimmonsail.jobs import link as link_module
+from persimmonsail.jobs import placer
 from persimmonsail.jobs import reports
-from persimmonsail.jobs import scheduling
+from persimmonsail.jobs import suspects
 from persimmonsail import logs
 
 # A leader without the store goes on renewing what runs for so long; no
@@ -100,7 +100,7 @@
         )
         instance.add_run(run)
         if task.state.crashes.apart:
-            crashes.keep_apart(task, run, instance)
+            suspects.keep_apart(task, run, instance)
 
     def stop_task(self, task: job_module.Task) -> None:
         """Stop the run of a task that has a place."""
@@ -112,7 +112,7 @@
             return
         self._order_stop(instance, run)
 
-    def start(self, claim: scheduling.Claim) -> None:
+    def start(self, claim: placer.Claim) -> None:
         """Order the start of a run whose claim is committed."""
         instance = claim.instance
         key = (claim.run.task, claim.run.number)
--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -25,6 +25,7 @@
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import ledger as ledger_module
 from persimmonsail.jobs import memory
+from persimmonsail.jobs import placer
 from persimmonsail.jobs import places
 from persimmonsail.jobs import queues
 from persimmonsail.jobs import record
@@ -291,7 +292,7 @@
                     await self._wake.wait()
             await anyio.sleep(scheduling.choose_pause(took, full))
 
-    async def _commit(self, claims: list[scheduling.Claim]) -> None:
+    async def _commit(self, claims: list[placer.Claim]) -> None:
         """Commit all changed jobs, then send what that allows."""
         # Ends that come while the store works are in no write yet.
         processed = [
--- a/src/persimmonsail/jobs/observations.py
+++ b/src/persimmonsail/jobs/observations.py
@@ -124,3 +124,34 @@
         and run.pace == _FULL_PACE
         and 0 < run.step.estimate_ms <= _LONGEST_ESTIMATE_MS
     )
+
+
+def is_being_stopped(
+    run: instances.Run,
+    report: fleet_pb2.Report,
+    pending: set[instances.RunId],
+) -> bool:
+    """Tell whether the sidecar works on a run's stop, or will.
+
+    A sidecar that was just restarted drops a stop that comes before it
+    knows its worker's agent; the run would go on for ever.
+    """
+    if run.phase is not instances.RunPhase.STOPPING:
+        return False
+    return run.order > report.seen or (run.task, run.number) in pending
+
+
+def is_wanted(
+    task: job_module.Task | None,
+    run: instances.Run,
+    instance: instances.Instance,
+) -> bool:
+    """Tell whether a run is the one that its task is placed with."""
+    return (
+        task is not None
+        and not task.job.phase.is_final
+        and task.is_placed
+        and not task.state.earlier_done
+        and task.state.run == run.number
+        and task.state.instance == instance.address
+    )
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -13,6 +13,7 @@
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import observations
 from persimmonsail.jobs import pace
+from persimmonsail.jobs import suspects
 from persimmonsail import logs
 
 # An instance that fails several jobs gets nothing for so long, then one
@@ -131,7 +132,9 @@
         pending = {(ref.task, ref.run) for ref in report.pending}
         for row in report.running:
             run = self._note_running(instance, row, now)
-            if run is not None and not _is_being_stopped(run, report, pending):
+            if run is not None and not observations.is_being_stopped(
+                run, report, pending
+            ):
                 reaction.stops.append(run)
         for barred in report.barred:
             self._note_barred(instance, barred, now)
@@ -311,10 +314,10 @@
         if run is None:
             run = observations.adopt(instance, row, task, now)
         observations.note_progress(run, row, now)
-        if not _is_wanted(task, run, instance):
+        if not observations.is_wanted(task, run, instance):
             return run
         answered_at = instance.answered_at
-        crashes.note_running(self._board, task, run, answered_at)
+        suspects.note_running(self._board, task, run, answered_at)
         if row.checkpoint:
             self._board.note_checkpoint(task, row.checkpoint)
         stopping = run.phase is instances.RunPhase.STOPPING
@@ -376,33 +379,3 @@
             'end-unknown', task=ended.task, run=ended.run, how=ended.how
         )
         return board_module.End.LOST
-
-
-def _is_being_stopped(
-    run: instances.Run,
-    report: fleet_pb2.Report,
-    pending: set[instances.RunId],
-) -> bool:
-    """Tell whether the sidecar works on a run's stop, or will.
-
-    A sidecar that was just restarted drops a stop that comes before it
-    knows its worker's agent; the run would go on for ever.
-    """
-    if run.phase is not instances.RunPhase.STOPPING:
-        return False
-    return run.order > report.seen or (run.task, run.number) in pending
-
-
-def _is_wanted(
-    task: job_module.Task | None,
-    run: instances.Run,
-    instance: instances.Instance,
-) -> bool:
-    return (
-        task is not None
-        and not task.job.phase.is_final
-        and task.is_placed
-        and not task.state.earlier_done
-        and task.state.run == run.number
-        and task.state.instance == instance.address
-    )
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -1,27 +1,24 @@
 """One round of placing waiting tasks; no input or output."""
 
-import dataclasses
 import typing as t
 
 import numpy
 
 from persimmonsail.jobs import advice
 from persimmonsail.jobs import board as board_module
-from persimmonsail.jobs import crashes
 from persimmonsail.jobs import gangs
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import interference
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import order
-from persimmonsail.jobs import pace
 from persimmonsail.jobs import placement
+from persimmonsail.jobs import placer as placer_module
 from persimmonsail.jobs import places as places_module
 from persimmonsail.jobs import queues
+from persimmonsail.jobs import suspects
 from persimmonsail import logs
 
 _MILLISECONDS = 1000
-# Higher than the number of any orders: no report can have seen them.
-_NOT_SENT = 1 << 62
 # A job of which nothing has run for so long takes what there is: where
 # everything that serves is disturbed by it, it would wait for ever, and a
 # job that stands still for 3 s beside free room counts as lost. Most find
@@ -52,19 +49,6 @@
 _StepId = tuple[str, tuple[int, int]]
 
 
-@dataclasses.dataclass(frozen=True)
-class Claim:
-    """A run that was placed and has to be committed, then ordered.
-
-    ``ticket`` is the advisor's permission, where the queue has one.
-    """
-
-    task: job_module.Task
-    run: instances.Run
-    instance: instances.Instance
-    ticket: str = ''
-
-
 def plan(
     board: board_module.Board,
     places: places_module.Places,
@@ -76,7 +60,7 @@
     now: float,
     wall: float,
     apart: float = 0.0,
-) -> list[Claim]:
+) -> list[placer_module.Claim]:
     """Claim room for as many waiting tasks as one round takes.
 
     Parameters
@@ -103,7 +87,7 @@
     apart : float, optional
         Seconds since the round before began.
     """
-    crashes.give_up_spent(board, now)
+    suspects.give_up_spent(board, now)
     approvals.begin_round()
     places.refresh(fleet, model, now)
     longest = _choose_longest_idle(apart)
@@ -208,9 +192,11 @@
         self._usable: dict[str, numpy.ndarray] = {}
         # Tasks come by steps, so only the last step's placer is used again.
         self._placing: _StepId | None = None
-        self._placer: _Placer
+        self._placer: placer_module.Placer
 
-    def place(self, task: job_module.Task, queue: queues.Queue) -> list[Claim]:
+    def place(
+        self, task: job_module.Task, queue: queues.Queue
+    ) -> list[placer_module.Claim]:
         """Claim room for a task and its gang, if there is any."""
         step = (task.job.id, task.key.of_step)
         if step in self._full:
@@ -222,7 +208,7 @@
         if self._placing != step:
             self._placer = self._make_placer(task, queue)
             self._placing = step
-        if crashes.needs_apart(task, self._now):
+        if suspects.needs_apart(task, self._now):
             return self._place_apart(task, queue)
         least = 0.0 if idle else placement.LEAST_SPEED
         found = self._placer.place(members, least)
@@ -236,7 +222,7 @@
 
     def _place_apart(
         self, task: job_module.Task, queue: queues.Queue
-    ) -> list[Claim]:
+    ) -> list[placer_module.Claim]:
         """Try a suspect where its next crash tells that it was this one."""
         usable = self._find_usable(queue.service)
         fleet = self._places.fleet
@@ -244,7 +230,7 @@
             one.service == queue.service and one.is_reserved(self._now)
             for one in fleet
         )
-        if not crashes.may_reserve(int(usable.sum()), reserved):
+        if not suspects.may_reserve(int(usable.sum()), reserved):
             return []
         found = self._placer.place_apart(task)
         for claim in found:
@@ -257,7 +243,7 @@
 
     def _make_placer(
         self, task: job_module.Task, queue: queues.Queue
-    ) -> '_Placer':
+    ) -> placer_module.Placer:
         objective_ms = order.find_objective_ms(task.job, queue)
         left_ms = objective_ms - (self._wall_ms - task.since_ms)
         tickets = None
@@ -271,7 +257,9 @@
             tickets,
         )
         due = self._now + left_ms / _MILLISECONDS
-        return _Placer(candidates, self._model, self._now, due, tickets or {})
+        return placer_module.Placer(
+            candidates, self._model, self._now, due, tickets or {}
+        )
 
     def _find_usable(self, service: str) -> numpy.ndarray:
         if service not in self._usable:
@@ -294,104 +282,10 @@
             self._kept.add(service)
 
 
-class _Placer:
-    """Places the tasks of one step, one after the other."""
-
-    def __init__(
-        self,
-        candidates: placement.Candidates,
-        model: interference.Model,
-        now: float,
-        due: float,
-        tickets: t.Mapping[str, str],
-    ) -> None:
-        self._candidates = candidates
-        self._model = model
-        self._now = now
-        self._due = due
-        self._tickets = tickets
-
-    def place(
-        self, tasks: t.Sequence[job_module.Task], least_speed: float
-    ) -> list[Claim]:
-        """Find room for all of these tasks, or for none of them."""
-        if not tasks:
-            return []
-        if tasks[0].step.same_rack and len(tasks) > 1:
-            for rack in self._candidates.list_racks():
-                claims = self._try(tasks, least_speed, rack)
-                if claims:
-                    return claims
-        return self._try(tasks, least_speed)
-
-    def place_apart(self, task: job_module.Task) -> list[Claim]:
-        """Find an instance where a suspect is apart from others."""
-        instance = self._candidates.choose_apart(task.avoid)
-        if instance is None:
-            return []
-        claim = self._add_run(task, 1 + task.state.run, instance)
-        crashes.keep_apart(task, claim.run, instance)
-        return [claim]
-
-    def _try(
-        self,
-        tasks: t.Sequence[job_module.Task],
-        least_speed: float,
-        rack: str | None = None,
-    ) -> list[Claim]:
-        number = 1 + max(task.state.run for task in tasks)
-        # What one member of a gang has saved is valid for all of them, and
-        # all have to resume from the same.
-        saved = [t.state.checkpoint for t in tasks if t.state.checkpoint]
-        claims: list[Claim] = []
-        for task in tasks:
-            suspect = task.state.crashes.count > 0
-            instance = self._candidates.choose(
-                task.avoid, least_speed, rack, suspect
-            )
-            if instance is None:
-                self._withdraw(claims)
-                return []
-            claims.append(self._add_run(task, number, instance))
-        for task in tasks:
-            task.state.checkpoint = saved[0] if saved else ''
-        return claims
-
-    def _withdraw(self, claims: t.Sequence[Claim]) -> None:
-        for claim in claims:
-            claim.instance.drop_run((claim.run.task, claim.run.number))
-            self._candidates.note_change(claim.instance)
-
-    def _add_run(
-        self,
-        task: job_module.Task,
-        number: int,
-        instance: instances.Instance,
-    ) -> Claim:
-        run = instances.Run(
-            task=task.name,
-            number=number,
-            boot=instance.boot,
-            step=task.step,
-            queue=task.job.queue,
-            order=_NOT_SENT,
-            ordered_at=self._now,
-            due=self._due,
-            suspect=task.state.crashes.count > 0,
-        )
-        if task.step.best_effort_cpu:
-            run.pace = pace.choose_first_percent(
-                run, instance, self._model, self._now
-            )
-            run.paced_at = self._now
-        instance.add_run(run)
-        self._candidates.note_change(instance)
-        ticket = self._tickets.get(instance.boot, '')
-        return Claim(task, run, instance, ticket)
-
-
 def _commit(
-    board: board_module.Board, claim: Claim, unused_millicores: float
+    board: board_module.Board,
+    claim: placer_module.Claim,
+    unused_millicores: float,
 ) -> None:
     run = claim.run
     instance = claim.instance
--- /dev/null
+++ b/src/persimmonsail/jobs/suspects.py
@@ -0,0 +1,177 @@
+"""How a task goes on that worker's agents have crashed under.
+
+Such a task is a suspect. It is started again apart from other suspects, and
+one whose crash came at once where least is lost and with nothing else
+beginning beside it: if the agent crashes again, that tells who it was.
+Three crashes that came at once, two of them telling, end a task's job;
+crashes that are slower to come tell less, since an agent may well crash by
+itself in the same time, and more of them are needed. A run that outlives
+the time in which its crashes came clears its task.
+"""
+
+from persimmonsail.jobs import board as board_module
+from persimmonsail.jobs import instances
+from persimmonsail.jobs import job as job_module
+from persimmonsail.jobs import record
+from persimmonsail import logs
+
+# A run that began so shortly before a crash, by the agent's last answer,
+# began just before it.
+JUST_SECONDS = 0.5
+# A run that lasts for so long at least clears its task.
+_LEAST_WATCH_SECONDS = 2.0
+# After so many crashes a task's job is given up, by the longest time in
+# seconds from a start to the crash: the longer it is, the more likely an
+# agent crashed by itself. So many of them have to tell of the task alone.
+_MOST_CRASHES = ((JUST_SECONDS, 3), (2.0, 4))
+_MOST = 5
+_PROOFS = 2
+# A task whose crashes tell nothing waits longer from one to the next.
+_LONGEST_WAIT_SECONDS = 30.0
+# The share of a service's instances that suspects may have for themselves;
+# a task that waits for one for so long is started without.
+_APART_SHARE = 0.25
+_PATIENCE_SECONDS = 3.0
+# The same for one that was there at two crashes or more.
+_LONG_PATIENCE_SECONDS = 10.0
+# For how long nothing is started beside a run that is apart: until a crash
+# is noticed at least.
+_LEAST_APART_SECONDS = 1.0
+_LONGEST_APART_SECONDS = 4.0
+# Crashes of one moment are heard of within this time.
+_SETTLE_SECONDS = 1.2
+# A task that had just begun waits for so long for what else crashed then.
+_HOLD_SECONDS = 0.3
+_MILLISECONDS = 1000
+
+
+def is_spent(task: job_module.Task) -> bool:
+    """Tell whether a task has crashed its agents too often to be tried."""
+    crashes = task.state.crashes
+    if crashes.proofs < _PROOFS:
+        return False
+    most = next(
+        (
+            most
+            for seconds, most in _MOST_CRASHES
+            if crashes.longest_ms <= seconds * _MILLISECONDS
+        ),
+        _MOST,
+    )
+    return crashes.count >= most
+
+
+def choose_wait(task: job_module.Task, seconds: float) -> float:
+    """Return how long a task waits that a crash was just counted for."""
+    if is_spent(task):
+        # Crashes of the same moment elsewhere may clear it.
+        return _SETTLE_SECONDS
+    more = task.state.crashes.count - _MOST
+    if more >= 0:
+        # Crashes that tell nothing must not follow each other for ever.
+        return min(2.0**more, _LONGEST_WAIT_SECONDS)
+    return _HOLD_SECONDS if seconds <= JUST_SECONDS else 0.0
+
+
+def give_up_spent(board: board_module.Board, now: float) -> None:
+    """Fail the jobs of tasks that go on crashing what starts them."""
+    for task in list(board.suspects.values()):
+        if task.key not in task.job.waiting or task.not_before > now:
+            continue
+        if not is_spent(task):
+            continue
+        crashes = task.state.crashes
+        reason = f'{task.name} crashed {crashes.count} agents that started it'
+        logs.write_warning(
+            'job-given-up',
+            job=task.job.id,
+            task=task.name,
+            run=task.state.run,
+            crashes=crashes.count,
+            longest_ms=crashes.longest_ms,
+        )
+        board.give_up(task, reason)
+
+
+def needs_apart(task: job_module.Task, now: float) -> bool:
+    """Tell whether a suspect has to be started apart, or wait for it.
+
+    The members of a gang begin together, so none of them can be tried by
+    itself; their job ends with them in any case.
+    """
+    crashes = task.state.crashes
+    if not crashes.count or task.step.gang:
+        return False
+    if crashes.count == 1 and (
+        crashes.longest_ms > JUST_SECONDS * _MILLISECONDS
+    ):
+        return False
+    task.apart_since = task.apart_since or now
+    patience = (
+        _PATIENCE_SECONDS if crashes.count == 1 else _LONG_PATIENCE_SECONDS
+    )
+    return now - task.apart_since <= patience
+
+
+def _find_watch_seconds(task: job_module.Task) -> float:
+    """Return for how long a suspect has to run to be cleared."""
+    return max(_LEAST_WATCH_SECONDS, _measure_trial(task))
+
+
+def _find_apart_seconds(task: job_module.Task) -> float:
+    """Return for how long nothing else is started beside a suspect."""
+    longest = max(_LEAST_APART_SECONDS, _measure_trial(task))
+    return min(longest, _LONGEST_APART_SECONDS)
+
+
+def _measure_trial(task: job_module.Task) -> float:
+    """Return within how many seconds a suspect's next crash would come."""
+    longest = task.state.crashes.longest_ms / _MILLISECONDS
+    return 2 * longest + JUST_SECONDS
+
+
+def may_reserve(usable: int, reserved: int) -> bool:
+    """Tell whether one more instance may be left to a suspect alone.
+
+    Parameters
+    ----------
+    usable : int
+        The service's instances that get new work, none of them reserved.
+    reserved : int
+        Those that are reserved.
+    """
+    most = max(1, int(_APART_SHARE * (usable + reserved)))
+    return reserved < most
+
+
+def keep_apart(
+    task: job_module.Task, run: instances.Run, instance: instances.Instance
+) -> None:
+    """Have nothing else start beside a suspect's run for a while."""
+    run.apart_seconds = _find_apart_seconds(task)
+    instance.apart = run
+
+
+def note_running(
+    board: board_module.Board,
+    task: job_module.Task,
+    run: instances.Run,
+    answered_at: float,
+) -> None:
+    """Clear a task whose run has outlived the time of its crashes.
+
+    A sidecar reports what ran at its last look for as long as its worker's
+    agent doesn't answer; a crashed one would clear the task that it died of.
+    So only the time until that answer counts.
+    """
+    if not task.state.crashes.count:
+        return
+    seconds = answered_at - run.seen_at
+    if seconds <= _find_watch_seconds(task):
+        return
+    run.suspect = False
+    logs.write_event(
+        'crash-cleared', task=run.task, run=run.number, seconds=seconds
+    )
+    crashes = record.Crashes(run=task.state.crashes.run)
+    board.note_crashes(task, crashes)
--- /dev/null
+++ b/tests/jobs/crashing.py
@@ -0,0 +1,67 @@
+"""What tests of crashing agents share."""
+
+from persimmonsail.jobs import board as board_module
+from persimmonsail.jobs import crashes
+from persimmonsail.jobs import fleet_pb2
+from persimmonsail.jobs import record
+from persimmonsail.jobs import suspects
+from tests import base
+from tests.jobs import cases
+
+NOW = 100.0
+# Longer than after any crash one of the same moment may be heard of.
+LATER = 5.0
+
+
+class CrashingCase(base.TestCase):
+    """Tasks on a small fleet whose agents crash."""
+
+    def setUp(self):
+        super().setUp()
+        self.board = board_module.Board()
+        self.fleet = [
+            cases.make_instance(f'10.0.0.{i}:7000', boot=f'boot-{i}')
+            for i in range(6)
+        ]
+        self.now = NOW
+        self.see()
+        self.tracker = crashes.Tracker(self.board, lambda: self.fleet)
+        self.serial = 0
+
+    def see(self):
+        """Have all agents answer at this moment."""
+        for instance in self.fleet:
+            instance.answered_at = self.now
+
+    def add_task(self, **fields):
+        self.serial += 1
+        step = cases.make_step(**fields)
+        job = cases.make_job(step, id=f'{self.serial:016x}')
+        self.board.add(job)
+        (task, *_) = job.tasks.values()
+        return task
+
+    def crash(self, instance, *rows, ago=0.5):
+        """Place tasks on an instance, and have its agent crash under them.
+
+        Rows are of a task, its run's seconds, and whether it was apart.
+        """
+        crash = fleet_pb2.Crash(boot=instance.boot, ago_seconds=ago)
+        for task, seconds, *apart in rows:
+            run = self.board.place(
+                task, instance.address, instance.boot, apart=bool(apart)
+            )
+            crash.runs.add(task=task.name, run=run, seconds=seconds)
+        self.tracker.note(instance, crash, self.now)
+        for task, *_ in rows:
+            run = task.state.run
+            self.board.note_end(task, run, board_module.End.LOST, '', 2)
+        return crash
+
+    def wait(self, seconds=LATER):
+        self.now += seconds
+        self.see()
+
+    def is_failed(self, task):
+        suspects.give_up_spent(self.board, self.now)
+        return task.job.phase is record.JobPhase.FAILED
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -1,86 +1,18 @@
 from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import crashes
 from persimmonsail.jobs import fleet_pb2
-from persimmonsail.jobs import instances
 from persimmonsail.jobs import record
 from persimmonsail.jobs import specification
-from tests import base
-from tests.jobs import cases
+from tests.jobs import crashing
 
-NOW = 100.0
-# Longer than after any crash one of the same moment may be heard of.
-LATER = 5.0
 
-
-class CrashesTest(base.TestCase):
+class CrashesTest(crashing.CrashingCase):
     """Everything that ran on an agent has its crash to its name.
 
     One task did it, or none; a job that did nothing and ends as failed is
     as bad for its caller as one that goes round for ever.
     """
 
-    def setUp(self):
-        super().setUp()
-        self.board = board_module.Board()
-        self.fleet = [
-            cases.make_instance(f'10.0.0.{i}:7000', boot=f'boot-{i}')
-            for i in range(6)
-        ]
-        self.now = NOW
-        self.see()
-        self.tracker = crashes.Tracker(self.board, lambda: self.fleet)
-        self.serial = 0
-
-    def see(self):
-        """Have all agents answer at this moment."""
-        for instance in self.fleet:
-            instance.answered_at = self.now
-
-    def add_task(self, **fields):
-        self.serial += 1
-        step = cases.make_step(**fields)
-        job = cases.make_job(step, id=f'{self.serial:016x}')
-        self.board.add(job)
-        (task, *_) = job.tasks.values()
-        return task
-
-    def crash(self, instance, *rows, ago=0.5):
-        """Place tasks on an instance, and have its agent crash under them.
-
-        Rows are of a task, its run's seconds, and whether it was apart.
-        """
-        crash = fleet_pb2.Crash(boot=instance.boot, ago_seconds=ago)
-        for task, seconds, *apart in rows:
-            run = self.board.place(
-                task, instance.address, instance.boot, apart=bool(apart)
-            )
-            crash.runs.add(task=task.name, run=run, seconds=seconds)
-        self.tracker.note(instance, crash, self.now)
-        for task, *_ in rows:
-            run = task.state.run
-            self.board.note_end(task, run, board_module.End.LOST, '', 2)
-        return crash
-
-    def wait(self, seconds=LATER):
-        self.now += seconds
-        self.see()
-
-    def is_failed(self, task):
-        crashes.give_up_spent(self.board, self.now)
-        return task.job.phase is record.JobPhase.FAILED
-
-    def test_three_crashes_at_once_end_the_job_with_their_cause(self):
-        task = self.add_task()
-        for instance, apart in zip(
-            self.fleet, ((), (True,), (True,)), strict=False
-        ):
-            self.assertFalse(self.is_failed(task))
-            self.crash(instance, (task, 0.01, *apart))
-            self.wait()
-        self.assertTrue(self.is_failed(task))
-        self.assertIn(task.name, task.job.progress.reason)
-        self.assertIn('crashed 3 agents', task.job.progress.reason)
-
     def test_a_task_that_was_never_apart_is_not_given_up_at_three(self):
         """An innocent was started beside the bad task each time."""
         bad, innocent = self.add_task(), self.add_task()
@@ -90,15 +22,6 @@
         self.assertFalse(self.is_failed(innocent))
         self.assertEqual(3, innocent.state.crashes.count)
 
-    def test_slow_crashes_have_to_be_five(self):
-        """An agent may well crash by itself within ten seconds."""
-        task = self.add_task()
-        for instance in self.fleet[:5]:
-            self.assertFalse(self.is_failed(task))
-            self.crash(instance, (task, 8.0, True))
-            self.wait()
-        self.assertTrue(self.is_failed(task))
-
     def test_a_run_that_had_lasted_is_no_suspect(self):
         task = self.add_task(long_running=True)
         for instance in self.fleet:
@@ -139,7 +62,7 @@
         """One of three that lost power at a time is back first."""
         task = self.add_task()
         for instance in self.fleet[1:3]:
-            instance.answered_at = NOW - 3.0
+            instance.answered_at = crashing.NOW - 3.0
         self.crash(self.fleet[0], (task, 0.01), ago=3.0)
         self.assertEqual(0, task.state.crashes.count)
 
@@ -185,83 +108,6 @@
         self.tracker.note(self.fleet[0], crash, self.now)
         self.assertEqual(1, task.state.crashes.count)
 
-    def test_a_run_that_outlives_its_crashes_clears_its_task(self):
-        task = self.add_task(long_running=True)
-        self.crash(self.fleet[0], (task, 0.01))
-        number = self.board.place(task, self.fleet[1].address, 'boot-1')
-        run = instances.Run(
-            task.name, number, 'boot-1', task.step, 'builds', seen_at=NOW
-        )
-        crashes.note_running(self.board, task, run, NOW + 1.0)
-        self.assertEqual(1, task.state.crashes.count)
-        crashes.note_running(self.board, task, run, NOW + 2.5)
-        self.assertEqual(0, task.state.crashes.count)
-        self.assertEqual({}, self.board.suspects)
-
-    def test_a_job_cancelled_in_between_stays_cancelled(self):
-        task = self.add_task()
-        for instance in self.fleet[:3]:
-            self.crash(instance, (task, 0.01, True))
-        self.board.cancel(task.job.id)
-        self.wait()
-        self.assertFalse(self.is_failed(task))
-        self.assertIs(record.JobPhase.CANCELLED, task.job.phase)
-
-    def test_a_leader_that_takes_over_starts_no_spent_task(self):
-        task = self.add_task()
-        for instance in self.fleet[:3]:
-            self.crash(instance, (task, 0.01, True))
-            self.wait()
-        text = task.job.progress.encode()
-        job = cases.make_job(task.step, id=task.job.id)
-        loaded = type(job)(
-            job.id,
-            job.queue,
-            0,
-            job.specification,
-            record.decode_progress(text),
-        )
-        other = board_module.Board()
-        other.add(loaded)
-        crashes.give_up_spent(other, 0.0)
-        self.assertIs(record.JobPhase.FAILED, loaded.phase)
-
-    def test_only_a_quarter_of_the_instances_is_left_to_suspects(self):
-        self.assertTrue(crashes.may_reserve(4, 0))
-        self.assertFalse(crashes.may_reserve(3, 1))
-        self.assertTrue(crashes.may_reserve(9, 1))
-        self.assertFalse(crashes.may_reserve(8, 2))
-
-    def test_a_suspect_waits_for_its_place_for_some_seconds_only(self):
-        task = self.add_task()
-        self.crash(self.fleet[0], (task, 0.01))
-        self.assertTrue(crashes.needs_apart(task, NOW))
-        self.assertTrue(crashes.needs_apart(task, NOW + 2.0))
-        self.assertFalse(crashes.needs_apart(task, NOW + 3.5))
-
-    def test_a_gang_is_never_tried_apart(self):
-        task = self.add_task(gang=True)
-        self.crash(self.fleet[0], (task, 0.01))
-        self.assertFalse(crashes.needs_apart(task, NOW))
-
-    def test_nothing_is_started_beside_a_suspect_that_is_tried(self):
-        instance = self.fleet[0]
-        run = instances.Run(
-            'a.0.0.0',
-            1,
-            'boot-0',
-            cases.make_step(),
-            'builds',
-            ordered_at=NOW,
-            apart_seconds=1.0,
-        )
-        instance.add_run(run)
-        instance.apart = run
-        self.assertTrue(instance.is_reserved(NOW + 0.9))
-        self.assertFalse(instance.is_reserved(NOW + 1.1))
-        instance.drop_run(('a.0.0.0', 1))
-        self.assertFalse(instance.is_reserved(NOW + 0.9))
-
     def test_what_began_later_takes_the_proof_from_a_suspect(self):
         """A suspect that is apart is held responsible for another's crash.
 
@@ -288,15 +134,6 @@
         self.tracker.note(self.fleet[1], crash, self.now)
         self.assertEqual(0, innocent.state.crashes.count)
 
-    def test_crashes_that_tell_nothing_follow_ever_later(self):
-        first, second = self.add_task(), self.add_task()
-        for instance in self.fleet:
-            self.crash(instance, (first, 0.01), (second, 0.01))
-            self.wait()
-        self.assertFalse(self.is_failed(first))
-        self.crash(self.fleet[0], (first, 0.01), (second, 0.01))
-        self.assertGreater(first.not_before - self.now, 3.0)
-
     def test_nothing_is_held_against_the_instance(self):
         """A crashed instance is sound: only the task keeps away from it."""
         task = self.add_task()
--- a/tests/jobs/test_fleet.py
+++ b/tests/jobs/test_fleet.py
@@ -8,9 +8,9 @@
 from persimmonsail.jobs import interference
 from persimmonsail.jobs import ledger
 from persimmonsail.jobs import placement
+from persimmonsail.jobs import placer
 from persimmonsail.jobs import record
 from persimmonsail.jobs import reports
-from persimmonsail.jobs import scheduling
 from tests import base
 from tests.jobs import cases
 
@@ -53,7 +53,7 @@
             queue=task.job.queue,
         )
         instance.add_run(run)
-        return scheduling.Claim(task, run, instance)
+        return placer.Claim(task, run, instance)
 
     async def test_nothing_is_placed_before_the_first_report(self):
         """A build is run anew on the instance that had just done it.
--- a/tools/emulator/day.py
+++ b/tools/emulator/day.py
@@ -8,6 +8,7 @@
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import interference
 from persimmonsail.jobs import job as job_module
+from persimmonsail.jobs import placer
 from persimmonsail.jobs import places
 from persimmonsail.jobs import reports
 from persimmonsail.jobs import scheduling
@@ -201,7 +202,7 @@
     ) -> reports.Reaction:
         return self._reader.read(view, report, clock)
 
-    def _plan(self, clock: float) -> list[scheduling.Claim]:
+    def _plan(self, clock: float) -> list[placer.Claim]:
         return scheduling.plan(
             self.board,
             self._places,
--- a/tools/emulator/metered.py
+++ b/tools/emulator/metered.py
@@ -11,8 +11,8 @@
 
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
+from persimmonsail.jobs import placer
 from persimmonsail.jobs import reports
-from persimmonsail.jobs import scheduling
 from tools.emulator import day
 from tools.emulator import deployments
 from tools.emulator import load
@@ -80,7 +80,7 @@
         with self._meter:
             return super()._read(view, report, clock)
 
-    def _plan(self, clock: float) -> list[scheduling.Claim]:
+    def _plan(self, clock: float) -> list[placer.Claim]:
         with self._meter:
             claims = super()._plan(clock)
         for claim in claims:
