--- a/tests/partitioning/test_holder.py
+++ b/tests/partitioning/test_holder.py
@@ -145,6 +145,24 @@
         phase = await self.follow('watcher', lambda i: i.replace_worker())
         self.assertEqual(records.TaskPhase.CLAIMED, phase)
 
+    async def test_a_watcher_that_ends_its_workers_starts_ever_later(self):
+        """A watcher takes a worker with it as often as it is started.
+
+        Whatever else runs there begins anew each time; the watcher itself
+        was started ten times a second.
+        """
+        partition = Partition()
+        instance = await partition.add('one')
+        async with partition.hold() as found:
+            await found.submit(make_submit('t', 'watcher'))
+            begun = anyio.current_time()
+            for attempt in range(1, 7):
+                await wait_for(
+                    found, lambda n=attempt: instance.has_attempt('t', n)
+                )
+                instance.replace_worker()
+            self.assertGreater(anyio.current_time() - begun, 1.5)
+
     async def test_evicted_build_resumes_from_its_checkpoint(self):
         points = []
 
