--- a/tests/test_emulate.py
+++ b/tests/test_emulate.py
@@ -118,3 +118,22 @@
             with ablations.switch_off(name):
                 pass
             self.assertEqual(before, interference.HIGHEST)
+
+
+class HarmedDayTest(base.TestCase):
+    """Days on which tasks end their agents, and rooms swing."""
+
+    def test_bad_tasks_are_given_up_and_no_other(self):
+        """Every few seconds a bad task takes a dozen others with it.
+
+        It was started again as soon as its agent was back, until the day
+        was over; and where suspects were not kept apart, an innocent job
+        was given up in its place.
+        """
+        for seed in (1001, 1012):
+            deployment = deployments.draw_harmed(seed)
+            result = day.Day(deployment, seed).play()
+            # 15 and 11 with nothing counted.
+            self.assertLessEqual(result.crash_starts, 5)
+            self.assertGreaterEqual(result.crash_starts, 3)
+            self.assertEqual(0, result.wronged)
--- a/tools/emulate.py
+++ b/tools/emulate.py
@@ -1,8 +1,10 @@
 """Plays emulated days and prints what they came to: `make emulate`.
 
 Deployments are one of the known shapes, or `random`: drawn anew for each
-seed, and then also judged beside a floor and an oracle. Seeds below 1000
-are for choosing between decisions, those above for judging the choice.
+seed, and then also judged beside a floor and an oracle; `harmed` are the
+same with tasks that end their agents, and rooms that shrink and grow. Seeds
+below 1000 are for choosing between decisions, those above for judging the
+choice.
 """
 
 import argparse
@@ -37,7 +39,8 @@
         load.Rates(quick=2.8, heavy=0.49, heavy_seconds=5.4),
     ),
 }
-_RANDOM = 'random'
+# How deployments are drawn.
+_DRAWN = {'random': deployments.draw, 'harmed': deployments.draw_harmed}
 _MODELS = {
     'floor': lambda hidden: yardsticks.Floor(),
     'learnt': lambda hidden: interference.Model(),
@@ -50,8 +53,8 @@
 
 def _play(name: str, without: str, policy: str, seed: int) -> score.Result:
     logging.set_verbosity(logging.FATAL)
-    if name == _RANDOM:
-        deployment = deployments.draw(seed)
+    if name in _DRAWN:
+        deployment = _DRAWN[name](seed)
     else:
         deployment = deployments.Deployment(*_SHAPES[name])
     with ablations.switch_off(without):
@@ -87,7 +90,7 @@
 def main() -> int:
     """Print each figure's mean and its spread over the seeds."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('shape', choices=[*sorted(_SHAPES), _RANDOM])
+    parser.add_argument('shape', choices=[*sorted(_SHAPES), *_DRAWN])
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=16)
     parser.add_argument('--jobs', type=int, default=4)
@@ -109,7 +112,8 @@
             _print_means(policy, by_policy[policy])
             if arguments.each:
                 for seed, result in zip(seeds, by_policy[policy], strict=True):
-                    print(policy, seed, f'{result.worth:.3f}')
+                    starts = round(result.crash_starts)
+                    print(policy, seed, f'{result.worth:.3f} {starts}')
     if by_policy.keys() >= _MODELS.keys():
         _print_shares(by_policy)
     return 0
--- a/tools/emulator/ablations.py
+++ b/tools/emulator/ablations.py
@@ -161,3 +161,19 @@
 @register('late-class')
 def _forget_lateness() -> t.Sequence[t.Any]:
     return (_replace('order._ESTIMATE_ERROR', _NEVER),)
+
+
+@register('crash-counts')
+def _count_no_crash() -> t.Sequence[t.Any]:
+    """Start tasks again however often their agents crash."""
+    return (_replace('crashes.Tracker.note', _do_nothing),)
+
+
+@register('suspects-apart')
+def _mix_suspects() -> t.Sequence[t.Any]:
+    """Start suspects wherever there is room."""
+
+    def needs_apart(task: t.Any, now: float) -> bool:
+        return False
+
+    return (_replace('suspects.needs_apart', needs_apart),)
--- a/tools/emulator/day.py
+++ b/tools/emulator/day.py
@@ -10,6 +10,7 @@
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import placer
 from persimmonsail.jobs import places
+from persimmonsail.jobs import record
 from persimmonsail.jobs import reports
 from persimmonsail.jobs import scheduling
 from persimmonsail.jobs import specification
@@ -56,6 +57,9 @@
         self._arrivals = caller.draw_day(_LEAD_SECONDS)
         self._by_id = {a.id: a for a in self._arrivals}
         self._ended: dict[str, float] = {}
+        # How often the task of each job that ends its agents was started.
+        self._crashing: dict[str, int] = {}
+        self._given_up: set[str] = set()
         self._saved: dict[str, float] = {}
         self.board = board_module.Board()
         self._waited = 0.0
@@ -67,6 +71,7 @@
             self._model,
             lambda queue: 4,
             advice.Approvals(),
+            lambda: self._views,
         )
         self._workers: list[worker_module.Worker] = []
         self._views: list[instances.Instance] = []
@@ -114,7 +119,13 @@
             now += _TICK_SECONDS
         return score.judge(
             score.Outcome(
-                self._arrivals, self._ended, self._workers, now, self._waited
+                self._arrivals,
+                self._ended,
+                self._workers,
+                now,
+                self._waited,
+                self._crashing,
+                self._given_up,
             )
         )
 
@@ -154,7 +165,7 @@
             if now - self._reported[index] < _REPORT_SECONDS:
                 return False
         self._reported[index] = now
-        report = worker.describe(1, view.processed)
+        report = worker.describe(1, view.processed, now)
         clock = now + _CLOCK_OFFSET
         reaction = self._read(view, report, clock)
         for run in reaction.stops:
@@ -177,14 +188,16 @@
     def _note_ends(self, now: float) -> None:
         for id in self.board.changed:
             job = self.board.jobs[id]
-            if job.phase.is_final:
+            if job.phase is record.JobPhase.COMPLETE:
                 self._ended.setdefault(id, now)
+            elif job.phase is record.JobPhase.FAILED:
+                self._given_up.add(id)
         self.board.changed.clear()
 
     def _place(self, now: float) -> None:
         clock = now + _CLOCK_OFFSET
         claims = self._plan(clock)
-        self.board.changed.clear()
+        self._note_ends(now)
         for claim in claims:
             claim.run.order = 1
             index = self._indices[claim.instance.address]
@@ -195,8 +208,20 @@
                 arrival.seconds[key.step][key.index],
                 self._saved.get(claim.run.task, 0.0),
                 now,
+                self._note_start(arrival, claim),
             )
 
+    def _note_start(
+        self, arrival: load_module.Arrival, claim: placer.Claim
+    ) -> bool:
+        """Count a start that ends its agent; tell whether it is one."""
+        key = claim.task.key
+        crashes = arrival.crashes and key.step == 0 and key.index == 0
+        if crashes:
+            starts = self._crashing.get(arrival.id, 0)
+            self._crashing[arrival.id] = starts + 1
+        return crashes
+
     def _read(
         self, view: instances.Instance, report: fleet_pb2.Report, clock: float
     ) -> reports.Reaction:
--- a/tools/emulator/deployments.py
+++ b/tools/emulator/deployments.py
@@ -59,6 +59,29 @@
     )
 
 
+def draw_harmed(seed: int) -> Deployment:
+    """Draw a deployment where tasks end agents and rooms swing, too."""
+    usual = draw(seed)
+    rng = random.Random(f'harmed {seed}')
+    shrinks = tuple(
+        faults_module.Fault(
+            kind='shrink',
+            at=rng.uniform(0.0, load.DAY_SECONDS),
+            seconds=rng.uniform(3.0, 9.0),
+            index=index,
+            strength=rng.uniform(1.2, 3.0),
+        )
+        for index in rng.sample(range(len(usual.cores)), 3)
+    )
+    return dataclasses.replace(
+        usual,
+        rates=dataclasses.replace(
+            usual.rates, crashing=rng.uniform(0.01, 0.04)
+        ),
+        faults=usual.faults + shrinks,
+    )
+
+
 def _draw_cores(rng: random.Random) -> tuple[int, ...]:
     usual = rng.choice((16, 32, 64, 96, 128))
     large = round(usual * rng.uniform(1.0, 2.0))
@@ -120,7 +143,7 @@
 ) -> tuple[faults_module.Fault, ...]:
     return tuple(
         faults_module.Fault(
-            kind=rng.choice(sorted(faults_module.KINDS)),
+            kind=rng.choice(faults_module.USUAL),
             at=rng.uniform(0.0, load.DAY_SECONDS),
             seconds=rng.uniform(3.0, 9.0),
             index=rng.randrange(count),
--- a/tools/emulator/faults.py
+++ b/tools/emulator/faults.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing as t
 
+from persimmonsail.jobs import specification
 from tools.emulator import worker as worker_module
 
 
@@ -40,6 +41,8 @@
 
 
 KINDS: dict[str, Kind] = {}
+# What drawn deployments have; others are added to them.
+USUAL = ('crash', 'late', 'slow', 'still')
 
 
 def register(name: str, end: Change) -> t.Callable[[Change], Change]:
@@ -60,6 +63,13 @@
     worker.revive()
 
 
+def _restore_room(worker: worker_module.Worker, fault: Fault) -> None:
+    worker.capacity = specification.Size(
+        round(worker.capacity.millicores * fault.strength),
+        round(worker.capacity.memory_mib * fault.strength),
+    )
+
+
 def _order_at_once(worker: worker_module.Worker, fault: Fault) -> None:
     worker.order_seconds = 0.0
 
@@ -76,9 +86,17 @@
 
 @register('crash', _revive)
 def _crash(worker: worker_module.Worker, fault: Fault) -> None:
-    worker.crash()
+    worker.crash(fault.at)
 
 
 @register('late', _order_at_once)
 def _order_late(worker: worker_module.Worker, fault: Fault) -> None:
     worker.order_seconds = fault.strength / 2
+
+
+@register('shrink', _restore_room)
+def _shrink_room(worker: worker_module.Worker, fault: Fault) -> None:
+    worker.capacity = specification.Size(
+        round(worker.capacity.millicores / fault.strength),
+        round(worker.capacity.memory_mib / fault.strength),
+    )
--- a/tools/emulator/load.py
+++ b/tools/emulator/load.py
@@ -56,6 +56,9 @@
         By how much more heavy jobs come in the burst's seconds.
     size : float
         How large tasks are, against those of the played deployments.
+    crashing : float
+        The share of jobs whose first task ends each worker's agent that
+        starts it.
     """
 
     quick: float = 2.2
@@ -66,6 +69,7 @@
     heavy_seconds: float = 4.4
     burst: float = 1.4
     size: float = 1.0
+    crashing: float = 0.0
 
 
 # The burst's place in the day, in seconds.
@@ -88,6 +92,8 @@
         What the caller says of it.
     seconds : tuple of tuple of float
         For each step and task its duration at full speed.
+    crashes : bool
+        Whether its first task ends each worker's agent that starts it.
     """
 
     at: float
@@ -95,6 +101,7 @@
     queue: str
     specification: specification.Specification
     seconds: tuple[tuple[float, ...], ...]
+    crashes: bool = False
 
     @property
     def work(self) -> float:
@@ -129,6 +136,8 @@
         self._rates = rates
         self._shape = shape
         self._random = random.Random(seed)
+        # Apart from the rest, so that a day is the same but for this.
+        self._harm = random.Random(f'harm {seed}')
         self._count = 0
 
     def draw_day(self, lead: float) -> list[Arrival]:
@@ -173,6 +182,7 @@
             queue,
             specification.Specification('payload', steps),
             tuple(seconds for _, seconds in drawn),
+            crashes=self._harm.random() < self._rates.crashing,
         )
 
     def _vary(self, mean: float, spread: float, most: float) -> float:
--- a/tools/emulator/score.py
+++ b/tools/emulator/score.py
@@ -45,6 +45,10 @@
     waiting, paced, short, worked : float
         What heavy tasks spent their seconds on: waiting for a place, held
         back by a pace or by a lack of processors, and at work.
+    crash_starts : float
+        The most starts of one task that ends its agents.
+    wronged : float
+        Jobs that were given up, and end no agents.
     """
 
     heavy: float
@@ -60,6 +64,8 @@
     paced: float
     short: float
     worked: float
+    crash_starts: float
+    wronged: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,6 +84,10 @@
         When the day ended.
     waiting : float
         Seconds that heavy tasks waited for a place.
+    crashing : mapping of str to int
+        The starts of the task that ends its agents, by its job.
+    given_up : collection of str
+        Jobs that failed.
     """
 
     arrivals: t.Sequence[load.Arrival]
@@ -85,6 +95,8 @@
     workers: t.Sequence[worker.Worker]
     end: float
     waiting: float
+    crashing: t.Mapping[str, int]
+    given_up: t.Collection[str]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -129,12 +141,18 @@
         paced=sum(each.paced for each in outcome.workers),
         short=sum(each.short for each in outcome.workers),
         worked=sum(each.worked for each in outcome.workers),
+        crash_starts=max(outcome.crashing.values(), default=0),
+        wronged=len(set(outcome.given_up) - outcome.crashing.keys()),
     )
 
 
 def _judge_jobs(outcome: Outcome, queue: str) -> list[_Earned]:
     """Judge a queue's jobs whose objective lies within the day."""
-    arrivals = [a for a in outcome.arrivals if a.queue == queue]
+    arrivals = [
+        arrival
+        for arrival in outcome.arrivals
+        if arrival.queue == queue and not arrival.crashes
+    ]
     mean_work = _mean([arrival.work for arrival in arrivals])
     earned = []
     for arrival in arrivals:
@@ -174,7 +192,7 @@
     """Return how many windows of serving jobs there were."""
     windows = 0.0
     for arrival in outcome.arrivals:
-        if arrival.queue == load.SERVING:
+        if arrival.queue == load.SERVING and not arrival.crashes:
             seconds = load.DAY_SECONDS - max(arrival.at, 0.0)
             windows += max(seconds, 0.0) / _WINDOW_SECONDS
     return windows
@@ -192,7 +210,7 @@
     earned = 0.0
     owed = 0.0
     for arrival in outcome.arrivals:
-        if arrival.queue != load.SERVING:
+        if arrival.queue != load.SERVING or arrival.crashes:
             continue
         count = arrival.specification.steps[0].count
         owed += count * (outcome.end - arrival.at)
--- a/tools/emulator/worker.py
+++ b/tools/emulator/worker.py
@@ -20,6 +20,12 @@
 _GAUGE_TICKS = round(_GAUGE_SECONDS / _TICK_SECONDS)
 
 
+# A task that ends its agent does so after this time, and the agent is back
+# after the second.
+_CRASH_SECONDS = 0.05
+_BACK_SECONDS = 3.0
+
+
 @dataclasses.dataclass
 class _Run:
     task: str
@@ -28,6 +34,7 @@
     seconds: float
     done: float
     begins_at: float
+    crashes: bool = False
     percent: int = 100
     stops_at: float = 0.0
     used: float = 0.0
@@ -97,14 +104,25 @@
         self.order_seconds = 0.0
         self.boot = 'boot-1'
         self.dark = False
+        # When an agent that a task has ended is back.
+        self._back_at = math.inf
+        self._crash: fleet_pb2.Crash | None = None
+        self._crashed_at = 0.0
         # Requests that wait already are served first, so a tail latency
         # lags behind what causes it.
         lag = truth.shape.lag_seconds
         self._following = 1 - math.exp(-_TICK_SECONDS / lag)
 
-    def crash(self) -> None:
+    def crash(self, now: float) -> None:
         """Lose everything that runs here."""
         self.dark = True
+        self._crashed_at = now
+        self._crash = fleet_pb2.Crash(boot=self.boot)
+        for run in sorted(self._runs.values(), key=lambda r: -r.begins_at):
+            seconds = max(now - run.begins_at, 0.0)
+            self._crash.runs.add(
+                task=run.task, run=run.number, seconds=seconds
+            )
         self._runs.clear()
         self._paces.clear()
         self._ended.clear()
@@ -112,6 +130,7 @@
     def revive(self) -> None:
         """Come back as another life that knows nothing."""
         self.dark = False
+        self._back_at = math.inf
         self._number = 0
         self.boot = f'boot-{int(self.boot.rpartition("-")[2]) + 1}'
         self.changed = True
@@ -122,8 +141,9 @@
         seconds: float,
         saved: float,
         now: float,
+        crashes: bool = False,
     ) -> None:
-        """Carry a start out."""
+        """Carry a start out; one that crashes ends the agent."""
         if self.dark:
             return
         begins = now + _ORDER_SECONDS + self.order_seconds
@@ -136,6 +156,7 @@
             seconds,
             saved,
             begins,
+            crashes,
             run.pace if run.step.best_effort_cpu else 100,
         )
 
@@ -151,6 +172,14 @@
 
     def tick(self, now: float) -> None:
         """Let time pass."""
+        if now >= self._back_at:
+            self.revive()
+        if any(
+            run.crashes and now - run.begins_at >= _CRASH_SECONDS
+            for run in self._runs.values()
+        ):
+            self.crash(now)
+            self._back_at = now + _BACK_SECONDS
         self._apply_paces(now)
         self._share_processors(now)
         self._disturb(now)
@@ -269,7 +298,9 @@
             )
         )
 
-    def describe(self, seen: int, processed: int) -> fleet_pb2.Report:
+    def describe(
+        self, seen: int, processed: int, now: float
+    ) -> fleet_pb2.Report:
         """Return what the sidecar reports."""
         self.changed = False
         self._ended = [row for row in self._ended if row.number > processed]
@@ -295,4 +326,8 @@
             if run.stops_at:
                 report.pending.add(task=run.task, run=run.number)
         report.ended.extend(self._ended)
+        if self._crash is not None and not self.dark:
+            self._crash.ago_seconds = now - self._crashed_at
+            report.crashes.append(self._crash)
+            self._crash = None
         return report
