--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,13 @@
 from tools.soaking import trial
 
 # Each seed that ever broke a promise stays here, with its cause.
-REGRESSIONS = ()
+REGRESSIONS = (
+    # An innocent job was given up for crashes that other tasks explain.
+    5002,
+    # An answer at the very limit of a call's time was none, and a read got
+    # 500.
+    5005,
+)
 FAULTS = {
     'change_configuration',
     'crash_many',
