--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -31,6 +31,13 @@
 }
 
 
+_AGAIN = (
+    httpx.codes.SERVICE_UNAVAILABLE,
+    httpx.codes.GATEWAY_TIMEOUT,
+)
+_AGAIN_SECONDS = 0.2
+
+
 def make_body(*counts: int, payload: str = '50', **fields: t.Any) -> dict:
     """Return a submission with one phase after the other."""
     phases = []
@@ -148,6 +155,21 @@
             headers={'Host': HOST, 'Deadline-Ms': '3000'},
         )
 
+    async def submit(
+        self, entry: str, id: str, body: t.Any, seconds: float = 20.0
+    ) -> int:
+        """Submit a job until the answer is final; return its status.
+
+        A caller that is told that it was not accepted, or that this is not
+        known, sends the same name again.
+        """
+        with anyio.fail_after(seconds):
+            while True:
+                answer = await self.call(entry, 'POST', id, body)
+                if answer.status_code not in _AGAIN:
+                    return answer.status_code
+                await anyio.sleep(_AGAIN_SECONDS)
+
     async def read(
         self, entry: str, id: str, seconds: float = 20.0
     ) -> httpx.Response:
