--- a/tests/platform/test_capacity.py
+++ b/tests/platform/test_capacity.py
@@ -98,4 +98,9 @@
             await self.set_room(running, 'side-2', 8000)
             await running.wait_state('entry-1', IDS[0], 'complete')
             last = (await running.list_starts())[-4:]
-            self.assertEqual({'done'}, {start['how'] for start in last})
+            self.assertEqual(4, len({start['task'] for start in last}))
+            self.assertEqual(1, len({start['run'] for start in last}))
+            # One member's end stands for all: what still runs is stopped.
+            ends = {start['how'] for start in last}
+            self.assertIn('done', ends)
+            self.assertEqual(set(), ends - {'done', 'stopped'})
