--- a/src/persimmonsail/jobs/board.py
+++ b/src/persimmonsail/jobs/board.py
@@ -62,7 +62,7 @@
             return False
         self.jobs[job.id] = job
         for task in job.tasks.values():
-            if task.state.crashes.count:
+            if task.is_suspect:
                 self.note_crashes(task, task.state.crashes)
         if job.id in self._cancelled:
             self.cancel(job.id)
--- a/src/persimmonsail/jobs/crashes.py
+++ b/src/persimmonsail/jobs/crashes.py
@@ -324,7 +324,7 @@
 
 def _is_tried(task: job_module.Task, run: fleet_pb2.CrashedRun) -> bool:
     """Tell whether a run was a suspect that had just been started again."""
-    return task.state.crashes.count > 0 and _is_just(run)
+    return task.is_suspect and _is_just(run)
 
 
 def _tries_suspect(instance: instances.Instance) -> bool:
--- a/src/persimmonsail/jobs/fleet.py
+++ b/src/persimmonsail/jobs/fleet.py
@@ -96,7 +96,7 @@
             ordered_at=now,
             # Unknown; the first order says what it is to be.
             pace=0,
-            suspect=task.state.crashes.count > 0,
+            suspect=task.is_suspect,
         )
         instance.add_run(run)
         if task.state.crashes.apart:
--- a/src/persimmonsail/jobs/job.py
+++ b/src/persimmonsail/jobs/job.py
@@ -54,6 +54,11 @@
         """Whether its last run is claimed for an instance."""
         return self.state.phase is record.TaskPhase.PLACED
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether crashes of workers' agents are held against it."""
+        return self.state.crashes.count > 0
+
     @property
     def due_ms(self) -> int:
         """When it may begin, in milliseconds since the epoch."""
--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -118,13 +118,15 @@
     ) -> instances.Instance | None:
         """Return where a suspect is apart, and least is lost with it."""
         fleet = self._places.fleet
-        left = self._fits.copy()
+        left = self._fits
         if not left.any():
             return None
-        avoided = [instance.address in avoid for instance in fleet]
-        left = _keep_least(left, numpy.array(avoided))
-        left = _keep_least(left, numpy.array([i.suspects for i in fleet]))
-        left = _keep_least(left, numpy.array([len(i.runs) for i in fleet]))
+        for score in (
+            [instance.address in avoid for instance in fleet],
+            [instance.suspects for instance in fleet],
+            [len(instance.runs) for instance in fleet],
+        ):
+            left = _keep_least(left, numpy.array(score))
         return fleet[int(left.argmax())]
 
     def list_racks(self) -> list[str]:
--- a/src/persimmonsail/jobs/placer.py
+++ b/src/persimmonsail/jobs/placer.py
@@ -91,9 +91,8 @@
         saved = [t.state.checkpoint for t in tasks if t.state.checkpoint]
         claims: list[Claim] = []
         for task in tasks:
-            suspect = task.state.crashes.count > 0
             instance = self._candidates.choose(
-                task.avoid, least_speed, rack, suspect
+                task.avoid, least_speed, rack, task.is_suspect
             )
             if instance is None:
                 self._withdraw(claims)
@@ -123,7 +122,7 @@
             order=_NOT_SENT,
             ordered_at=self._now,
             due=self._due,
-            suspect=task.state.crashes.count > 0,
+            suspect=task.is_suspect,
         )
         if task.step.best_effort_cpu:
             run.pace = pace.choose_first_percent(
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -215,10 +215,13 @@
         if not found:
             self._full.add(step)
             self._note_missing(members, task, queue)
-        for claim in found:
+        self._commit_all(found)
+        return found
+
+    def _commit_all(self, claims: t.Iterable[placer_module.Claim]) -> None:
+        for claim in claims:
             row = self._places.find_row(claim.instance)
             _commit(self._board, claim, self._places.unused[row])
-        return found
 
     def _place_apart(
         self, task: job_module.Task, queue: queues.Queue
@@ -233,11 +236,10 @@
         if not suspects.may_reserve(int(usable.sum()), reserved):
             return []
         found = self._placer.place_apart(task)
+        self._commit_all(found)
         for claim in found:
-            row = self._places.find_row(claim.instance)
-            _commit(self._board, claim, self._places.unused[row])
             # What this round places from now on goes elsewhere.
-            usable[row] = False
+            usable[self._places.find_row(claim.instance)] = False
             self._placing = None
         return found
 
--- a/src/persimmonsail/jobs/suspects.py
+++ b/src/persimmonsail/jobs/suspects.py
@@ -99,9 +99,9 @@
     The members of a gang begin together, so none of them can be tried by
     itself; their job ends with them in any case.
     """
-    crashes = task.state.crashes
-    if not crashes.count or task.step.gang:
+    if not task.is_suspect or task.step.gang:
         return False
+    crashes = task.state.crashes
     if crashes.count == 1 and (
         crashes.longest_ms > JUST_SECONDS * _MILLISECONDS
     ):
@@ -164,7 +164,7 @@
     agent doesn't answer; a crashed one would clear the task that it died of.
     So only the time until that answer counts.
     """
-    if not task.state.crashes.count:
+    if not task.is_suspect:
         return
     seconds = answered_at - run.seen_at
     if seconds <= _find_watch_seconds(task):
