--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -22,6 +22,30 @@
         self.assertFalse(self.is_failed(innocent))
         self.assertEqual(3, innocent.state.crashes.count)
 
+    def test_starts_beside_a_suspect_take_the_proof_from_its_crash(self):
+        """A quick job is answered as failed, and crashed nothing.
+
+        An agent crashed by itself under its first run; the second and the
+        third were on agents that had just come back, where sixteen tasks
+        began at one moment, new bad ones among them. To have been there
+        before was held to be proof, and so was to be apart from other
+        suspects, though nothing kept it apart from what began just before:
+
+            crash-counted task=4.0.0.0 run=2 count=2 apart=no runs=16
+            crash-counted task=4.0.0.0 run=3 count=3 apart=yes runs=16
+            job-given-up task=4.0.0.0 crashes=3 longest_ms=186
+        """
+        innocent = self.add_task()
+        self.crash(self.fleet[0], (innocent, 0.186))
+        for instance, apart in zip(self.fleet[1:3], ((), (True,))):
+            self.wait()
+            fresh = [self.add_task() for _ in range(15)]
+            rows = [(task, 0.045) for task in fresh]
+            self.crash(instance, (innocent, 0.04, *apart), *rows)
+        self.wait()
+        self.assertEqual(0, innocent.state.crashes.proofs)
+        self.assertFalse(self.is_failed(innocent))
+
     def test_a_run_that_had_lasted_is_no_suspect(self):
         task = self.add_task(long_running=True)
         for instance in self.fleet:
