--- a/src/persimmonsail/jobs/crashes.py
+++ b/src/persimmonsail/jobs/crashes.py
@@ -5,10 +5,12 @@
 to their name, and one of them did it. Agents also crash for reasons of
 their own, one at a time, by racks, or many at once.
 
-A crash is counted for a run that began shortly before it. It tells of one
-that was apart from others, or that was there at more crashes than any other
-job, if nothing else began after it. Where many instances crash at once, no
-task has done it. What follows for a task, suspects.py says.
+A crash is counted for a run that began shortly before it. It tells of a
+suspect if nothing else had begun within the time in which such crashes come,
+or if it was there at more of them than the few others. To have begun beside
+many that were never tried tells nothing: new bad tasks may be among them.
+Where many instances crash at once, no task has done it. What follows for a
+task, suspects.py says.
 """
 
 import dataclasses
@@ -26,8 +28,11 @@
 # A run that had lasted for longer than this has nothing to do with its
 # agent's crash.
 _LONGEST_SECONDS = 20.0
-# So few runs that began just before a crash can each be tried apart.
+# So few runs that began just before a crash can each be tried apart, and are
+# hardly there by chance.
 _FEW = 4
+# One that was at fewer crashes before may have been there by chance.
+_LEAST_TOLD = 2
 # Runs that began within this time began together.
 _TOGETHER_SECONDS = 0.05
 # Agents that last answered within this time may have crashed together: each
@@ -130,15 +135,16 @@
         now: float,
     ) -> None:
         """Count a crash for whoever may have done it."""
-        few = sum(_is_just(run) for _, run in suspects) <= _FEW
+        few = sum(_is_just(run) for run in crash.runs) <= _FEW
         tried = _find_tried(suspects, crash)
         if tried is not None:
             # Whoever else was there has nothing to do with it.
             self._pass_over(suspects, tried)
             suspects = [row for row in suspects if row[0] is tried]
-        told = _find_told(suspects, crash)
+        told = _find_told(suspects, crash) if few else set()
         for task, run in suspects:
-            proved = task is tried or task.name in told
+            alone = task.is_suspect and _is_alone(task, run, crash)
+            proved = alone or task.name in told
             wait = self._count(moment, task, run, few, proved)
             task.not_before = max(task.not_before, now + wait)
             task.avoid.add(instance.address)
@@ -282,11 +288,11 @@
 def _find_tried(
     suspects: t.Sequence[_Suspect], crash: fleet_pb2.Crash
 ) -> job_module.Task | None:
-    """Return the suspect that was apart, if nothing else began after it."""
+    """Return the suspect that was apart, if it was alone there indeed."""
     for task, run in suspects:
         # What the record says of being apart is of the last run.
         apart = task.state.crashes.apart and run.run == task.state.run
-        if apart and _is_latest(task, run, crash):
+        if apart and _is_alone(task, run, crash):
             return task
     return None
 
@@ -300,7 +306,7 @@
     """
     most = max((task.state.crashes.count for task, _ in suspects), default=0)
     told = [row for row in suspects if row[0].state.crashes.count == most]
-    if not most or len({task.job.id for task, _ in told}) > 1:
+    if most < _LEAST_TOLD or len({task.job.id for task, _ in told}) > 1:
         return set()
     return {task.name for task, run in told if _is_latest(task, run, crash)}
 
@@ -317,6 +323,18 @@
     )
 
 
+def _is_alone(
+    task: job_module.Task, run: fleet_pb2.CrashedRun, crash: fleet_pb2.Crash
+) -> bool:
+    """Tell whether only its own job's runs may have crashed the agent."""
+    begun = run.seconds + suspects_module.JUST_SECONDS
+    prefix = f'{task.job.id}.'
+    return not any(
+        other.seconds < begun and not other.task.startswith(prefix)
+        for other in crash.runs
+    )
+
+
 def _is_just(run: fleet_pb2.CrashedRun) -> bool:
     """Tell whether a run began just before the crash."""
     return run.seconds <= suspects_module.JUST_SECONDS
--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import functools
+import math
 
 from persimmonsail.jobs import specification
 
@@ -138,6 +139,10 @@
         Until when it gets no work after it failed what it ran.
     apart : Run, optional
         The last run beside which nothing else was to be started.
+    cleared_for : str
+        The suspect task that is to be tried here next; empty for none.
+    cleared_until : float
+        Until when nothing else is started here for its sake.
     committed : persimmonsail.jobs.specification.Size
         What all runs take, those that are being stopped too.
     processed : int
@@ -167,6 +172,8 @@
     suspect_until: float = 0.0
     runs: dict[RunId, Run] = dataclasses.field(default_factory=dict)
     apart: Run | None = None
+    cleared_for: str = ''
+    cleared_until: float = 0.0
     committed: specification.Size = specification.Size()
     processed: int = 0
     committed_end: int = 0
@@ -220,12 +227,26 @@
         return sum(run.suspect for run in self.runs.values())
 
     def is_reserved(self, now: float) -> bool:
-        """Tell whether nothing may be started beside a run that is apart."""
+        """Tell whether a suspect has, or is to have, this for itself."""
+        if now < self.cleared_until:
+            return True
         run = self.apart
         if run is None or self.runs.get((run.task, run.number)) is not run:
             return False
         return now - (run.seen_at or run.ordered_at) < run.apart_seconds
 
+    def is_cleared_for(self, task: str, now: float) -> bool:
+        """Tell whether this suspect is to be tried here next."""
+        return now < self.cleared_until and self.cleared_for == task
+
+    def measure_quiet(self, now: float) -> float:
+        """Return for how many seconds nothing has begun here.
+
+        What was ordered and not seen yet may begin at any moment.
+        """
+        began = [run.seen_at or now for run in self.runs.values()]
+        return now - max(began, default=-math.inf)
+
     def count_step(self, step_name: str) -> int:
         """Return how many tasks of a step run here."""
         return self._counts[step_name]
--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -18,6 +18,7 @@
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import places as places_module
 from persimmonsail.jobs import specification
+from persimmonsail.jobs import suspects
 
 # A best-effort task waits for an instance where it would work at least
 # at this part of its speed; on a worse one it stays for longer than the
@@ -114,7 +115,7 @@
         return fleet[int(left.argmax())]
 
     def choose_apart(
-        self, avoid: t.Collection[str]
+        self, avoid: t.Collection[str], now: float
     ) -> instances.Instance | None:
         """Return where a suspect is apart, and least is lost with it."""
         fleet = self._places.fleet
@@ -124,6 +125,7 @@
         for score in (
             [instance.address in avoid for instance in fleet],
             [instance.suspects for instance in fleet],
+            [not suspects.is_quiet(instance, now) for instance in fleet],
             [len(instance.runs) for instance in fleet],
         ):
             left = _keep_least(left, numpy.array(score))
@@ -196,6 +198,26 @@
     )
 
 
+def find_cleared(
+    fleet: t.Iterable[instances.Instance], task: job_module.Task, now: float
+) -> numpy.ndarray:
+    """Return which instance a suspect is to be tried on next, if any is.
+
+    Returns
+    -------
+    numpy.ndarray
+        A truth value for each instance; shape (instances,).
+    """
+    return numpy.array(
+        [
+            instance.is_cleared_for(task.name, now)
+            and is_usable(instance, now, task.name)
+            for instance in fleet
+        ],
+        dtype=bool,
+    )
+
+
 def list_usable(
     fleet: t.Iterable[instances.Instance], service: str, now: float
 ) -> list[instances.Instance]:
@@ -221,8 +243,10 @@
     ]
 
 
-def is_usable(instance: instances.Instance, now: float) -> bool:
-    """Tell whether an instance gets new work at all."""
+def is_usable(
+    instance: instances.Instance, now: float, suspect: str = ''
+) -> bool:
+    """Tell whether an instance gets new work at all, or this suspect."""
     return (
         instance.attached
         and instance.reported
@@ -231,7 +255,10 @@
         and instance.known
         and instance.silent_seconds < _SILENT_SECONDS
         and now >= instance.suspect_until
-        and not instance.is_reserved(now)
+        and (
+            instance.is_cleared_for(suspect, now)
+            or not instance.is_reserved(now)
+        )
     )
 
 
--- a/src/persimmonsail/jobs/placer.py
+++ b/src/persimmonsail/jobs/placer.py
@@ -70,11 +70,14 @@
                     return claims
         return self._try(tasks, least_speed)
 
-    def place_apart(self, task: job_module.Task) -> list[Claim]:
+    def choose_apart(self, task: job_module.Task) -> instances.Instance | None:
         """Find an instance where a suspect is apart from others."""
-        instance = self._candidates.choose_apart(task.avoid)
-        if instance is None:
-            return []
+        return self._candidates.choose_apart(task.avoid, self._now)
+
+    def place_apart(
+        self, task: job_module.Task, instance: instances.Instance
+    ) -> list[Claim]:
+        """Place a suspect where nothing else began just now, or will."""
         claim = self._add_run(task, 1 + task.state.run, instance)
         suspects.keep_apart(task, claim.run, instance)
         return [claim]
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -205,11 +205,12 @@
         if queue.service in self._kept and not idle:
             return []
         members = gangs.list_members(task, self._now)
-        if self._placing != step:
-            self._placer = self._make_placer(task, queue)
-            self._placing = step
         if suspects.needs_apart(task, self._now):
             return self._place_apart(task, queue)
+        if self._placing != step:
+            usable = self._find_usable(queue.service)
+            self._placer = self._make_placer(task, queue, usable)
+            self._placing = step
         least = 0.0 if idle else placement.LEAST_SPEED
         found = self._placer.place(members, least)
         if not found:
@@ -227,24 +228,37 @@
         self, task: job_module.Task, queue: queues.Queue
     ) -> list[placer_module.Claim]:
         """Try a suspect where its next crash tells that it was this one."""
+        cleared = placement.find_cleared(self._places.fleet, task, self._now)
         usable = self._find_usable(queue.service)
-        fleet = self._places.fleet
-        reserved = sum(
-            one.service == queue.service and one.is_reserved(self._now)
-            for one in fleet
-        )
-        if not suspects.may_reserve(int(usable.sum()), reserved):
+        if not cleared.any() and not self._may_reserve(usable, queue.service):
+            return []
+        allowed = cleared if cleared.any() else usable
+        placer = self._make_placer(task, queue, allowed)
+        instance = placer.choose_apart(task)
+        if instance is None:
             return []
-        found = self._placer.place_apart(task)
+        # What this round places from now on goes elsewhere.
+        usable[self._places.find_row(instance)] = False
+        self._placing = None
+        if not suspects.is_quiet(instance, self._now):
+            suspects.clear_instance(task, instance, self._now)
+            return []
+        found = placer.place_apart(task, instance)
         self._commit_all(found)
-        for claim in found:
-            # What this round places from now on goes elsewhere.
-            usable[self._places.find_row(claim.instance)] = False
-            self._placing = None
         return found
 
+    def _may_reserve(self, usable: numpy.ndarray, service: str) -> bool:
+        reserved = sum(
+            one.service == service and one.is_reserved(self._now)
+            for one in self._places.fleet
+        )
+        return suspects.may_reserve(int(usable.sum()), reserved)
+
     def _make_placer(
-        self, task: job_module.Task, queue: queues.Queue
+        self,
+        task: job_module.Task,
+        queue: queues.Queue,
+        usable: numpy.ndarray,
     ) -> placer_module.Placer:
         objective_ms = order.find_objective_ms(task.job, queue)
         left_ms = objective_ms - (self._wall_ms - task.since_ms)
@@ -255,7 +269,7 @@
             self._places,
             task.step,
             task.step_name,
-            self._find_usable(queue.service),
+            usable,
             tickets,
         )
         due = self._now + left_ms / _MILLISECONDS
--- a/src/persimmonsail/jobs/suspects.py
+++ b/src/persimmonsail/jobs/suspects.py
@@ -34,6 +34,11 @@
 _PATIENCE_SECONDS = 3.0
 # The same for one that was there at two crashes or more.
 _LONG_PATIENCE_SECONDS = 10.0
+# Nothing else has begun for so long where a suspect is tried: what began
+# just before it might as well be what crashes the agent.
+QUIET_SECONDS = 1.0
+# An instance that finds no quiet for so long gets other work again.
+_LONGEST_CLEARED_SECONDS = 2.0
 # For how long nothing is started beside a run that is apart: until a crash
 # is noticed at least.
 _LEAST_APART_SECONDS = 1.0
@@ -150,6 +155,20 @@
     """Have nothing else start beside a suspect's run for a while."""
     run.apart_seconds = _find_apart_seconds(task)
     instance.apart = run
+    instance.cleared_until = 0.0
+
+
+def is_quiet(instance: instances.Instance, now: float) -> bool:
+    """Tell whether what is started there would be alone for a while."""
+    return instance.measure_quiet(now) > QUIET_SECONDS
+
+
+def clear_instance(
+    task: job_module.Task, instance: instances.Instance, now: float
+) -> None:
+    """Have nothing else start on an instance until a suspect is tried."""
+    instance.cleared_for = task.name
+    instance.cleared_until = now + _LONGEST_CLEARED_SECONDS
 
 
 def note_running(
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -20,6 +20,11 @@
 
 START_SECONDS = 30.0
 STOP_SECONDS = 30.0
+# Servers close a kept connection that was idle for 5 s; a call that leaves
+# at that moment ends without an answer, so the client closes it before.
+_LIMITS = httpx.Limits(
+    max_connections=100, max_keepalive_connections=20, keepalive_expiry=2.0
+)
 
 
 class ProcessEnded(Exception):
@@ -115,7 +120,7 @@
             anyio.create_task_group()
         )
         self.client = await self._owned.enter_async_context(
-            httpx.AsyncClient(timeout=60, trust_env=False)
+            httpx.AsyncClient(timeout=60, trust_env=False, limits=_LIMITS)
         )
         return self
 
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -216,16 +216,8 @@
         return max(leading)[1]
 
     async def _post(self, url: str, **body: t.Any) -> dict[str, t.Any]:
-        """Tell a stand-in something; once more if its connection broke.
-
-        A stand-in closes a kept connection that was idle for 5 s; a call
-        that leaves at that moment ends without an answer.
-        """
-        client = self.running.client
-        try:
-            answer = await client.post(f'http://{url}', json=body)
-        except (httpx.ReadError, httpx.RemoteProtocolError):
-            answer = await client.post(f'http://{url}', json=body)
+        """Tell a stand-in something."""
+        answer = await self.running.client.post(f'http://{url}', json=body)
         answer.raise_for_status()
         return answer.json()
 
--- a/tests/jobs/cases.py
+++ b/tests/jobs/cases.py
@@ -54,13 +54,13 @@
 def add_run(instance, step, task='00000000000000bb.0.0.0', **fields):
     """Put a running run on an instance."""
     fields.setdefault('phase', instances.RunPhase.RUNNING)
+    fields.setdefault('seen_at', 1.0)
     run = instances.Run(
         task=task,
         number=1,
         boot=instance.boot,
         step=step,
         queue=QUEUE.name,
-        seen_at=1.0,
         **fields,
     )
     instance.add_run(run)
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -37,11 +37,12 @@
         """
         innocent = self.add_task()
         self.crash(self.fleet[0], (innocent, 0.186))
-        for instance, apart in zip(self.fleet[1:3], ((), (True,))):
+        for number, apart in ((1, ()), (2, (True,))):
             self.wait()
             fresh = [self.add_task() for _ in range(15)]
             rows = [(task, 0.045) for task in fresh]
-            self.crash(instance, (innocent, 0.04, *apart), *rows)
+            crashed = self.fleet[number]
+            self.crash(crashed, (innocent, 0.04, *apart), *rows)
         self.wait()
         self.assertEqual(0, innocent.state.crashes.proofs)
         self.assertFalse(self.is_failed(innocent))
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -3,6 +3,7 @@
 from persimmonsail.jobs import interference
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import places
+from persimmonsail.jobs import record
 from persimmonsail.jobs import scheduling
 from persimmonsail.jobs import specification
 from tests import base
@@ -251,3 +252,76 @@
         rounds = 15
         pauses = rounds * scheduling.choose_pause(0.025, True)
         self.assertLess(rounds * 0.025 + pauses, 0.8)
+
+
+class SuspectTest(base.TestCase):
+    """A suspect is tried where its crash can be nobody else's."""
+
+    def setUp(self):
+        super().setUp()
+        self.board = board_module.Board()
+        self.places = places.Places()
+        self.fleet = [
+            cases.make_instance(f'10.0.0.{i}:7000', boot=f'boot-{i}')
+            for i in range(2)
+        ]
+        job = cases.make_job(cases.make_step(1))
+        self.board.add(job)
+        (self.task,) = job.tasks.values()
+        self.board.note_crashes(
+            self.task, record.Crashes(count=1, longest_ms=10)
+        )
+
+    def plan(self, now):
+        return scheduling.plan(
+            self.board,
+            self.places,
+            self.fleet,
+            {cases.QUEUE.name: cases.QUEUE},
+            {},
+            interference.Model(),
+            advice.Approvals(),
+            now,
+            WALL,
+        )
+
+    def add_other(self, instance, seen_at, task):
+        cases.add_run(instance, cases.make_step(), task, seen_at=seen_at)
+
+    def test_a_quiet_instance_is_preferred(self):
+        self.add_other(self.fleet[0], NOW - 0.2, '00000000000000bb.0.0.0')
+        for index in range(3):
+            name = f'00000000000000cc.0.0.{index}'
+            self.add_other(self.fleet[1], NOW - 9.0, name)
+        (claim,) = self.plan(NOW)
+        self.assertIs(self.fleet[1], claim.instance)
+
+    def test_where_nothing_is_quiet_an_instance_becomes_so_first(self):
+        """Agents came back a moment ago, and everything began there.
+
+        A suspect that began along with them was held responsible when a
+        new bad task ended the agent again.
+        """
+        for index, instance in enumerate(self.fleet):
+            name = f'00000000000000bb.0.0.{index}'
+            self.add_other(instance, NOW - 0.2, name)
+        self.assertEqual([], self.plan(NOW))
+        (cleared,) = [one for one in self.fleet if one.is_reserved(NOW)]
+        other = cases.make_job(cases.make_step(4), id='00000000000000dd')
+        self.board.add(other)
+        claims = self.plan(NOW + 0.3)
+        self.assertEqual(4, len(claims))
+        self.assertNotIn(cleared, [claim.instance for claim in claims])
+        (claim,) = self.plan(NOW + 0.9)
+        self.assertIs(cleared, claim.instance)
+        self.assertIs(self.task, claim.task)
+
+    def test_an_instance_that_finds_no_quiet_is_used_again(self):
+        """A start there stays unanswered; nothing may wait on for it."""
+        for instance in self.fleet:
+            name = f'00000000000000bb.0.0.{instance.boot[-1]}'
+            self.add_other(instance, 0.0, name)
+        self.assertEqual([], self.plan(NOW))
+        self.assertTrue(any(one.is_reserved(NOW) for one in self.fleet))
+        later = NOW + 2.1
+        self.assertFalse(any(one.is_reserved(later) for one in self.fleet))
