--- a/tests/jobs/test_suspects.py
+++ b/tests/jobs/test_suspects.py
@@ -89,6 +89,26 @@
         self.assertTrue(suspects.needs_apart(task, crashing.NOW + 2.0))
         self.assertFalse(suspects.needs_apart(task, crashing.NOW + 3.5))
 
+    def test_one_that_was_at_three_crashes_is_tried_apart_or_not_at_all(self):
+        """A bad task ends six agents and more, among many other bad ones.
+
+        It waited 10 s for an instance of its own and was then started
+        beside others, where its crash told nothing:
+
+            crash-counted task=30.0.0.0 run=5 count=3 apart=no runs=3
+            crash-counted task=30.0.0.0 run=6 count=4 apart=no runs=11
+            crash-counted task=30.0.0.0 run=7 count=5 apart=yes runs=1
+            crash-counted task=30.0.0.0 run=8 count=6 apart=yes runs=1
+        """
+        bad, other = self.add_task(), self.add_task()
+        for instance in self.fleet[:3]:
+            self.crash(instance, (bad, 0.01), (other, 0.01))
+            self.wait()
+        self.assertTrue(suspects.needs_apart(bad, self.now))
+        self.assertTrue(suspects.needs_apart(bad, self.now + 25.0))
+        # Not for ever: it may have done nothing.
+        self.assertFalse(suspects.needs_apart(bad, self.now + 31.0))
+
     def test_a_gang_is_never_tried_apart(self):
         task = self.add_task(gang=True)
         self.crash(self.fleet[0], (task, 0.01))
