--- a/src/persimmonsail/jobs/suspects.py
+++ b/src/persimmonsail/jobs/suspects.py
@@ -28,12 +28,13 @@
 _PROOFS = 2
 # A task whose crashes tell nothing waits longer from one to the next.
 _LONGEST_WAIT_SECONDS = 30.0
-# The share of a service's instances that suspects may have for themselves;
-# a task that waits for one for so long is started without.
+# The share of a service's instances that suspects may have for themselves.
 _APART_SHARE = 0.25
-_PATIENCE_SECONDS = 3.0
-# The same for one that was there at two crashes or more.
-_LONG_PATIENCE_SECONDS = 10.0
+# A task that waits for one for so long is started without, by how many
+# crashes it was there at. At three or more it is hardly an innocent, and a
+# start beside others would tell nothing.
+_PATIENCE_SECONDS = {1: 3.0, 2: 10.0}
+_LONGEST_PATIENCE_SECONDS = 30.0
 # Nothing else has begun for so long where a suspect is tried: what began
 # just before it might as well be what crashes the agent.
 QUIET_SECONDS = 1.0
@@ -112,9 +113,7 @@
     ):
         return False
     task.apart_since = task.apart_since or now
-    patience = (
-        _PATIENCE_SECONDS if crashes.count == 1 else _LONG_PATIENCE_SECONDS
-    )
+    patience = _PATIENCE_SECONDS.get(crashes.count, _LONGEST_PATIENCE_SECONDS)
     return now - task.apart_since <= patience
 
 
