--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -83,6 +83,25 @@
         self.crash(self.fleet[1])
         self.assertEqual(0, task.state.crashes.count)
 
+    def test_a_loss_of_power_takes_no_proof_that_it_did_not_give(self):
+        """A bad task is started once more for each loss of power.
+
+        Its next crash, beside others, was part of one; with it, a proof
+        was taken back that an earlier crash had given.
+        """
+        task, other = self.add_task(), self.add_task()
+        self.crash(self.fleet[0], (task, 0.01))
+        self.wait()
+        self.crash(self.fleet[1], (task, 0.01, True))
+        self.wait()
+        self.assertEqual(1, task.state.crashes.proofs)
+        self.fleet[2].rack = self.fleet[3].rack = 'r1'
+        self.crash(self.fleet[2], (task, 0.7), (other, 0.7))
+        self.assertEqual(3, task.state.crashes.count)
+        self.crash(self.fleet[3])
+        self.assertEqual(2, task.state.crashes.count)
+        self.assertEqual(1, task.state.crashes.proofs)
+
     def test_agents_that_are_still_silent_count_as_crashed(self):
         """One of three that lost power at a time is back first."""
         task = self.add_task()
--- a/tests/jobs/test_reports.py
+++ b/tests/jobs/test_reports.py
@@ -116,6 +116,40 @@
         self.read(report)
         self.assertEqual({}, self.approvals.find_tickets(step, NOW))
 
+    def refuse_starts(self, count):
+        """Have starts of a task refused in a row; return the last pause."""
+        task = self.tasks[0]
+        now = NOW
+        for number in range(1, count + 1):
+            now = max(now, task.not_before)
+            run = self.place(task)
+            report = self.report()
+            report.barred.add(task=run.task, run=number, reason='malformed')
+            self.read(report, now)
+        return task.not_before - now
+
+    def test_a_start_that_is_refused_for_ever_comes_ever_later(self):
+        """A step that no agent understands is claimed ten times a second.
+
+        Each of these claims is a write to the store, and goes on for as
+        long as the job is there.
+        """
+        self.assertGreater(self.refuse_starts(30), 4.0)
+
+    def test_a_start_that_is_refused_some_times_comes_again_at_once(self):
+        """Room swings, and leaving agents refuse what is on its way."""
+        self.assertLess(self.refuse_starts(5), 0.2)
+
+    def test_a_run_that_began_ends_the_row_of_refusals(self):
+        self.refuse_starts(30)
+        run = self.place(self.tasks[0])
+        self.read(self.report(run))
+        report = self.report()
+        report.barred.add(task=run.task, run=run.number, reason='absent')
+        later = NOW + 1000.0
+        self.read(report, later)
+        self.assertLess(self.tasks[0].not_before - later, 0.2)
+
     def test_an_end_counts_once(self):
         """A job fails after one failure of a task.
 
