--- a/src/persimmonsail/jobs/job.py
+++ b/src/persimmonsail/jobs/job.py
@@ -29,6 +29,8 @@
     apart_since : float
         Since when it waits for an instance where it is apart from other
         suspects; 0 if it doesn't.
+    refusals : int
+        How many of its starts were refused in a row.
     """
 
     job: 'Job'
@@ -38,6 +40,7 @@
     avoid: set[str] = dataclasses.field(default_factory=set)
     not_before: float = 0.0
     apart_since: float = 0.0
+    refusals: int = 0
 
     @property
     def name(self) -> str:
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -24,6 +24,10 @@
 _STILL_PAUSE_SECONDS = 1.4
 # A refused start is tried again after this time, not in the same round.
 _REFUSED_PAUSE_SECONDS = 0.1
+# Room that swings and agents that leave refuse a start so often; one that is
+# refused further, as no agent understands it, is tried ever later.
+_USUAL_REFUSALS = 8
+_MOST_DOUBLINGS = 6
 
 # What an agent answers to a start whose ticket it does not accept.
 _TICKET_REFUSED = 'ticket'
@@ -316,6 +320,7 @@
         observations.note_progress(run, row, now)
         if not observations.is_wanted(task, run, instance):
             return run
+        task.refusals = 0
         answered_at = instance.answered_at
         suspects.note_running(self._board, task, run, answered_at)
         if row.checkpoint:
@@ -337,7 +342,8 @@
             self._approvals.drop_ticket(task.step_name, instance.boot)
         end = board_module.End.NOT_STARTED
         used = self._end(task, barred.run, end, '')
-        pause_end = now + _REFUSED_PAUSE_SECONDS
+        task.refusals += 1
+        pause_end = now + _choose_pause(task.refusals)
         task.not_before = max(task.not_before, pause_end)
         logs.write_event(
             'run-barred',
@@ -379,3 +385,9 @@
             'end-unknown', task=ended.task, run=ended.run, how=ended.how
         )
         return board_module.End.LOST
+
+
+def _choose_pause(refusals: int) -> float:
+    """Return for how long a task waits after so many refusals in a row."""
+    more = min(max(refusals - _USUAL_REFUSALS, 0), _MOST_DOUBLINGS)
+    return _REFUSED_PAUSE_SECONDS * 2**more
