--- a/src/persimmonsail/jobs/crashes.py
+++ b/src/persimmonsail/jobs/crashes.py
@@ -66,7 +66,10 @@
     # Of these, the instances where a suspect had just been started again:
     # no common cause is needed for them.
     explained: set[str] = dataclasses.field(default_factory=set)
-    counted: list[job_module.Task] = dataclasses.field(default_factory=list)
+    # Each with whether the crash was proof.
+    counted: list[tuple[job_module.Task, bool]] = dataclasses.field(
+        default_factory=list
+    )
 
     def includes(self, address: str, at: float) -> bool:
         """Tell whether a crash may be of this moment.
@@ -204,7 +207,7 @@
             proofs=before.proofs + proved,
         )
         self._board.note_crashes(task, crashes)
-        moment.counted.append(task)
+        moment.counted.append((task, proved))
         return suspects_module.choose_wait(task, run.seconds)
 
     def _pass_over(
@@ -220,10 +223,10 @@
 
     def _withdraw(self, moment: _Moment, now: float) -> None:
         """Take back what was counted for a crash of many at once."""
-        for task in moment.counted:
+        for task, proved in moment.counted:
             crashes = task.state.crashes
             count = max(crashes.count - 1, 0)
-            proofs = max(crashes.proofs - 1, 0)
+            proofs = max(crashes.proofs - proved, 0)
             longest_ms = crashes.longest_ms if count else 0
             withdrawn = crashes._replace(
                 count=count, longest_ms=longest_ms, proofs=proofs
