--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -96,7 +96,7 @@
         self.wait()
         self.assertEqual(1, task.state.crashes.proofs)
         self.fleet[2].rack = self.fleet[3].rack = 'r1'
-        self.crash(self.fleet[2], (task, 0.7), (other, 0.7))
+        self.crash(self.fleet[2], (task, 0.7), (other, 0.3))
         self.assertEqual(3, task.state.crashes.count)
         self.crash(self.fleet[3])
         self.assertEqual(2, task.state.crashes.count)
