--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -1,8 +1,15 @@
+import itertools
+
+from persimmonsail.jobs import advice
 from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import crashes
 from persimmonsail.jobs import fleet_pb2
+from persimmonsail.jobs import interference
+from persimmonsail.jobs import places as places_module
 from persimmonsail.jobs import record
+from persimmonsail.jobs import scheduling
 from persimmonsail.jobs import specification
+from tests.jobs import cases
 from tests.jobs import crashing
 
 
@@ -120,13 +127,49 @@
     def test_after_many_crashes_at_once_what_had_begun_begins_in_turn(self):
         """Bad tasks of one step crash several agents at one moment.
 
-        Started again together they would look like a loss of power again.
+        Started again together they look like a loss of power again. Their
+        turns were points in time; the agents came back after the last of
+        them, and all began at once (564.03 to 564.06, after 561.82):
+
+            crash-at-once instance=side-4 instances=3
+            crash-at-once instance=side-1 instances=3
         """
         tasks = [self.add_task() for _ in range(4)]
-        for task, instance in zip(tasks, self.fleet, strict=False):
-            self.crash(instance, (task, 0.01))
-        begins = sorted(task.not_before for task in tasks[2:])
-        self.assertGreater(begins[1] - begins[0], 0.3)
+        others = [self.add_task() for _ in range(8)]
+        for number, task in enumerate(tasks):
+            beside = others[2 * number : 2 * number + 2]
+            rows = [(other, 0.06) for other in beside]
+            self.crash(self.fleet[number], (task, 0.01), *rows)
+        begun = self.place_all(self.now + 3.0, 4.0)
+        times = sorted(begun[task.name] for task in tasks)
+        for before, after in itertools.pairwise(times):
+            self.assertGreater(after - before, 0.3)
+        # What began before them is hardly to blame, and waits for no turn.
+        last = max(begun[other.name] for other in others)
+        self.assertLess(last, self.now + 3.1)
+
+    def place_all(self, now, seconds):
+        """Place what waits, round by round; return when each began."""
+        begun = {}
+        until = now + seconds
+        places = places_module.Places()
+        while now < until:
+            self.now = now
+            self.see()
+            for claim in scheduling.plan(
+                self.board,
+                places,
+                self.fleet,
+                {cases.QUEUE.name: cases.QUEUE},
+                {},
+                interference.Model(),
+                advice.Approvals(),
+                now,
+                now,
+            ):
+                begun[claim.task.name] = now
+            now += 0.05
+        return begun
 
     def test_a_crash_that_is_told_again_counts_once(self):
         """A new leader hears from the sidecars of what the last one counted.
