--- a/src/persimmonsail/jobs/board.py
+++ b/src/persimmonsail/jobs/board.py
@@ -53,6 +53,8 @@
         self._unsaved: set[str] = set()
         # Tasks that crashes are held against, by name.
         self.suspects: dict[str, job_module.Task] = {}
+        # When the next of the tasks that crashed at once may begin.
+        self.next_turn = 0.0
         # Cancels that came before their job was seen here.
         self._cancelled: set[str] = set()
 
--- a/src/persimmonsail/jobs/crashes.py
+++ b/src/persimmonsail/jobs/crashes.py
@@ -14,6 +14,7 @@
 """
 
 import dataclasses
+import itertools
 import typing as t
 
 from persimmonsail.jobs import board as board_module
@@ -42,11 +43,11 @@
 _KEPT_SECONDS = 10.0
 # An agent that is silent for so long may have crashed, too.
 _SILENT_SECONDS = 0.7
-# After a crash of many at once, tasks that had just begun begin this far
-# apart, and none of them later than the second figure: should some of them
-# be to blame, their next crashes are told apart.
-_STAGGER_SECONDS = 0.35
-_LONGEST_STAGGER_SECONDS = 2.0
+# After a crash of many at once, so many of those that began last on each
+# instance begin again one after the other, and so many in all: should some of
+# them be to blame, their next crashes are told apart.
+_LATEST = 2
+_MOST_TURNS = 8
 # With fewer instances than this crashing at once, it may be chance.
 _LEAST_AT_ONCE = 3
 # A line about a crash names so many other runs.
@@ -70,6 +71,8 @@
     counted: list[tuple[job_module.Task, bool]] = dataclasses.field(
         default_factory=list
     )
+    # What began last on each of the instances, whose crash was counted.
+    latest: list[job_module.Task] = dataclasses.field(default_factory=list)
 
     def includes(self, address: str, at: float) -> bool:
         """Tell whether a crash may be of this moment.
@@ -99,7 +102,7 @@
         self._board = board
         self._list_fleet = list_fleet
         self._moments: list[_Moment] = []
-        self._next_start = 0.0
+        self._in_turn: list[job_module.Task] = []
 
     def note(
         self, instance: instances.Instance, crash: fleet_pb2.Crash, now: float
@@ -118,9 +121,7 @@
             return
         self._withdraw(moment, now)
         self._pass_over(suspects)
-        for task, run in suspects:
-            if _is_just(run):
-                self._stagger(task, now)
+        self._put_in_turn(_list_latest(suspects))
         logs.write_warning(
             'crash-at-once',
             instance=instance.address,
@@ -138,6 +139,7 @@
         now: float,
     ) -> None:
         """Count a crash for whoever may have done it."""
+        moment.latest += _list_latest(suspects)
         few = sum(_is_just(run) for run in crash.runs) <= _FEW
         tried = _find_tried(suspects, crash)
         if tried is not None:
@@ -232,15 +234,19 @@
                 count=count, longest_ms=longest_ms, proofs=proofs
             )
             self._board.note_crashes(task, withdrawn)
-            if task.not_before > now:
-                self._stagger(task, now)
+            task.not_before = min(task.not_before, now)
         moment.counted.clear()
-
-    def _stagger(self, task: job_module.Task, now: float) -> None:
-        """Have a task that had just begun begin again in its turn."""
-        begin = max(self._next_start, now)
-        self._next_start = begin + _STAGGER_SECONDS
-        task.not_before = min(begin, now + _LONGEST_STAGGER_SECONDS)
+        self._put_in_turn(moment.latest)
+        moment.latest.clear()
+
+    def _put_in_turn(self, tasks: t.Iterable[job_module.Task]) -> None:
+        """Have tasks begin again one after the other."""
+        kept = [task for task in self._in_turn if _awaits_turn(task)]
+        for task in tasks:
+            if len(kept) < _MOST_TURNS and not task.in_turn:
+                task.in_turn = True
+                kept.append(task)
+        self._in_turn = kept
 
     def _find_silent(self, moment: _Moment, now: float) -> set[str]:
         """Return what may have crashed then and isn't back yet."""
@@ -326,6 +332,16 @@
     )
 
 
+def _list_latest(suspects: t.Iterable[_Suspect]) -> list[job_module.Task]:
+    """Return what began last before a crash, of what had just begun."""
+    just = (task for task, run in suspects if _is_just(run))
+    return list(itertools.islice(just, _LATEST))
+
+
+def _awaits_turn(task: job_module.Task) -> bool:
+    return task.in_turn and not task.job.phase.is_final
+
+
 def _is_alone(
     task: job_module.Task, run: fleet_pb2.CrashedRun, crash: fleet_pb2.Crash
 ) -> bool:
--- a/src/persimmonsail/jobs/job.py
+++ b/src/persimmonsail/jobs/job.py
@@ -29,6 +29,8 @@
     apart_since : float
         Since when it waits for an instance where it is apart from other
         suspects; 0 if it doesn't.
+    in_turn : bool
+        Whether it begins apart in time from others that crashed at once.
     refusals : int
         How many of its starts were refused in a row.
     """
@@ -40,6 +42,7 @@
     avoid: set[str] = dataclasses.field(default_factory=set)
     not_before: float = 0.0
     apart_since: float = 0.0
+    in_turn: bool = False
     refusals: int = 0
 
     @property
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -204,6 +204,8 @@
         idle = _measure_idle(task.job, self._now) > self._longest_idle
         if queue.service in self._kept and not idle:
             return []
+        if suspects.awaits_turn(self._board, task, self._now):
+            return []
         members = gangs.list_members(task, self._now)
         if suspects.needs_apart(task, self._now):
             return self._place_apart(task, queue)
@@ -222,6 +224,7 @@
     def _commit_all(self, claims: t.Iterable[placer_module.Claim]) -> None:
         for claim in claims:
             row = self._places.find_row(claim.instance)
+            suspects.note_placed(self._board, claim.task, self._now)
             _commit(self._board, claim, self._places.unused[row])
 
     def _place_apart(
@@ -305,7 +308,6 @@
 ) -> None:
     run = claim.run
     instance = claim.instance
-    claim.task.apart_since = 0.0
     board.place(
         claim.task,
         instance.address,
--- a/src/persimmonsail/jobs/suspects.py
+++ b/src/persimmonsail/jobs/suspects.py
@@ -44,6 +44,8 @@
 # is noticed at least.
 _LEAST_APART_SECONDS = 1.0
 _LONGEST_APART_SECONDS = 4.0
+# Tasks that crashed at once begin again so far apart.
+_TURN_SECONDS = 0.35
 # Crashes of one moment are heard of within this time.
 _SETTLE_SECONDS = 1.2
 # A task that had just begun waits for so long for what else crashed then.
@@ -99,6 +101,27 @@
         board.give_up(task, reason)
 
 
+def awaits_turn(
+    board: board_module.Board, task: job_module.Task, now: float
+) -> bool:
+    """Tell whether another that crashed at the same time began just now.
+
+    Turns are taken as tasks are placed: the agents that crashed may be back
+    after any time.
+    """
+    return task.in_turn and now < board.next_turn
+
+
+def note_placed(
+    board: board_module.Board, task: job_module.Task, now: float
+) -> None:
+    """Note that a task begins; the next in turn does later."""
+    task.apart_since = 0.0
+    if task.in_turn:
+        task.in_turn = False
+        board.next_turn = now + _TURN_SECONDS
+
+
 def needs_apart(task: job_module.Task, now: float) -> bool:
     """Tell whether a suspect has to be started apart, or wait for it.
 
