--- a/src/persimmonsail/jobs/crashes.py
+++ b/src/persimmonsail/jobs/crashes.py
@@ -289,6 +289,7 @@
         seconds=run.seconds,
         count=crashes.count,
         apart=crashes.apart,
+        proofs=crashes.proofs,
         runs=len(crash.runs),
         others=' '.join(others[:_NAMED]),
     )
--- a/src/persimmonsail/jobs/suspects.py
+++ b/src/persimmonsail/jobs/suspects.py
@@ -191,6 +191,13 @@
     """Have nothing else start on an instance until a suspect is tried."""
     instance.cleared_for = task.name
     instance.cleared_until = now + _LONGEST_CLEARED_SECONDS
+    logs.write_event(
+        'instance-cleared',
+        instance=instance.address,
+        task=task.name,
+        crashes=task.state.crashes.count,
+        quiet_seconds=instance.measure_quiet(now),
+    )
 
 
 def note_running(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -78,7 +78,7 @@
         plan = trial.Plan(seed, seconds, entries=2, instances=2)
         directory = self.make_directory() / 'site'
         report = await trial.Trial(plan, directory).run()
-        self.assertEqual([], report.broken)
+        self.assertEqual([], report.broken, '\n'.join(report.evidence))
         self.assertGreater(report.starts, 0)
         self.assertGreater(report.faults, 0)
 
--- a/tools/soaking/trial.py
+++ b/tools/soaking/trial.py
@@ -22,6 +22,7 @@
 # what a leader without the store may have allowed, and a lease.
 _END_SECONDS = 60.0
 _PAUSE = (0.1, 1.2)
+_CRASH_EVENTS = {'worker-crashed', 'crash-counted', 'crash-at-once'}
 _LOOK_SECONDS = 0.2
 
 
@@ -47,6 +48,8 @@
         How many there were.
     broken : list of str
         Promises that did not hold, each with its subject.
+    evidence : list of str
+        Log lines that tell how that came.
     """
 
     seed: int
@@ -54,6 +57,7 @@
     starts: int = 0
     faults: int = 0
     broken: list[str] = dataclasses.field(default_factory=list)
+    evidence: list[str] = dataclasses.field(default_factory=list)
 
 
 class Trial:
@@ -139,6 +143,7 @@
         crashing = {call.id for call in self._callers.calls if call.crashes}
         for id in self._list_given_up() - crashing:
             report.broken.append(f'{id}: given up, and crashed nothing')
+            report.evidence += self._list_crash_lines(id)
 
     def _check_crashing(
         self, call: callers_module.Call, starts: list[dict[str, t.Any]]
@@ -163,10 +168,23 @@
 
     def _list_given_up(self) -> set[str]:
         """Return the jobs that a leader gave up for their crashes."""
-        given_up = set()
+        return {
+            event.get('job')
+            for event, _ in self._read_events()
+            if event.name == 'job-given-up'
+        }
+
+    def _list_crash_lines(self, id: str) -> list[str]:
+        """Return what was counted for a job's tasks, and who was there."""
+        return [
+            line
+            for event, line in self._read_events()
+            if event.name in _CRASH_EVENTS and f'{id}.' in line
+        ]
+
+    def _read_events(self) -> t.Iterator[tuple[evidence.Event, str]]:
         for path in self._site.running.log_files:
             for line in path.read_text(errors='replace').splitlines():
                 event = evidence.read_event(line, str(path), 0)
-                if event is not None and event.name == 'job-given-up':
-                    given_up.add(event.get('job'))
-        return given_up
+                if event is not None:
+                    yield event, line
