--- a/tests/base.py
+++ b/tests/base.py
@@ -13,6 +13,8 @@
 
 # Where the directories of tests that fail are kept; nowhere if unset.
 KEPT_VARIABLE = 'PERSIMMONSAIL_KEPT'
+# So many lines of a failed test's processes are printed.
+_MOST_WARNINGS = 60
 
 
 def _run_in_loop(method):
@@ -23,6 +25,18 @@
     return run
 
 
+def _print_warnings(directory: pathlib.Path) -> None:
+    """Print the last warnings of all logs there, by their times."""
+    lines = [
+        line
+        for path in directory.rglob('*.log')
+        for line in path.read_text(errors='replace').splitlines()
+        if ' level=warning ' in line or ' level=error ' in line
+    ]
+    for line in sorted(lines)[-_MOST_WARNINGS:]:
+        print(line)
+
+
 class TestCase(testtools.TestCase):
     """Runs a coroutine method as a test, in an event loop of its own."""
 
@@ -35,8 +49,9 @@
     def make_directory(self) -> pathlib.Path:
         """Return a directory that goes with the test.
 
-        That of a test that fails is kept where the environment says so: what
-        its processes have logged is the only trace of a rare fault.
+        What its processes have logged is the only trace of a rare fault, so
+        their last warnings are printed if the test fails, and the directory
+        is kept where the environment says so.
         """
         directory = tempfile.TemporaryDirectory(prefix='persimmonsail-')
         self.addCleanup(directory.cleanup)
@@ -45,6 +60,7 @@
         return path
 
     def _keep(self, path: pathlib.Path, exc_info: tuple) -> None:
+        _print_warnings(path)
         kept = os.environ.get(KEPT_VARIABLE)
         if kept and path.exists():
             place = pathlib.Path(kept) / self.id() / path.name
