--- a/tests/platform/test_crashing_tasks.py
+++ b/tests/platform/test_crashing_tasks.py
@@ -1,4 +1,5 @@
 import signal
+import time
 
 import anyio
 import pytest
@@ -133,6 +134,49 @@
             await self.submit(running, BAD, 1, payload='crash=0.0.0 300')
             await self.wait_given_up(running, BAD, '0.0.0')
 
+    async def test_starts_that_are_carried_out_late_end_with_the_job(self):
+        """Orders of a bad task are on their way when its job is given up.
+
+        Its agents answer no start and carry it out 1.5 s later, after the
+        leader has settled it or started the task elsewhere.
+        """
+        async with self.deploy() as running:
+            await self.start(running)
+            for runner in running.runners.values():
+                await running.set_faults(
+                    runner, late_starts=3, late_seconds=1.5
+                )
+            await self.submit(running, BAD, 1, payload='crash=0.0.0 300')
+            await self.wait_given_up(running, BAD, '0.0.0')
+            given_up_at = time.time()
+            await anyio.sleep(4.0)
+            starts = await running.list_starts()
+            late = [one for one in starts if one['began'] > given_up_at]
+            self.assertEqual([], late)
+            answer = await running.call('entry-1', 'GET', BAD)
+            self.assertEqual('failed', answer.json()['state'])
+
+    async def test_a_later_occurrence_that_crashes_its_agents_ends_the_job(
+        self,
+    ):
+        """A report that recurs does well, until its data break it."""
+        async with self.deploy() as running:
+            await self.start(running)
+            body = deployed.make_body(1, payload='crash=1.0.0 100')
+            recurring = {
+                'repeatCount': 3,
+                'firstMs': round(time.time() * 1000),
+                'intervalMs': 1000,
+            }
+            body.update(recurring)
+            status = await running.submit('entry-1', BAD, body)
+            self.assertEqual(200, status)
+            await self.wait_given_up(running, BAD, '1.0.0')
+            starts = await running.list_starts()
+            done = [one['task'] for one in starts if one['how'] == 'done']
+            self.assertIn(f'{BAD}.0.0.0', done)
+            self.assertNotIn(f'{BAD}.1.0.0', done)
+
     async def test_a_gang_with_a_bad_member_is_given_up(self):
         async with self.deploy() as running:
             await self.start(running)
