--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -321,7 +321,8 @@
         for instance in self.fleet:
             name = f'00000000000000bb.0.0.{instance.boot[-1]}'
             self.add_other(instance, 0.0, name)
-        self.assertEqual([], self.plan(NOW))
+        for passed in (0.0, 0.5, 1.0, 1.5):
+            self.assertEqual([], self.plan(NOW + passed))
         self.assertTrue(any(one.is_reserved(NOW) for one in self.fleet))
         later = NOW + 2.1
         self.assertFalse(any(one.is_reserved(later) for one in self.fleet))
