--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -180,9 +180,12 @@
 
 
 def find_usable(
-    fleet: t.Iterable[instances.Instance], service: str, now: float
+    fleet: t.Iterable[instances.Instance],
+    service: str,
+    now: float,
+    suspect: str = '',
 ) -> numpy.ndarray:
-    """Return which instances of a service get new work at all.
+    """Return which instances of a service get new work, or this suspect.
 
     Returns
     -------
@@ -191,7 +194,7 @@
     """
     return numpy.array(
         [
-            instance.service == service and is_usable(instance, now)
+            instance.service == service and is_usable(instance, now, suspect)
             for instance in fleet
         ],
         dtype=bool,
@@ -199,7 +202,10 @@
 
 
 def find_cleared(
-    fleet: t.Iterable[instances.Instance], task: job_module.Task, now: float
+    fleet: t.Collection[instances.Instance],
+    service: str,
+    now: float,
+    suspect: str,
 ) -> numpy.ndarray:
     """Return which instance a suspect is to be tried on next, if any is.
 
@@ -208,14 +214,8 @@
     numpy.ndarray
         A truth value for each instance; shape (instances,).
     """
-    return numpy.array(
-        [
-            instance.is_cleared_for(task.name, now)
-            and is_usable(instance, now, task.name)
-            for instance in fleet
-        ],
-        dtype=bool,
-    )
+    cleared = [instance.is_cleared_for(suspect, now) for instance in fleet]
+    return find_usable(fleet, service, now, suspect) & cleared
 
 
 def list_usable(
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -231,11 +231,14 @@
         self, task: job_module.Task, queue: queues.Queue
     ) -> list[placer_module.Claim]:
         """Try a suspect where its next crash tells that it was this one."""
-        cleared = placement.find_cleared(self._places.fleet, task, self._now)
+        cleared = placement.find_cleared(
+            self._places.fleet, queue.service, self._now, task.name
+        )
+        is_cleared = bool(cleared.any())
         usable = self._find_usable(queue.service)
-        if not cleared.any() and not self._may_reserve(usable, queue.service):
+        if not is_cleared and not self._may_reserve(usable, queue.service):
             return []
-        allowed = cleared if cleared.any() else usable
+        allowed = cleared if is_cleared else usable
         placer = self._make_placer(task, queue, allowed)
         instance = placer.choose_apart(task)
         if instance is None:
@@ -244,7 +247,8 @@
         usable[self._places.find_row(instance)] = False
         self._placing = None
         if not suspects.is_quiet(instance, self._now):
-            suspects.clear_instance(task, instance, self._now)
+            if not is_cleared:
+                suspects.clear_instance(task, instance, self._now)
             return []
         found = placer.place_apart(task, instance)
         self._commit_all(found)
