--- a/src/persimmonsail/jobs/crashes.py
+++ b/src/persimmonsail/jobs/crashes.py
@@ -241,7 +241,11 @@
 
     def _put_in_turn(self, tasks: t.Iterable[job_module.Task]) -> None:
         """Have tasks begin again one after the other."""
-        kept = [task for task in self._in_turn if _awaits_turn(task)]
+        kept = [
+            task
+            for task in self._in_turn
+            if task.in_turn and not task.job.phase.is_final
+        ]
         for task in tasks:
             if len(kept) < _MOST_TURNS and not task.in_turn:
                 task.in_turn = True
@@ -325,36 +329,34 @@
     task: job_module.Task, run: fleet_pb2.CrashedRun, crash: fleet_pb2.Crash
 ) -> bool:
     """Tell whether no other job's run there began after this one."""
-    begun = run.seconds - _TOGETHER_SECONDS
-    prefix = f'{task.job.id}.'
-    return not any(
-        other.seconds < begun and not other.task.startswith(prefix)
-        for other in crash.runs
-    )
-
-
-def _list_latest(suspects: t.Iterable[_Suspect]) -> list[job_module.Task]:
-    """Return what began last before a crash, of what had just begun."""
-    just = (task for task, run in suspects if _is_just(run))
-    return list(itertools.islice(just, _LATEST))
-
-
-def _awaits_turn(task: job_module.Task) -> bool:
-    return task.in_turn and not task.job.phase.is_final
+    return not _began_within(task, crash, run.seconds - _TOGETHER_SECONDS)
 
 
 def _is_alone(
     task: job_module.Task, run: fleet_pb2.CrashedRun, crash: fleet_pb2.Crash
 ) -> bool:
     """Tell whether only its own job's runs may have crashed the agent."""
-    begun = run.seconds + suspects_module.JUST_SECONDS
+    just = suspects_module.JUST_SECONDS
+    return not _began_within(task, crash, run.seconds + just)
+
+
+def _began_within(
+    task: job_module.Task, crash: fleet_pb2.Crash, seconds: float
+) -> bool:
+    """Tell whether a run of another job began so shortly before a crash."""
     prefix = f'{task.job.id}.'
-    return not any(
-        other.seconds < begun and not other.task.startswith(prefix)
+    return any(
+        other.seconds < seconds and not other.task.startswith(prefix)
         for other in crash.runs
     )
 
 
+def _list_latest(suspects: t.Iterable[_Suspect]) -> list[job_module.Task]:
+    """Return what began last before a crash, of what had just begun."""
+    just = (task for task, run in suspects if _is_just(run))
+    return list(itertools.islice(just, _LATEST))
+
+
 def _is_just(run: fleet_pb2.CrashedRun) -> bool:
     """Tell whether a run began just before the crash."""
     return run.seconds <= suspects_module.JUST_SECONDS
--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -180,12 +180,9 @@
 
 
 def find_usable(
-    fleet: t.Iterable[instances.Instance],
-    service: str,
-    now: float,
-    suspect: str = '',
+    fleet: t.Iterable[instances.Instance], service: str, now: float
 ) -> numpy.ndarray:
-    """Return which instances of a service get new work, or this suspect.
+    """Return which instances of a service get new work at all.
 
     Returns
     -------
@@ -194,7 +191,7 @@
     """
     return numpy.array(
         [
-            instance.service == service and is_usable(instance, now, suspect)
+            instance.service == service and is_usable(instance, now)
             for instance in fleet
         ],
         dtype=bool,
@@ -202,20 +199,16 @@
 
 
 def find_cleared(
-    fleet: t.Collection[instances.Instance],
-    service: str,
-    now: float,
-    suspect: str,
-) -> numpy.ndarray:
-    """Return which instance a suspect is to be tried on next, if any is.
-
-    Returns
-    -------
-    numpy.ndarray
-        A truth value for each instance; shape (instances,).
-    """
-    cleared = [instance.is_cleared_for(suspect, now) for instance in fleet]
-    return find_usable(fleet, service, now, suspect) & cleared
+    fleet: t.Iterable[instances.Instance], suspect: str, now: float
+) -> instances.Instance | None:
+    """Return the instance on which a suspect is to be tried next, if any."""
+    for instance in fleet:
+        # Few are cleared, and each suspect asks for all in each round.
+        if not instance.is_cleared_for(suspect, now):
+            continue
+        if is_usable(instance, now, suspect):
+            return instance
+    return None
 
 
 def list_usable(
--- a/src/persimmonsail/jobs/placer.py
+++ b/src/persimmonsail/jobs/placer.py
@@ -76,11 +76,11 @@
 
     def place_apart(
         self, task: job_module.Task, instance: instances.Instance
-    ) -> list[Claim]:
+    ) -> Claim:
         """Place a suspect where nothing else began just now, or will."""
         claim = self._add_run(task, 1 + task.state.run, instance)
         suspects.keep_apart(task, claim.run, instance)
-        return [claim]
+        return claim
 
     def _try(
         self,
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -231,14 +231,14 @@
         self, task: job_module.Task, queue: queues.Queue
     ) -> list[placer_module.Claim]:
         """Try a suspect where its next crash tells that it was this one."""
-        cleared = placement.find_cleared(
-            self._places.fleet, queue.service, self._now, task.name
-        )
-        is_cleared = bool(cleared.any())
+        fleet = self._places.fleet
+        cleared = placement.find_cleared(fleet, task.name, self._now)
         usable = self._find_usable(queue.service)
-        if not is_cleared and not self._may_reserve(usable, queue.service):
+        allowed = usable
+        if cleared is not None:
+            allowed = numpy.array([one is cleared for one in fleet])
+        elif not self._may_reserve(usable, queue.service):
             return []
-        allowed = cleared if is_cleared else usable
         placer = self._make_placer(task, queue, allowed)
         instance = placer.choose_apart(task)
         if instance is None:
@@ -247,12 +247,12 @@
         usable[self._places.find_row(instance)] = False
         self._placing = None
         if not suspects.is_quiet(instance, self._now):
-            if not is_cleared:
+            if cleared is None:
                 suspects.clear_instance(task, instance, self._now)
             return []
-        found = placer.place_apart(task, instance)
-        self._commit_all(found)
-        return found
+        claim = placer.place_apart(task, instance)
+        self._commit_all([claim])
+        return [claim]
 
     def _may_reserve(self, usable: numpy.ndarray, service: str) -> bool:
         reserved = sum(
--- a/src/persimmonsail/jobs/suspects.py
+++ b/src/persimmonsail/jobs/suspects.py
@@ -37,7 +37,7 @@
 _LONGEST_PATIENCE_SECONDS = 30.0
 # Nothing else has begun for so long where a suspect is tried: what began
 # just before it might as well be what crashes the agent.
-QUIET_SECONDS = 1.0
+_QUIET_SECONDS = 1.0
 # An instance that finds no quiet for so long gets other work again.
 _LONGEST_CLEARED_SECONDS = 2.0
 # For how long nothing is started beside a run that is apart: until a crash
@@ -182,7 +182,7 @@
 
 def is_quiet(instance: instances.Instance, now: float) -> bool:
     """Tell whether what is started there would be alone for a while."""
-    return instance.measure_quiet(now) > QUIET_SECONDS
+    return instance.measure_quiet(now) > _QUIET_SECONDS
 
 
 def clear_instance(
