--- a/tests/jobs/cases.py
+++ b/tests/jobs/cases.py
@@ -2,10 +2,13 @@
 
 import dataclasses
 
+from persimmonsail.jobs import advice
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
+from persimmonsail.jobs import interference
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import queues
+from persimmonsail.jobs import scheduling
 from persimmonsail.jobs import specification
 
 ID = '00000000000000aa'
@@ -80,3 +83,30 @@
     report.capacity.millicores = size.millicores
     report.capacity.memory_mib = size.memory_mib
     return report
+
+
+def plan(
+    board,
+    places,
+    fleet,
+    now,
+    wall,
+    *,
+    queue=QUEUE,
+    model=None,
+    approvals=None,
+    apart=0.0,
+):
+    """Place what waits on a board, in one round; return the claims."""
+    return scheduling.plan(
+        board,
+        places,
+        fleet,
+        {queue.name: queue},
+        {},
+        model or interference.Model(),
+        approvals or advice.Approvals(),
+        now,
+        wall,
+        apart,
+    )
--- a/tests/jobs/test_advice.py
+++ b/tests/jobs/test_advice.py
@@ -4,9 +4,7 @@
 from persimmonsail.jobs import advice
 from persimmonsail.jobs import advisor
 from persimmonsail.jobs import board as board_module
-from persimmonsail.jobs import interference
 from persimmonsail.jobs import places
-from persimmonsail.jobs import scheduling
 from tests import base
 from tests.jobs import cases
 
@@ -30,16 +28,14 @@
         self.step = f'{cases.ID}.0.0'
 
     def plan(self, now=NOW):
-        return scheduling.plan(
+        return cases.plan(
             self.board,
             places.Places(),
             self.fleet,
-            {cases.ADVISED.name: cases.ADVISED},
-            {},
-            interference.Model(),
-            self.approvals,
             now,
             WALL,
+            queue=cases.ADVISED,
+            approvals=self.approvals,
         )
 
     async def take_question(self):
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -1,13 +1,10 @@
 import itertools
 
-from persimmonsail.jobs import advice
 from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import crashes
 from persimmonsail.jobs import fleet_pb2
-from persimmonsail.jobs import interference
 from persimmonsail.jobs import places as places_module
 from persimmonsail.jobs import record
-from persimmonsail.jobs import scheduling
 from persimmonsail.jobs import specification
 from tests.jobs import cases
 from tests.jobs import crashing
@@ -156,17 +153,8 @@
         while now < until:
             self.now = now
             self.see()
-            for claim in scheduling.plan(
-                self.board,
-                places,
-                self.fleet,
-                {cases.QUEUE.name: cases.QUEUE},
-                {},
-                interference.Model(),
-                advice.Approvals(),
-                now,
-                now,
-            ):
+            claims = cases.plan(self.board, places, self.fleet, now, now)
+            for claim in claims:
                 begun[claim.task.name] = now
             now += 0.05
         return begun
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -28,17 +28,15 @@
         return job
 
     def plan(self, now=NOW, apart=0.0):
-        return scheduling.plan(
+        return cases.plan(
             self.board,
             self.places,
             [self.instance],
-            {cases.QUEUE.name: cases.QUEUE},
-            {},
-            self.model,
-            self.approvals,
             now,
             WALL,
-            apart,
+            model=self.model,
+            approvals=self.approvals,
+            apart=apart,
         )
 
     def test_an_instance_is_never_filled_beyond_its_size(self):
@@ -116,16 +114,14 @@
         self.assertGreater(claims[0].run.due, NOW)
         for claim in claims:
             self.instance.drop_run((claim.run.task, claim.run.number))
-        claims = scheduling.plan(
+        claims = cases.plan(
             self.board,
             self.places,
             [self.instance],
-            {cases.QUEUE.name: cases.QUEUE},
-            {},
-            self.model,
-            self.approvals,
             NOW + 1,
             WALL + 1,
+            model=self.model,
+            approvals=self.approvals,
         )
         self.assertEqual({1}, {claim.task.key.occurrence for claim in claims})
 
@@ -219,16 +215,14 @@
         self.instance.rack = 'r1'
         cases.add_run(self.instance, cases.make_step(1))
         self.add_gang(6, same_rack=True)
-        claims = scheduling.plan(
+        claims = cases.plan(
             self.board,
             self.places,
             [self.instance, other],
-            {cases.QUEUE.name: cases.QUEUE},
-            {},
-            self.model,
-            self.approvals,
             NOW,
             WALL,
+            model=self.model,
+            approvals=self.approvals,
         )
         self.assertEqual(6, len(claims))
         self.assertEqual(1, len({c.instance.rack for c in claims}))
@@ -273,17 +267,7 @@
         )
 
     def plan(self, now):
-        return scheduling.plan(
-            self.board,
-            self.places,
-            self.fleet,
-            {cases.QUEUE.name: cases.QUEUE},
-            {},
-            interference.Model(),
-            advice.Approvals(),
-            now,
-            WALL,
-        )
+        return cases.plan(self.board, self.places, self.fleet, now, WALL)
 
     def add_other(self, instance, seen_at, task):
         cases.add_run(instance, cases.make_step(), task, seen_at=seen_at)
--- a/tests/test_quick_keys.py
+++ b/tests/test_quick_keys.py
@@ -1,3 +1,4 @@
+import contextlib
 import signal
 
 import httpx
@@ -9,7 +10,21 @@
 pytestmark = pytest.mark.processes
 
 
+KEY = {'idempotency-key': 'order-1'}
+LONG_ORDER = {'n': 1, 'seconds': 2}
+
+
 class SameKeyTest(base.TestCase):
+    @contextlib.asynccontextmanager
+    async def open_pairs(self):
+        """Open a site of two entries and two instances."""
+        directory = self.make_directory()
+        async with quickcase.open_site(directory, entries=2) as site:
+            await site.add_sidecar('one')
+            await site.add_sidecar('two')
+            await site.wait_ready('one', 'two')
+            yield site
+
     async def test_one_key_at_two_entries_at_once_runs_once(self):
         """A buyer's order is placed twice.
 
@@ -17,12 +32,7 @@
         to another while the first request is on its way. Both reach the
         claim in the store; the loser joins the winner's attempt.
         """
-        async with quickcase.open_site(
-            self.make_directory(), entries=2
-        ) as site:
-            await site.add_sidecar('one')
-            await site.add_sidecar('two')
-            await site.wait_ready('one', 'two')
+        async with self.open_pairs() as site:
             for number in range(10):
                 headers = {'idempotency-key': f'order-{number}'}
                 body = {'n': number, 'seconds': 0.2}
@@ -70,18 +80,11 @@
         repeats its key at another entry, which joins the claim: it gets
         the answer of the first attempt.
         """
-        async with quickcase.open_site(
-            self.make_directory(), entries=2
-        ) as site:
-            await site.add_sidecar('one')
-            await site.add_sidecar('two')
-            await site.wait_ready('one', 'two')
-            headers = {'idempotency-key': 'order-1'}
-            body = {'n': 1, 'seconds': 2}
+        async with self.open_pairs() as site:
 
             async def lose_answer() -> None:
                 try:
-                    await site.post('order', body, 0, headers)
+                    await site.post('order', LONG_ORDER, 0, KEY)
                 except httpx.HTTPError:
                     return
                 self.fail('the killed entry answered')
@@ -91,7 +94,7 @@
                 site.entries[0].send_signal(signal.SIGKILL)
 
             await quickcase.gather(lose_answer(), kill_when_running())
-            answer = await site.post('order', body, 1, headers)
+            answer = await site.post('order', LONG_ORDER, 1, KEY)
             self.assertEqual(200, answer.status_code, answer.text)
             self.assertEqual(1, answer.json()['echo']['n'])
             self.assertEqual(1, len(await site.read_all()))
@@ -103,25 +106,18 @@
         caller repeats the key at both entries. Nobody can know whether
         it ran, so that all of them say 'unknown'.
         """
-        async with quickcase.open_site(
-            self.make_directory(), entries=2
-        ) as site:
-            await site.add_sidecar('one')
-            await site.add_sidecar('two')
-            await site.wait_ready('one', 'two')
-            headers = {'idempotency-key': 'order-1'}
-            body = {'n': 1, 'seconds': 2}
+        async with self.open_pairs() as site:
 
             async def kill_when_running() -> None:
                 name = await site.wait_work()
                 site.running.processes[name].send_signal(signal.SIGKILL)
 
             first, _ = await quickcase.gather(
-                site.post('order', body, 0, headers), kill_when_running()
+                site.post('order', LONG_ORDER, 0, KEY), kill_when_running()
             )
             self.assertEqual('unknown', first.json()['work'])
             for entry in (0, 1):
-                again = await site.post('order', body, entry, headers)
+                again = await site.post('order', LONG_ORDER, entry, KEY)
                 self.assertEqual(504, again.status_code)
                 self.assertEqual('unknown', again.json()['work'])
             self.assertEqual(1, len(await site.read_all()))
