--- /dev/null
+++ b/tests/jobs/test_crash_bounds.py
@@ -0,0 +1,83 @@
+"""Bounds on what tasks that crash their agents may cost."""
+
+from tests import base
+from tests.jobs import crashplay
+
+# Three crashes tell who it was; two more starts may be on their way.
+MOST_STARTS = 5
+SEEDS = range(1, 5)
+
+
+class CrashBoundsTest(base.TestCase):
+    """Several tasks crash their agents at one moment."""
+
+    def check(self, **fields):
+        for seed in SEEDS:
+            plan = crashplay.Plan(seed=seed, **fields)
+            outcome = crashplay.Play(plan).run()
+            case = f'{plan}: {outcome.starts}'
+            self.assertEqual(set(), outcome.failed, case)
+            self.assertEqual(set(), outcome.open, case)
+            self.assertLessEqual(outcome.most_starts, MOST_STARTS, case)
+
+    def test_two_instances(self):
+        self.check(instances=2, bad=3, harmless=6)
+
+    def test_two_instances_with_much_work(self):
+        self.check(instances=2, bad=3, harmless=24)
+
+    def test_two_instances_whose_agents_stay_away(self):
+        self.check(instances=2, bad=3, harmless=24, down_seconds=3.0)
+
+    def test_six_instances(self):
+        self.check(instances=6, bad=6, harmless=6)
+
+    def test_six_instances_with_much_work(self):
+        self.check(instances=6, bad=6, harmless=24)
+
+    def test_six_instances_whose_agents_stay_away(self):
+        self.check(instances=6, bad=6, harmless=24, down_seconds=3.0)
+
+    def test_sixteen_instances(self):
+        self.check(instances=16, bad=6, harmless=24)
+
+    def test_sixteen_instances_whose_agents_stay_away(self):
+        self.check(instances=16, bad=6, harmless=24, down_seconds=3.0)
+
+    def test_more_bad_tasks_than_instances(self):
+        self.check(instances=16, bad=20, harmless=80, work_seconds=2.0)
+
+    def test_bad_tasks_handed_in_one_after_the_other(self):
+        self.check(instances=2, bad=6, harmless=24, within_seconds=10.0)
+
+    def test_bad_tasks_that_crash_half_a_second_later(self):
+        self.check(
+            instances=4,
+            bad=4,
+            harmless=24,
+            crash_seconds=(0.2, 0.6),
+            work_seconds=2.0,
+        )
+
+    def test_losses_of_power_blame_nobody(self):
+        self.check(
+            instances=2,
+            bad=0,
+            harmless=24,
+            losses=(0.3, 1.5, 2.7),
+            work_seconds=1.5,
+        )
+
+    def test_losses_of_power_among_bad_tasks(self):
+        self.check(
+            instances=4,
+            bad=4,
+            harmless=12,
+            losses=(0.3, 1.5, 2.9),
+            work_seconds=1.0,
+        )
+
+    def test_leaders_that_follow_each_other(self):
+        self.check(
+            instances=6, bad=6, harmless=24, successions=(0.5, 1.2, 2.0)
+        )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,11 @@
     # 500.
     5005,
 )
+# Those that broke one beside cancels, on a deployment of the usual size.
+REGRESSIONS_BESIDE_CANCELS = (
+    # A suspect that was tried beside other suspects began six times.
+    910118,
+)
 SILENCES = {'hang_watch', 'lose_answers_of_one', 'silence_worker'}
 FAULTS = {
     'change_configuration',
@@ -93,9 +98,11 @@
     """Replays faults that overlap on a small deployment."""
 
     async def play(self, seed, seconds, cancels=True):
-        plan = trial.Plan(
-            seed, seconds, entries=2, instances=2, cancels=cancels
+        await self.play_plan(
+            trial.Plan(seed, seconds, entries=2, instances=2, cancels=cancels)
         )
+
+    async def play_plan(self, plan):
         directory = self.make_directory() / 'site'
         report = await trial.Trial(plan, directory).run()
         self.assertEqual([], report.broken, '\n'.join(report.evidence))
@@ -108,3 +115,7 @@
     async def test_seeds_that_once_broke_a_promise_keep_it(self):
         for seed in REGRESSIONS:
             await self.play(seed, 12.0, cancels=False)
+
+    async def test_seeds_that_once_broke_a_promise_beside_cancels(self):
+        for seed in REGRESSIONS_BESIDE_CANCELS:
+            await self.play_plan(trial.Plan(seed))
