Date a crash by heartbeats too, and a run by the agent's own clock

All agents had ended at one moment, but one sidecar's link was cut 1.2 s before, and its first failed call was taken for the moment of the crash.

Cause: two times were read off the sidecar's clock. Now a heartbeat moves the crash, by the clock that it carries, and a run has lasted from the agent's clock at its start to the agent's clock in its last message. A start without an answer has lasted for no time that is certain; with its first sending as the beginning, a bad task whose starts were carried out 1.5 s late seemed slow, and more crashes were needed.

--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -110,7 +110,7 @@
                     boot=heartbeat.boot,
                     remaining=heartbeat.remaining_seconds,
                 )
-            life.heartbeat = heartbeat
+            life.note_heartbeat(heartbeat, clock.read())
         elif life is None:
             self._begin_life(heartbeat)
         else:
@@ -163,7 +163,7 @@
         logs.write_warning(
             'worker-crashed',
             boot=crash.boot,
-            quiet_seconds=crash.failed_at - crash.answered_at,
+            quiet_seconds=crash.failed_at - crash.alive_at,
             runs=len(crash.runs),
             latest=' '.join(
                 f'{run.task}:{run.run}@{run.seconds:.3f}'
--- a/src/persimmonsail/jobs/life.py
+++ b/src/persimmonsail/jobs/life.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import typing as t
 
 from persimmonsail.jobs import specification
 from persimmonsail.jobs import worker as worker_module
@@ -32,8 +33,8 @@
 class CrashedRun:
     """A run that was, or may have been, on an agent that ended unasked.
 
-    ``seconds`` is the time from the order of its start to the agent's last
-    answer, which it has lived through; 0 for a start that was not answered.
+    ``seconds`` is how long it has run for certain, by the agent's own clock,
+    which no late message stretches; 0 for a start that was not answered.
     """
 
     task: str
@@ -49,15 +50,15 @@
     ----------
     boot : str
         The boot that ended.
-    answered_at, failed_at : float
-        When it last answered, and when a call first failed; the crash lies
-        between the two. Seconds of the sidecar's clock.
+    alive_at, failed_at : float
+        When it last lived for certain, and when a call first failed after
+        that; the crash lies between the two. Seconds of the sidecar's clock.
     runs : tuple of CrashedRun
         What ran there, the latest start first.
     """
 
     boot: str
-    answered_at: float
+    alive_at: float
     failed_at: float
     runs: tuple[CrashedRun, ...]
 
@@ -86,6 +87,8 @@
         Whether the last look failed.
     answered_at : float
         When the agent last answered.
+    alive_at : float
+        When it last lived for certain: it has answered, or sent a heartbeat.
     failed_at : float
         When the first call after that failed; 0 if none has.
     granted_until : float
@@ -109,12 +112,19 @@
         self.over = False
         self.failing = False
         self.answered_at = now
+        self.alive_at = now
         self.failed_at = 0.0
         self.granted_until = now
         self.extended_until = 0.0
         # When each run was sent that has, or may have, begun, and whose end
         # was not seen.
         self._sent: dict[RunId, float] = {}
+        # The agent's clock when each was first known to run, and those of
+        # which no answer has said that they do.
+        self._began_ms: dict[RunId, int] = {}
+        self._unanswered: set[RunId] = set()
+        # The agent's clock in the latest message of it.
+        self._alive_ms = 0
         self._provisional: dict[RunId, _Provisional] = {}
         self._clock_ms = 0
         self._clock_read_at = 0.0
@@ -128,8 +138,29 @@
     def note_answer(self, now: float) -> None:
         """Note that the agent has answered a call."""
         self.answered_at = now
+        self.alive_at = now
         self.failed_at = 0.0
 
+    def note_heartbeat(
+        self, heartbeat: worker_module.Heartbeat, now: float
+    ) -> None:
+        """Take a later heartbeat of this boot in.
+
+        It comes by another way than answers do, so that a call that has
+        failed before tells nothing of the agent's end.
+        """
+        self.heartbeat = heartbeat
+        if not heartbeat.clock_ms or not self.knows_agent_clock:
+            self.failed_at = 0.0
+            return
+        # It may have been held up: only the clock tells when it was sent.
+        self._alive_ms = max(self._alive_ms, heartbeat.clock_ms)
+        ahead = (heartbeat.clock_ms - self._clock_ms) / _MILLISECONDS
+        sent_at = min(self._clock_read_at + ahead, now)
+        self.alive_at = max(self.alive_at, sent_at)
+        if self.failed_at < self.alive_at:
+            self.failed_at = 0.0
+
     def note_silence(self, now: float) -> None:
         """Note that a call got no answer."""
         self.failed_at = self.failed_at or now
@@ -141,9 +172,19 @@
         if self._sent.get(key, -math.inf) == -math.inf:
             self._sent[key] = at
 
+    def note_unanswered(self, key: RunId, at: float) -> None:
+        """Note that a start was sent, and whether it runs is not known."""
+        self.note_sent(key, at)
+        self._unanswered.add(key)
+
     def note_unsent(self, key: RunId) -> None:
         """Note that a start will certainly not be carried out."""
+        self._forget(key)
+
+    def _forget(self, key: RunId) -> None:
         self._sent.pop(key, None)
+        self._began_ms.pop(key, None)
+        self._unanswered.discard(key)
 
     def describe_crash(self, now: float) -> Crash:
         """Tell what ran when this boot ended, which nobody had asked for.
@@ -152,17 +193,26 @@
         have been carried out: the boot had ended.
         """
         failed_at = self.failed_at or now
-        last = self.answered_at
         runs = [
-            CrashedRun(task, run, max(last - at, 0.0))
-            for (task, run), at in self._sent.items()
+            CrashedRun(*key, self._measure_run(key, at))
+            for key, at in self._sent.items()
             if at <= failed_at
         ]
         runs.sort(key=lambda run: (run.seconds, run.task))
-        return Crash(self.boot, self.answered_at, failed_at, tuple(runs))
+        return Crash(self.boot, self.alive_at, failed_at, tuple(runs))
+
+    def _measure_run(self, key: RunId, sent_at: float) -> float:
+        """Return for how many seconds a run has run for certain."""
+        began_ms = self._began_ms.get(key)
+        if began_ms is not None:
+            return max(self._alive_ms - began_ms, 0) / _MILLISECONDS
+        if key in self._unanswered:
+            return 0.0
+        return max(self.alive_at - sent_at, 0.0)
 
     def note_clock(self, clock_ms: int, now: float) -> None:
         """Note the agent's clock, read before ``now``."""
+        self._alive_ms = max(self._alive_ms, clock_ms)
         if clock_ms >= self._clock_ms:
             self._clock_ms = clock_ms
             self._clock_read_at = now
@@ -229,13 +279,24 @@
         self.looked = True
         known = running.keys() | self.pending.keys()
         self.sizes = {k: s for k, s in self.sizes.items() if k in known}
-        for key in ended_keys & self._sent.keys():
-            del self._sent[key]
-        for key in running.keys() - self._sent.keys():
-            # Started before this sidecar was: how long ago isn't known.
-            self._sent[key] = -math.inf
+        self._note_begun(running.keys(), ended_keys, look.clock_ms)
         return changed
 
+    def _note_begun(
+        self,
+        running: t.Collection[RunId],
+        ended: t.Collection[RunId],
+        clock_ms: int,
+    ) -> None:
+        for key in ended:
+            self._forget(key)
+        for key in running:
+            if key in self._sent:
+                self._began_ms.setdefault(key, clock_ms)
+            else:
+                # Started before this sidecar was: how long ago isn't known.
+                self._sent[key] = -math.inf
+
     def note_started(
         self, order: worker_module.StartOrder, clock_ms: int, now: float
     ) -> None:
@@ -243,6 +304,7 @@
         key = (order.task, order.run)
         row = worker_module.RunningRow(order.task, order.run, order.checkpoint)
         self.note_clock(clock_ms, now)
+        self._began_ms.setdefault(key, clock_ms)
         self._provisional[key] = _Provisional(clock_ms, row)
         self.running.setdefault(key, row)
 
--- a/src/persimmonsail/jobs/lifereport.py
+++ b/src/persimmonsail/jobs/lifereport.py
@@ -45,7 +45,7 @@
 ) -> None:
     """Say what was there when a life ended unasked."""
     row.boot = crash.boot
-    row.ago_seconds = now - crash.answered_at
+    row.ago_seconds = now - crash.alive_at
     for run in crash.runs:
         row.runs.add(task=run.task, run=run.run, seconds=run.seconds)
 
--- a/src/persimmonsail/jobs/orders.py
+++ b/src/persimmonsail/jobs/orders.py
@@ -132,7 +132,7 @@
                         error=error,
                     )
                 unanswered = True
-                life.note_sent(key, now)
+                life.note_unanswered(key, now)
                 life.note_silence(clock.read())
                 await anyio.sleep(_ORDER_PAUSE_SECONDS)
                 continue
--- a/src/persimmonsail/jobs/worker.py
+++ b/src/persimmonsail/jobs/worker.py
@@ -22,6 +22,8 @@
         Whether it takes no new work.
     remaining_seconds : float
         How long a leaving one stays at least.
+    clock_ms : int
+        The agent's clock when it was sent; 0 if it does not say.
     """
 
     boot: str
@@ -32,6 +34,7 @@
     capacity: specification.Size = specification.Size()
     leaving: bool = False
     remaining_seconds: float = 0.0
+    clock_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/persimmonsail/platform/heartbeats.py
+++ b/src/persimmonsail/platform/heartbeats.py
@@ -42,6 +42,7 @@
     # Only while it leaves: the least time that is left.
     remaining_ms: _Amount = pydantic.Field(default=0, alias='remainingMs')
     capacity: _Capacity = _Capacity()
+    clock_ms: int = pydantic.Field(default=0, alias='clockMs')
     # The kind of the instance, then its rack.
     labels: tuple[str, ...] = ()
 
@@ -59,6 +60,7 @@
             ),
             leaving=self.state == 'draining',
             remaining_seconds=self.remaining_ms / _MILLISECONDS,
+            clock_ms=self.clock_ms,
         )
 
 
--- a/tests/jobs/test_life.py
+++ b/tests/jobs/test_life.py
@@ -136,3 +136,46 @@
             BOOT, sequence=2, capacity=specification.Size(2000, 1000)
         )
         self.assertFalse(self.life.has_room())
+
+    def beat(self, sequence, clock_ms, now):
+        heartbeat = dataclasses.replace(
+            BOOT, sequence=sequence, clock_ms=clock_ms
+        )
+        self.life.note_heartbeat(heartbeat, now)
+
+    def test_an_agent_behind_a_cut_link_lives_until_its_last_heartbeat(self):
+        """An innocent is blamed for a loss of all agents at one moment."""
+        self.life.note_clock(1000, 10.0)
+        self.life.note_sent(KEY, 10.0)
+        self.life.note_answer(10.01)
+        self.life.note_silence(10.2)
+        self.beat(2, clock_ms=2500, now=11.6)
+        crash = self.life.describe_crash(12.0)
+        self.assertEqual((11.5, 12.0), (crash.alive_at, crash.failed_at))
+        self.assertEqual([1.5], [run.seconds for run in crash.runs])
+
+    def test_a_heartbeat_that_was_held_up_proves_no_later_life(self):
+        self.life.note_clock(1000, 10.0)
+        self.life.note_answer(10.01)
+        self.life.note_silence(10.2)
+        self.beat(2, clock_ms=1100, now=13.0)
+        crash = self.life.describe_crash(14.0)
+        self.assertEqual((10.1, 10.2), (crash.alive_at, crash.failed_at))
+
+    def test_a_delayed_answer_stretches_no_run(self):
+        """A bad task seems slow, and its agents crash twice more for it."""
+        self.life.note_sent(KEY, 10.0)
+        self.life.note_started(ORDER, 1000, 10.3)
+        self.life.note_answer(10.3)
+        self.look(1005, KEY)
+        self.life.note_answer(10.6)
+        (run,) = self.life.describe_crash(11.0).runs
+        self.assertEqual(0.005, run.seconds)
+
+    def test_a_start_that_is_carried_out_late_has_just_begun(self):
+        """A bad task whose starts are late is taken for one that lasts."""
+        self.life.note_unanswered(KEY, 10.0)
+        self.look(2400)
+        self.life.note_answer(11.4)
+        (run,) = self.life.describe_crash(12.0).runs
+        self.assertEqual(0.0, run.seconds)
