Have all processes tell their standstills, and failing tests keep their logs

Two listed tests fail beside load only where a process stands still for longer than the product owes (forced), and nothing tells whether one did: of the failing runs no logs were kept, and only entries on the platform measured how late their event loop is. Sidecars, the older path's roles, stand-ins and the tests' own loops do now; a failing test keeps its logs in build/failed unasked and prints each process's longest standstill. A test that freezes a process writes down when, and what it had read of it by then: a line that was written before and read after is told from a holder that was deposed just before.

--- a/src/persimmonsail/callers/entry.py
+++ b/src/persimmonsail/callers/entry.py
@@ -28,6 +28,7 @@
 from persimmonsail import httpserver
 from persimmonsail import links as links_module
 from persimmonsail import logs
+from persimmonsail import looplag
 from persimmonsail.partitioning import consents
 from persimmonsail.partitioning import forwarding
 from persimmonsail.partitioning import holder as holder_module
@@ -112,6 +113,7 @@
     async def follow_catalogue(self) -> None:
         """Keep the catalogue's view up to date, until cancelled."""
         async with anyio.create_task_group() as group:
+            group.start_soon(looplag.watch)
             group.start_soon(self.follower.run)
             group.start_soon(self.peers.run)
             group.start_soon(
--- a/src/persimmonsail/platform/sidecar.py
+++ b/src/persimmonsail/platform/sidecar.py
@@ -14,6 +14,7 @@
 from persimmonsail.jobs import clock
 from persimmonsail.jobs import record
 from persimmonsail import logs
+from persimmonsail import looplag
 from persimmonsail.platform import heartbeats
 from persimmonsail.platform import runner
 from persimmonsail.platform import serving
@@ -45,6 +46,7 @@
             stack.push_async_callback(self._runner.close)
             group = await stack.enter_async_context(anyio.create_task_group())
             await serving.serve_metrics(stack, settings)
+            group.start_soon(looplag.watch)
             group.start_soon(self._agent.run)
             group.start_soon(self._register, control)
             async with httpserver.HttpServer(
--- a/src/persimmonsail/sidecars/sidecar.py
+++ b/src/persimmonsail/sidecars/sidecar.py
@@ -13,6 +13,7 @@
 from persimmonsail import control_pb2
 from persimmonsail import links
 from persimmonsail import logs
+from persimmonsail import looplag
 from persimmonsail import measurements
 from persimmonsail import metrics
 from persimmonsail import settings as settings_module
@@ -212,6 +213,7 @@
                 announcer.announce_now,
             )
             await probe.probe_once()
+            group.start_soon(looplag.watch)
             group.start_soon(probe.run)
             group.start_soon(announcer.run)
             group.start_soon(sidecar.colocation.run)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -17,6 +17,7 @@
 import httpx
 
 from persimmonsail import logs
+from persimmonsail import looplag
 
 START_SECONDS = 30.0
 STOP_SECONDS = 30.0
@@ -119,6 +120,8 @@
         self._group = await self._owned.enter_async_context(
             anyio.create_task_group()
         )
+        # A test that stands still itself reads, and does, things too late.
+        self._group.start_soon(looplag.watch)
         self.client = await self._owned.enter_async_context(
             httpx.AsyncClient(timeout=60, trust_env=False, limits=_LIMITS)
         )
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -8,6 +8,7 @@
 
 from persimmonsail import httpserver
 from persimmonsail import logs
+from persimmonsail import looplag
 
 
 async def serve(
@@ -19,6 +20,7 @@
             anyio.create_task_group() as group,
             httpserver.HttpServer(app, address, drain=1.0) as server,
         ):
+            group.start_soon(looplag.watch)
             for function in background:
                 group.start_soon(function)
             logs.write_event('listening', http=server.address)
--- a/tests/base.py
+++ b/tests/base.py
@@ -6,13 +6,16 @@
 import pathlib
 import shutil
 import tempfile
+import typing as t
 
 import anyio
 import testtools
 
+from persimmonsail import logs
 
-# Where the directories of tests that fail are kept; nowhere if unset.
+# Where the directories of tests that fail are kept.
 KEPT_VARIABLE = 'PERSIMMONSAIL_KEPT'
+_KEPT = 'build/failed'
 # So many lines of a failed test's processes are printed.
 _MOST_WARNINGS = 60
 
@@ -35,6 +38,23 @@
     ]
     for line in sorted(lines)[-_MOST_WARNINGS:]:
         print(line)
+    for name, event in find_standstills(lines).items():
+        print(
+            f'{name} stood still for {event["seconds"]} s at {event["time"]}'
+        )
+
+
+def find_standstills(lines: t.Iterable[str]) -> dict[str, dict[str, str]]:
+    """Return the longest standstill of each process that had any."""
+    found: dict[str, dict[str, str]] = {}
+    for line in lines:
+        if ' event=loop-late ' not in line:
+            continue
+        event = logs.parse_line(line)
+        known = found.get(event['process'])
+        if known is None or float(event['seconds']) > float(known['seconds']):
+            found[event['process']] = event
+    return found
 
 
 class TestCase(testtools.TestCase):
@@ -51,7 +71,7 @@
 
         What its processes have logged is the only trace of a rare fault, so
         their last warnings are printed if the test fails, and the directory
-        is kept where the environment says so.
+        is kept.
         """
         directory = tempfile.TemporaryDirectory(prefix='persimmonsail-')
         self.addCleanup(directory.cleanup)
@@ -61,7 +81,8 @@
 
     def _keep(self, path: pathlib.Path, exc_info: tuple) -> None:
         _print_warnings(path)
-        kept = os.environ.get(KEPT_VARIABLE)
-        if kept and path.exists():
-            place = pathlib.Path(kept) / self.id() / path.name
+        kept = pathlib.Path(os.environ.get(KEPT_VARIABLE, _KEPT))
+        if path.exists():
+            place = kept / self.id() / path.name
             shutil.copytree(path, place, dirs_exist_ok=True)
+            print(f'kept in {place}')
--- a/tests/recovery.py
+++ b/tests/recovery.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import signal
+import time
 import typing as t
 
 import anyio
@@ -273,12 +274,28 @@
 
     def freeze(self, name: str) -> None:
         """Stop a process without its notice."""
+        self._note(name, 'frozen')
         self.processes[name].send_signal(signal.SIGSTOP)
 
     def wake(self, name: str) -> None:
         """Let a frozen process go on."""
+        self._note(name, 'woken')
         self.processes[name].send_signal(signal.SIGCONT)
 
+    def _note(self, name: str, event: str) -> None:
+        """Write down beside the logs when something was done to a process.
+
+        By this time and those of the process's own lines, what it did before
+        is told from what it did after, whenever the line was read.
+        """
+        opened = self._find_epoch(name)
+        line = (
+            f'time={time.time():.6f} level=warning process=test '
+            f'event={event} name={name} epoch_read={opened}\n'
+        )
+        with (self.directory / 'test.log').open('a') as log:
+            log.write(line)
+
     async def read_intervals(self) -> dict[str, list[Interval]]:
         """Return when each task ran, from the workers' own records.
 
