Use no store connection again that the store is about to close

Callers would see a call without an answer from an entry with nothing wrong beside it: the older path's store client kept idle connections for 5 s, as long as servers do, so that a call could leave on one as it was closed. The platform's own client stops at 4 s for that reason; this one does now.

The test counts connections over a pause of 4.2 s; it failed before (1 for 2).

--- a/src/persimmonsail/httpstore.py
+++ b/src/persimmonsail/httpstore.py
@@ -11,6 +11,9 @@
 from persimmonsail import store
 
 _WATCH_MARGIN = 1.0
+# An idle connection is used again for so long: servers close theirs after
+# 5 s and more, and a call that meets the close has no answer.
+_LIMITS = httpx.Limits(keepalive_expiry=4.0)
 _OUTCOMES = {
     httpx.codes.OK: 'ok',
     httpx.codes.CONFLICT: 'conflict',
@@ -47,7 +50,10 @@
     def __init__(self, address: str, timeout: float) -> None:
         self._timeout = timeout
         self._client = httpx.AsyncClient(
-            base_url=f'http://{address}', timeout=timeout, trust_env=False
+            base_url=f'http://{address}',
+            timeout=timeout,
+            trust_env=False,
+            limits=_LIMITS,
         )
 
     async def get(self, key: str) -> store.Item | None:
--- a/tests/test_httpstore.py
+++ b/tests/test_httpstore.py
@@ -1,6 +1,7 @@
 import contextlib
 
 import anyio
+import anyio.abc
 from starlette import applications
 from starlette import responses
 from starlette import routing
@@ -103,6 +104,38 @@
                 await store.close()
 
 
+class IdleConnectionTest(base.TestCase):
+    async def test_no_call_meets_the_close_of_an_idle_connection(self):
+        """A write has no answer, and its holder is in doubt of it.
+
+        The store closes connections that were idle for 5 s, just as the next
+        call leaves on one.
+        """
+        opened = 0
+
+        async def serve(stream):
+            nonlocal opened
+            opened += 1
+            body = b'{"item": null}'
+            head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
+            async with stream:
+                with contextlib.suppress(anyio.EndOfStream):
+                    while await stream.receive():
+                        await stream.send(head % len(body) + body)
+
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            store = httpstore.HttpStore(f'127.0.0.1:{port}', 5.0)
+            for idle_seconds in (0.0, 4.2):
+                await anyio.sleep(idle_seconds)
+                await store.get('key')
+            await store.close()
+            group.cancel_scope.cancel()
+        self.assertEqual(2, opened)
+
+
 class KindsTest(base.TestCase):
     def test_unknown_kind_names_the_allowed_ones(self):
         error = self.assertRaises(
