Answer each call before a stopping entry ends

Callers saw: 500 with an empty body and no Retry-After, from an entry that was stopping while the store was silent.

Cause: a read is tried for three quarters of its caller's time, 2.25 s of 3, and an entry ends 4.2 s after its signal; calls that come 2 s after it, on connections that callers keep, are held for longer than the entry has left, and the server ends them with 500. Evidence: entry-3 stopping at 954.43, the store silent from 956.23 on, three finds under way at 958.65, when the server cancelled them.

Now each call is answered 0.3 s before the drain is over: 503 with Retry-After, 504 to a submission, which may have been stored. With it come tests at the bounds that are owed where processes stand still: half of a lease for entry and sidecar, a silent store for half of a reader's time.

Left: the product's own interface, which nobody uses on the platform, has the same end.

--- a/src/persimmonsail/platform/entry.py
+++ b/src/persimmonsail/platform/entry.py
@@ -41,6 +41,8 @@
 # elsewhere; until then this entry goes on serving.
 _NOTICE_SECONDS = 2.2
 _DRAIN_SECONDS = 2.0
+# Calls are answered so long before the end of the drain, which ends them.
+_ANSWER_SECONDS = 0.3
 _PING_SECONDS = 0.6
 
 
@@ -101,9 +103,8 @@
         )
         await server.start(sock=sock)
         self._candidate.address = control
-        app = shutdown.CloseConnections(
-            front.Front(self._intake, self._view), lambda: self._stopping
-        )
+        calls = front.Front(self._intake, self._view)
+        app = shutdown.CloseConnections(calls, lambda: self._stopping)
         ready = pages.Readiness(self._is_ready)
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._store.close)
@@ -141,6 +142,10 @@
                 await serving.wait_for_stop(signals, settings)
                 logs.write_event('stopping')
                 self._stopping = True
+                left_seconds = _NOTICE_SECONDS + _DRAIN_SECONDS
+                calls.close_by(
+                    anyio.current_time() + left_seconds - _ANSWER_SECONDS
+                )
                 if self._own is not None:
                     await self._own.save_knowledge()
                 leading.cancel()
--- a/src/persimmonsail/platform/front.py
+++ b/src/persimmonsail/platform/front.py
@@ -1,15 +1,19 @@
 """Callers' calls about jobs, and whether this entry takes any."""
 
+import math
 import re
 import time
 import typing as t
 
+import anyio
+
 from persimmonsail import bodies
 from persimmonsail import exceptions
 from persimmonsail.jobs import clock
 from persimmonsail.jobs import intake as intake_module
 from persimmonsail.jobs import queues
 from persimmonsail.jobs import record
+from persimmonsail import logs
 from persimmonsail.platform import http
 from persimmonsail.platform import submissions
 
@@ -35,12 +39,35 @@
     ) -> None:
         self._intake = intake
         self._view = view
+        self._closes_at = math.inf
+        self._calls: set[anyio.CancelScope] = set()
+
+    def close_by(self, moment: float) -> None:
+        """Have each call answered by a time of the event loop's clock."""
+        self._closes_at = moment
+        for call in self._calls:
+            call.deadline = moment
 
     async def serve(
         self, scope: t.Any, receive: http.Receive, send: http.Send
     ) -> None:
         """See ``Application.serve``."""
         request = _Request(scope, receive, send)
+        with anyio.CancelScope(deadline=self._closes_at) as call:
+            self._calls.add(call)
+            try:
+                await self._serve(request)
+            finally:
+                self._calls.discard(call)
+        if call.cancelled_caught and not request.answered:
+            logs.write_event(
+                'call-cut-short', method=request.method, path=request.path
+            )
+            # A submission may have been stored.
+            status = 504 if request.method == 'POST' else 503
+            await request.refuse(status, 'unknown: this entry is stopping')
+
+    async def _serve(self, request: '_Request') -> None:
         configuration = self._view.current
         if configuration is None:
             await request.drain(queues.Limits().body_bytes)
@@ -145,6 +172,7 @@
         self, scope: t.Any, receive: http.Receive, send: http.Send
     ) -> None:
         self.receive = receive
+        self.answered = False
         self.method: str = scope['method']
         self.path: str = scope['path']
         host = http.get_header(scope, b'host')
@@ -166,10 +194,12 @@
 
     async def answer(self, body: t.Mapping[str, t.Any]) -> None:
         """Answer with success."""
+        self.answered = True
         await http.send_json(self._send, 200, body)
 
     async def refuse(self, status: int, text: str) -> None:
         """Answer with an error, and when to come back if that helps."""
+        self.answered = True
         retry_after = intake_module.RETRY_SECONDS if status == 503 else None
         await http.send_error(self._send, status, text, retry_after)
 
--- /dev/null
+++ b/tests/platform/test_standstills.py
@@ -0,0 +1,86 @@
+import signal
+
+import anyio
+import httpx
+import pytest
+
+from standins import platform_deployment as deployed
+from tests import base
+
+ID = '00000000000000aa'
+LEASE_SECONDS = 1.0
+# Renewals, and the words that they need, come eight times in a lease each.
+BORNE_SECONDS = LEASE_SECONDS / 2
+# A read is tried for three quarters of the 3 s that its caller waits, and
+# the store is asked again each 0.3 s.
+SILENCE_SECONDS = 1.6
+
+
+@pytest.mark.processes
+class StandstillsTest(base.TestCase):
+    """What a process that stands still for a moment may cost."""
+
+    async def stop_again_and_again(self, process):
+        for _ in range(4):
+            process.send_signal(signal.SIGSTOP)
+            await anyio.sleep(BORNE_SECONDS)
+            process.send_signal(signal.SIGCONT)
+            await anyio.sleep(LEASE_SECONDS)
+
+    async def check_starts(self, name):
+        async with deployed.Deployed(self.make_directory()) as running:
+            running.lease_seconds = LEASE_SECONDS
+            await running.start_entry('entry-1')
+            await running.start_instance('side-1')
+            body = deployed.make_body(3, payload='7000')
+            await running.submit('entry-1', ID, body)
+            await running.wait_starts(3)
+            await self.stop_again_and_again(running.running.processes[name])
+            await running.wait_state('entry-1', ID, 'complete')
+            self.assertEqual(3, len(await running.list_starts()))
+
+    async def test_an_entry_may_stand_still_for_half_of_a_lease(self):
+        await self.check_starts('entry-1')
+
+    async def test_a_sidecar_may_stand_still_for_half_of_a_lease(self):
+        await self.check_starts('side-1')
+
+    async def test_a_read_outlasts_a_silence_of_half_its_callers_time(self):
+        async with deployed.Deployed(self.make_directory()) as running:
+            await running.start_entry('entry-1')
+            await running.set_faults(running.store, down='silent')
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.check_read, running)
+                await anyio.sleep(SILENCE_SECONDS)
+                await running.set_faults(running.store)
+
+    async def check_read(self, running):
+        answer = await running.call('entry-1', 'GET', ID)
+        self.assertEqual(410, answer.status_code)
+
+    async def test_a_stopping_entry_answers_each_call(self):
+        """A read gets 500, an empty body and no time to come back.
+
+        It came while the entry was stopping, and waited for a silent store
+        for longer than the entry had left.
+        """
+        async with deployed.Deployed(self.make_directory()) as running:
+            process = await running.start_entry('entry-1')
+            statuses = []
+
+            async def read(after):
+                await anyio.sleep(after)
+                try:
+                    answer = await running.call('entry-1', 'GET', ID)
+                except httpx.TransportError:
+                    # No connection is accepted any more.
+                    return
+                statuses.append(answer.status_code)
+
+            process.send_signal(signal.SIGTERM)
+            async with anyio.create_task_group() as group:
+                for number in range(20):
+                    group.start_soon(read, 1.9 + 0.02 * number)
+                await anyio.sleep(1.8)
+                await running.set_faults(running.store, down='silent')
+            self.assertEqual({503}, set(statuses))
