--- a/tests/jobs/test_crash_bounds.py
+++ b/tests/jobs/test_crash_bounds.py
@@ -59,6 +59,15 @@
             work_seconds=2.0,
         )
 
+    def test_links_that_are_slow(self):
+        for instances in (2, 6):
+            self.check(
+                instances=instances,
+                bad=instances,
+                harmless=24,
+                way_seconds=(0.1, 0.3),
+            )
+
     def test_losses_of_power_blame_nobody(self):
         self.check(
             instances=2,
