Leave the age of an earlier sidecar's runs unknown

Read in the diff: since runs are measured by the agent's clock, the second look of a restarted sidecar gave what it had found there an age of its own, so that a run of an hour would seem to have begun just before a crash soon after, and its innocent job to be a suspect. The test failed before.

--- a/src/persimmonsail/jobs/life.py
+++ b/src/persimmonsail/jobs/life.py
@@ -291,11 +291,10 @@
         for key in ended:
             self._forget(key)
         for key in running:
-            if key in self._sent:
+            # Started before this sidecar was: how long ago isn't known.
+            sent_at = self._sent.setdefault(key, -math.inf)
+            if sent_at > -math.inf:
                 self._began_ms.setdefault(key, clock_ms)
-            else:
-                # Started before this sidecar was: how long ago isn't known.
-                self._sent[key] = -math.inf
 
     def note_started(
         self, order: worker_module.StartOrder, clock_ms: int, now: float
--- a/tests/jobs/test_life.py
+++ b/tests/jobs/test_life.py
@@ -116,6 +116,13 @@
         (run,) = self.life.describe_crash(11.0).runs
         self.assertEqual(math.inf, run.seconds)
 
+    def test_looks_tell_nothing_of_the_age_of_an_earlier_sidecars_run(self):
+        """An old run is blamed for a crash soon after a sidecar's restart."""
+        for clock_ms in (2000, 2100, 2200):
+            self.look(clock_ms, KEY)
+        (run,) = self.life.describe_crash(11.0).runs
+        self.assertEqual(math.inf, run.seconds)
+
     def test_what_is_being_stopped_takes_its_room_until_it_has_ended(self):
         """A start beside a run that is being stopped overfills the agent."""
         self.life.sizes[KEY] = specification.Size(3000, 100)
