Log ignored lists of runs and ends that were discarded unread

What callers saw: see docs/incidents/agent-back-under-its-id.md. Nothing in the processes' output told its three hypotheses apart: a list that is not used and an end that nobody read left no line.

No decision changes. Tests: the two new ones of test_incarnation.

--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -6,6 +6,7 @@
 
 from persimmonsail.jobs import specification
 from persimmonsail.jobs import worker as worker_module
+from persimmonsail import logs
 
 RunId = tuple[str, int]
 
@@ -131,6 +132,9 @@
         self._clock_ms = 0
         self._clock_read_at = 0.0
         self._snapshot_ms = 0
+        self._ignores_snapshots = False
+        # The number of the next end to be read; 0 while it is not known.
+        self._next_end = 0
 
     @property
     def boot(self) -> str:
@@ -254,7 +258,9 @@
         older than the last one is ignored.
         """
         if self.polled and snapshot.clock_ms < self._snapshot_ms:
+            self._note_ignored_snapshot(snapshot)
             return False
+        self._ignores_snapshots = False
         self._snapshot_ms = snapshot.clock_ms
         self.note_clock(snapshot.clock_ms, now)
         running = {(row.task, row.run): row for row in snapshot.running}
@@ -279,6 +285,7 @@
             or running.keys() != self.running.keys()
             or ended.keys() != self.ended.keys()
         )
+        self._check_end_numbers(snapshot)
         self.running = running
         self.ended = ended
         self.polled = True
@@ -287,6 +294,34 @@
         self._record_seen_runs(running.keys(), ended_keys, snapshot.clock_ms)
         return changed
 
+    def _note_ignored_snapshot(self, snapshot: worker_module.Snapshot) -> None:
+        if self._ignores_snapshots:
+            return
+        self._ignores_snapshots = True
+        logs.write_event(
+            'snapshot-ignored',
+            boot=self.boot,
+            clock_ms=snapshot.clock_ms,
+            latest_ms=self._snapshot_ms,
+            running=len(snapshot.running),
+            ended=len(snapshot.ended),
+        )
+
+    def _check_end_numbers(self, snapshot: worker_module.Snapshot) -> None:
+        """Report ends that the agent has discarded before they were read."""
+        numbers = [row.number for row in snapshot.ended]
+        first = min((n for n in numbers if n >= self._next_end), default=0)
+        if self._next_end and first > self._next_end:
+            logs.write_error(
+                'ends-unread',
+                boot=self.boot,
+                first=self._next_end,
+                last=first - 1,
+                acknowledged=self.acknowledged,
+            )
+        if numbers:
+            self._next_end = max(self._next_end, max(numbers) + 1)
+
     def _record_seen_runs(
         self,
         running: t.Collection[RunId],
--- a/src/persimmonsail/jobs/orders.py
+++ b/src/persimmonsail/jobs/orders.py
@@ -352,7 +352,12 @@
             )
         if incarnation.failing:
             incarnation.failing = False
-            logs.write_event('worker-regained', boot=incarnation.boot)
+            logs.write_event(
+                'worker-regained',
+                boot=incarnation.boot,
+                clock_ms=snapshot.clock_ms,
+                acknowledged=incarnation.acknowledged,
+            )
             self._on_renewal_due()
         first_poll = not incarnation.polled
         if incarnation.apply_snapshot(snapshot, clock.read()):
--- a/tests/jobs/test_incarnation.py
+++ b/tests/jobs/test_incarnation.py
@@ -1,5 +1,6 @@
 import dataclasses
 import math
+from unittest import mock
 
 from persimmonsail.jobs import incarnation
 from persimmonsail.jobs import specification
@@ -36,6 +37,33 @@
         self.assertFalse(self.apply_snapshot(1900))
         self.assertIn(KEY, self.incarnation.running)
 
+    def test_the_first_ignored_snapshot_in_a_row_is_logged(self):
+        self.apply_snapshot(2000, KEY)
+        with mock.patch.object(incarnation.logs, 'write_event') as written:
+            for clock_ms in (1900, 1950, 2050, 2000):
+                self.apply_snapshot(clock_ms)
+        self.assertEqual(
+            [(1900, 2000), (2000, 2050)],
+            [
+                (call.kwargs['clock_ms'], call.kwargs['latest_ms'])
+                for call in written.call_args_list
+            ],
+        )
+
+    def test_ends_that_were_discarded_unread_are_logged(self):
+        """A task is executed twice, and no log says why."""
+        rows = [
+            worker.EndedRow(number, *KEY, 'done') for number in range(1, 9)
+        ]
+        with mock.patch.object(incarnation.logs, 'write_error') as written:
+            self.apply_snapshot(1000, ended=rows[2:3])
+            self.apply_snapshot(1010, ended=rows[2:4])
+            self.apply_snapshot(1020)
+            self.assertEqual([], written.call_args_list)
+            self.apply_snapshot(1030, ended=rows[6:7])
+        (call,) = written.call_args_list
+        self.assertEqual((5, 6), (call.kwargs['first'], call.kwargs['last']))
+
     def test_an_earlier_snapshot_does_not_remove_a_started_run(self):
         """A run is stopped as soon as it has started.
 
