--- a/standins/runner.py
+++ b/standins/runner.py
@@ -6,10 +6,17 @@
 a task is its duration in milliseconds, or ``lasts`` to run until it is
 stopped. A prefix ``crash=KEYS`` lists tasks of the job, as
 ``0.0.0/0.0.1``, that crash the agent shortly after each of their starts.
+
+A restarted agent gets a new id unless the faults say otherwise. It has lost
+all state, its clock and its numbers start anew, and connections of the
+start before are closed; what was sent over them is lost, except for calls
+that are executed late.
 """
 
 import dataclasses
+import random
 import time
+import typing as t
 import uuid
 
 import anyio
@@ -26,6 +33,9 @@
 
 _UPDATE_SECONDS = 0.02
 _HEARTBEAT_SECONDS = 0.2
+# Range of the clock at a start.
+_MIN_CLOCK_MS = 1_000
+_MAX_CLOCK_MS = 900_000
 
 
 @dataclasses.dataclass
@@ -36,8 +46,11 @@
     ----------
     late_starts : int
         Number of next starts that get no response and are executed later.
+    late_holds : int
+        Number of next holds that acknowledge ends, get no response and are
+        executed later.
     late_seconds : float
-        Delay of these starts.
+        Delay of these calls.
     silent : bool
         No call gets a response and no heartbeat is sent; tasks keep
         running until their lease ends.
@@ -52,9 +65,17 @@
         Downtime of the agent after the crash.
     millicores : int
         Capacity that the agent reports; it does not enforce it.
+    new_ids : bool
+        Each restart gets a new id.
+    sends_born : bool
+        Heartbeats and lists of runs carry the time of the start, as those
+        of older agents do not.
+    clock_ms : int
+        The clock at the next restart; 0 for a random one.
     """
 
     late_starts: int = 0
+    late_holds: int = 0
     late_seconds: float = 1.0
     silent: bool = False
     fail: bool = False
@@ -62,6 +83,9 @@
     crash_seconds: float = 0.02
     down_seconds: float = 0.2
     millicores: int = 8000
+    new_ids: bool = True
+    sends_born: bool = True
+    clock_ms: int = 0
 
 
 @dataclasses.dataclass
@@ -89,9 +113,13 @@
 
 @dataclasses.dataclass
 class Start:
-    """A start that was executed, and when and how it ended."""
+    """A start that was executed, and when and how it ended.
+
+    ``boot`` is the agent's id, and ``born`` tells its starts apart.
+    """
 
     boot: str
+    born: int
     task: str
     run: int
     began: float
@@ -109,8 +137,12 @@
         self.starts: list[Start] = []
         self._sidecar_address = ''
         self._leaving = False
-        self._sequence = 0
+        self.boot = _make_id()
+        self._born_ms = 0
         self._group: anyio.abc.TaskGroup | None = None
+        # The other ends of connections, and those of earlier starts.
+        self._peers: set[t.Any] = set()
+        self._closed_peers: set[t.Any] = set()
         self._reset()
         post = {'methods': ['POST']}
         self.app = applications.Starlette(
@@ -126,7 +158,16 @@
         )
 
     def _reset(self) -> None:
-        self.boot = f'i-{uuid.uuid4().hex[:8]}'
+        if self.faults.new_ids:
+            self.boot = _make_id()
+        self._born_ms = max(round(time.time() * 1000), self._born_ms + 1)
+        clock_ms = random.randrange(_MIN_CLOCK_MS, _MAX_CLOCK_MS)
+        self._clock_offset_ms = (
+            self.faults.clock_ms or clock_ms
+        ) - time.monotonic() * 1000
+        self._closed_peers |= self._peers
+        self._peers = set()
+        self._sequence = 0
         self._fencing_token = 0
         self._lease_until_ms = 0
         self._runs: dict[str, _Run] = {}
@@ -146,7 +187,7 @@
                 self._update_runs()
 
     def restart(self) -> None:
-        """Crash and restart as a new boot."""
+        """Crash and start again."""
         for start in self.starts:
             if not start.ended:
                 start.ended = time.time()
@@ -156,7 +197,8 @@
     def _update_runs(self) -> None:
         now = time.monotonic()
         lapsed = (
-            self._lease_until_ms and _read_clock_ms() > self._lease_until_ms
+            self._lease_until_ms
+            and self._read_clock_ms() > self._lease_until_ms
         )
         if lapsed:
             # Once the lease has lapsed the leader may rerun tasks whose end
@@ -203,7 +245,8 @@
                         'gpu': 0,
                     },
                     'labels': ['a', 'r1-1'],
-                    'clockMs': _read_clock_ms(),
+                    'clockMs': self._read_clock_ms(),
+                    **self._describe_start(),
                 }
                 url = f'http://{self._sidecar_address}/v1/runners/{self.boot}'
                 try:
@@ -217,10 +260,13 @@
         if self.faults.silent:
             await anyio.sleep_forever()
         body = await request.json()
+        if request.client in self._closed_peers:
+            return body, _close()
+        self._peers.add(request.client)
         if request.headers['Expected-Instance'] != self.boot:
             return body, responses.JSONResponse({}, status_code=421)
         if body['fencingToken'] < self._fencing_token:
-            return body, _refuse('fence')
+            return body, self._refuse('fence')
         self._fencing_token = body['fencingToken']
         return body, None
 
@@ -240,36 +286,45 @@
         self, boot: str, body: dict, seconds: float
     ) -> None:
         await anyio.sleep(seconds)
-        if boot == self.boot:
+        if boot == self.boot and body['fencingToken'] >= self._fencing_token:
             self._start_now(body)
 
+    async def _hold_delayed(
+        self, boot: str, body: dict, seconds: float
+    ) -> None:
+        await anyio.sleep(seconds)
+        if boot == self.boot and body['fencingToken'] >= self._fencing_token:
+            self._extend_and_discard(body)
+
     def _start_now(self, body: dict) -> responses.Response:
         task, number = body['task'], body['run']
-        if body['untilMs'] < _read_clock_ms():
-            return _refuse('late')
+        if body['untilMs'] < self._read_clock_ms():
+            return self._refuse('late')
         if self.faults.needs_ticket:
             step = task.rpartition('.')[0]
             if body.get('ticket') != advisor.make_permit(step, self.boot):
-                return _refuse('ticket')
+                return self._refuse('ticket')
         current = self._runs.get(task)
         if current is not None and current.number == number:
-            return _respond({})
+            return self._respond({})
         if current is not None or number <= self._barred.get(task, 0):
-            return _refuse('old')
+            return self._refuse('old')
         self._lease_until_ms = max(self._lease_until_ms, body['untilMs'])
         payload = _Payload.parse(body['spec'])
         ends_at = None
         if payload.seconds is not None:
             ends_at = time.monotonic() + payload.seconds
         self._runs[task] = _Run(task, number, ends_at, self.faults.fail)
-        self.starts.append(Start(self.boot, task, number, time.time()))
+        self.starts.append(
+            Start(self.boot, self._born_ms, task, number, time.time())
+        )
         if task.partition('.')[2] in payload.crashing:
-            self._group.start_soon(self._crash_later, self.boot)
-        return _respond({})
+            self._group.start_soon(self._crash_later, self._born_ms)
+        return self._respond({})
 
-    async def _crash_later(self, boot: str) -> None:
+    async def _crash_later(self, born_ms: int) -> None:
         await anyio.sleep(self.faults.crash_seconds)
-        if boot != self.boot:
+        if born_ms != self._born_ms:
             return
         self.restart()
         faults, self.faults.silent = self.faults, True
@@ -285,24 +340,41 @@
         if run is not None and run.number == number:
             self._end(run, 'stopped')
         self._barred[task] = max(self._barred.get(task, 0), number)
-        return _respond({})
+        return self._respond({})
 
     async def _hold(self, request: requests.Request) -> responses.Response:
         body, refusal = await self._validate(request)
         if refusal is not None:
             return refusal
-        self._lease_until_ms = max(
-            self._lease_until_ms, body.get('untilMs', 0)
-        )
-        self._discard_ended(body['acked'])
+        if self.faults.late_holds and body['acked']:
+            self.faults.late_holds -= 1
+            self._group.start_soon(
+                self._hold_delayed, self.boot, body, self.faults.late_seconds
+            )
+            await anyio.sleep_forever()
+        self._extend_and_discard(body)
+        born_ms = self._born_ms
         if not self._ended and body.get('waitMs'):
             with anyio.move_on_after(body['waitMs'] / 1000):
                 await self._changed.wait()
-        if request.headers['Expected-Instance'] != self.boot:
+        if born_ms != self._born_ms:
             # The agent crashed during the wait.
-            await anyio.sleep_forever()
+            return _close()
         running = [[r.task, r.number, '', 0, 0] for r in self._runs.values()]
-        return _respond({'running': running, 'finished': self._ended})
+        return self._respond(
+            {
+                **self._describe_start(),
+                'running': running,
+                'finished': self._ended,
+            }
+        )
+
+    def _extend_and_discard(self, body: dict) -> None:
+        """Extend leases and discard ends as a hold says."""
+        self._lease_until_ms = max(
+            self._lease_until_ms, body.get('untilMs', 0)
+        )
+        self._discard_ended(body['acked'])
 
     def _discard_ended(self, number: int) -> None:
         """Discard the ends up to a number, which the caller has recorded."""
@@ -314,15 +386,15 @@
         self._ended = [row for row in self._ended if row[0] > number]
 
     def _find_start(self, task: str, number: int) -> Start | None:
-        key = (self.boot, task, number)
+        key = (self._born_ms, task, number)
         for start in self.starts:
-            if (start.boot, start.task, start.run) == key:
+            if (start.born, start.task, start.run) == key:
                 return start
         return None
 
     async def _throttle(self, request: requests.Request) -> responses.Response:
         _, refusal = await self._validate(request)
-        return refusal or _respond({})
+        return refusal or self._respond({})
 
     async def _connect(self, request: requests.Request) -> responses.Response:
         self._sidecar_address = (await request.json())['address']
@@ -332,11 +404,14 @@
         self, request: requests.Request
     ) -> responses.Response:
         body = await request.json()
-        if body.pop('restart', False):
-            self.restart()
+        restart = body.pop('restart', False)
         self._leaving = body.pop('leaving', False)
         self.faults = Faults(**body)
-        return responses.JSONResponse({'boot': self.boot})
+        if restart:
+            self.restart()
+        return responses.JSONResponse(
+            {'boot': self.boot, 'born': self._born_ms}
+        )
 
     async def _list_starts(
         self, request: requests.Request
@@ -345,18 +420,28 @@
             [dataclasses.asdict(start) for start in self.starts]
         )
 
+    def _describe_start(self) -> dict:
+        return {'born': self._born_ms} if self.faults.sends_born else {}
+
+    def _read_clock_ms(self) -> int:
+        return round(time.monotonic() * 1000 + self._clock_offset_ms)
+
+    def _respond(self, body: dict) -> responses.Response:
+        clock = {'clockMs': self._read_clock_ms()}
+        return responses.JSONResponse({**clock, **body})
 
-def _read_clock_ms() -> int:
-    return round(time.monotonic() * 1000)
+    def _refuse(self, reason: str) -> responses.Response:
+        body = {'clockMs': self._read_clock_ms(), 'reason': reason}
+        return responses.JSONResponse(body, status_code=409)
 
 
-def _respond(body: dict) -> responses.Response:
-    return responses.JSONResponse({'clockMs': _read_clock_ms(), **body})
+def _make_id() -> str:
+    return f'i-{uuid.uuid4().hex[:8]}'
 
 
-def _refuse(reason: str) -> responses.Response:
-    body = {'clockMs': _read_clock_ms(), 'reason': reason}
-    return responses.JSONResponse(body, status_code=409)
+def _close() -> responses.Response:
+    """Return the response of a start that no longer exists."""
+    return responses.Response(status_code=500, headers={'Connection': 'close'})
 
 
 def main() -> None:
