--- a/src/persimmonsail/exceptions.py
+++ b/src/persimmonsail/exceptions.py
@@ -208,6 +208,10 @@
     """No connection to the service; nothing was sent."""
 
 
+class PeerUnconfirmed(ServiceUnavailable):
+    """No open connection is known to lead to the peer; nothing was sent."""
+
+
 class ServiceUnanswered(ServiceUnavailable):
     """The service sent no answer but may have done the work."""
 
--- a/src/persimmonsail/httpclient.py
+++ b/src/persimmonsail/httpclient.py
@@ -44,10 +44,23 @@
 
 @dataclasses.dataclass(frozen=True)
 class Response:
-    """A response with its complete body."""
+    """A response with its complete body.
+
+    Attributes
+    ----------
+    status : int
+        The status code.
+    content : bytes
+        The body.
+    connection : object, optional
+        The connection that it was received on, for ``confirm_peer``.
+    """
 
     status: int
     content: bytes
+    connection: '_Connection | None' = dataclasses.field(
+        default=None, compare=False, repr=False
+    )
 
 
 class Client:
@@ -79,6 +92,7 @@
         body: t.Any = None,
         headers: t.Mapping[str, str] | None = None,
         timeout: float | None = None,
+        peer: str = '',
     ) -> Response:
         """Send a request and return the response.
 
@@ -95,9 +109,15 @@
             between two reads of it. A limit for the whole response would
             make a long page unreadable over a slow link, however often it
             is retried: a leader there could never load its jobs.
+        peer : str, optional
+            Sends the request only on a connection that is confirmed to lead
+            to this peer. A connection ends with the process at its other
+            end, so a process that replaces the peer can't receive it.
 
         Raises
         ------
+        persimmonsail.exceptions.PeerUnconfirmed
+            If no idle connection is confirmed to lead to the peer.
         persimmonsail.exceptions.ServiceNotReached
             If no connection was established: nothing was sent.
         persimmonsail.exceptions.ServiceUnanswered
@@ -105,7 +125,10 @@
             response was received.
         """
         deadline = _Deadline(timeout or self._timeout, self.max_call_seconds)
-        connection = await self._acquire(deadline)
+        if peer:
+            connection = await self._acquire_confirmed(peer)
+        else:
+            connection = await self._acquire(deadline)
         request = _encode(self._address, method, target, body, headers or {})
         try:
             with deadline.enforce():
@@ -123,11 +146,27 @@
         await self._release(connection)
         return response
 
+    def confirm_peer(self, response: Response, peer: str) -> None:
+        """Record which peer a response's connection leads to."""
+        if response.connection is not None:
+            response.connection.peer = peer
+
     async def close(self) -> None:
         """Close all idle connections."""
         while self._idle:
             await self._idle.pop().close()
 
+    async def _acquire_confirmed(self, peer: str) -> '_Connection':
+        for connection in reversed(self._idle):
+            if connection.peer != peer:
+                continue
+            self._idle.remove(connection)
+            if connection.is_usable:
+                return connection
+            await connection.close()
+            return await self._acquire_confirmed(peer)
+        raise exceptions.PeerUnconfirmed(peer)
+
     async def _acquire(self, deadline: '_Deadline') -> '_Connection':
         while self._idle:
             connection = self._idle.pop()
@@ -233,9 +272,16 @@
 
 
 class _Connection:
-    """A connection that handles one call at a time."""
+    """A connection that handles one call at a time.
+
+    Attributes
+    ----------
+    peer : str
+        The peer that it is confirmed to lead to; empty for none.
+    """
 
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
+        self.peer = ''
         self._stream = stream
         self._poll = select.poll()
         sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
@@ -263,7 +309,7 @@
             elif isinstance(event, h11.Data):
                 content.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return Response(status, b''.join(content))
+                return Response(status, b''.join(content), self)
 
     async def _receive(self, deadline: _Deadline) -> None:
         try:
--- a/src/persimmonsail/jobs/crashes.py
+++ b/src/persimmonsail/jobs/crashes.py
@@ -21,6 +21,7 @@
 import typing as t
 
 from persimmonsail.jobs import board as board_module
+from persimmonsail.jobs import boots
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import job as job_module
@@ -139,7 +140,7 @@
         logs.write_warning(
             'crash-at-once',
             instance=instance.address,
-            boot=crash.boot,
+            boot=boots.join(crash.boot, crash.born_ms),
             instances=len(crashed),
             runs=len(crash.runs),
             excused=len(excused),
@@ -336,7 +337,7 @@
         task=run.task,
         run=run.run,
         instance=instance.address,
-        boot=crash.boot,
+        boot=boots.join(crash.boot, crash.born_ms),
         seconds=run.seconds,
         count=crashes.count,
         apart=crashes.apart,
--- a/src/persimmonsail/jobs/fleet.py
+++ b/src/persimmonsail/jobs/fleet.py
@@ -4,6 +4,7 @@
 
 import anyio.abc
 
+from persimmonsail.jobs import boots
 from persimmonsail.jobs import clock
 from persimmonsail.jobs import eviction
 from persimmonsail.jobs import fleet_pb2
@@ -177,7 +178,7 @@
             if instance.committed_end > instance.acknowledged:
                 instance.acknowledged = instance.committed_end
                 orders = self._links[instance.address].edit_next_orders()
-                orders.boot = instance.boot
+                orders.boot, orders.born_ms = boots.split(instance.boot)
                 orders.acknowledged = instance.acknowledged
                 logs.write_event(
                     'ends-acknowledged',
@@ -296,7 +297,7 @@
     size = run.step.committed
     start.task = run.task
     start.run = run.number
-    start.boot = run.boot
+    start.boot, start.born_ms = boots.split(run.boot)
     start.size.millicores = size.millicores
     start.size.memory_mib = size.memory_mib
     start.size.accelerators = size.accelerators
--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -100,6 +100,9 @@
     extended_until : float
         Time up to which an answered poll has extended the leases; 0 before
         the first one.
+    departing_until : float
+        Until when the agent's end counts as announced; 0 if it has not
+        announced any.
     """
 
     def __init__(self, heartbeat: worker_module.Heartbeat, now: float) -> None:
@@ -119,6 +122,7 @@
         self.failed_at = 0.0
         self.granted_until = now
         self.extended_until = 0.0
+        self.departing_until = 0.0
         # Send time of each start that was, or may have been, executed and
         # whose run is not known to have ended.
         self._sent_at: dict[RunId, float] = {}
--- a/src/persimmonsail/jobs/incarnationreport.py
+++ b/src/persimmonsail/jobs/incarnationreport.py
@@ -1,5 +1,8 @@
 """Conversion between an agent's incarnation and protocol messages."""
 
+import typing as t
+
+from persimmonsail.jobs import boots
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import incarnation as incarnation_module
 from persimmonsail.jobs import specification
@@ -12,7 +15,7 @@
 ) -> None:
     """Fill in an incarnation's state and its running and ended runs."""
     heartbeat = incarnation.heartbeat
-    report.boot = incarnation.boot
+    report.boot, report.born_ms = boots.split(incarnation.boot)
     report.silent_seconds = now - incarnation.answered_at
     report.lapsed = incarnation.is_lapsed(now)
     report.looked = incarnation.polled
@@ -44,11 +47,25 @@
         report.pending.add(task=task, run=run)
 
 
+def fill_ended_boots(
+    report: fleet_pb2.Report, ended: t.Sequence[str], present: str
+) -> None:
+    """Fill in the boots that ended before the present one.
+
+    Leaders of earlier versions abandon all runs whose boot has an id in
+    ``over``, also those of the present boot if it has this id.
+    """
+    present_id, _ = boots.split(present)
+    report.ended_boots.extend(ended)
+    ids = dict.fromkeys(boots.split(boot)[0] for boot in ended)
+    report.over.extend(id for id in ids if id != present_id)
+
+
 def fill_crash(
     row: fleet_pb2.Crash, crash: incarnation_module.Crash, now: float
 ) -> None:
     """Fill in a crash and the runs that were there."""
-    row.boot = crash.boot
+    row.boot, row.born_ms = boots.split(crash.boot)
     row.ago_seconds = now - crash.alive_at
     for run in crash.runs:
         row.runs.add(task=run.task, run=run.run, seconds=run.seconds)
--- a/src/persimmonsail/platform/heartbeats.py
+++ b/src/persimmonsail/platform/heartbeats.py
@@ -8,6 +8,7 @@
 from persimmonsail import bodies
 from persimmonsail import exceptions
 from persimmonsail.jobs import agent as agent_module
+from persimmonsail.jobs import boots
 from persimmonsail.jobs import specification
 from persimmonsail.jobs import worker
 from persimmonsail import logs
@@ -23,6 +24,8 @@
 # would end their link.
 _MAX_AMOUNT = 2**31 - 1
 _Amount = t.Annotated[int, pydantic.Field(ge=0, le=_MAX_AMOUNT)]
+_MAX_TIME_MS = 2**53
+_Time = t.Annotated[int, pydantic.Field(ge=0, le=_MAX_TIME_MS)]
 
 
 class _Capacity(pydantic.BaseModel):
@@ -37,6 +40,8 @@
     model_config = pydantic.ConfigDict(extra='ignore')
 
     service: str
+    # When the agent started; older agents omit it.
+    born_ms: _Time = pydantic.Field(default=0, alias='born')
     # Increases with each report of a boot; the clock may not.
     sequence: _Amount = pydantic.Field(default=0, alias='seq')
     state: t.Literal['ready', 'draining'] = 'ready'
@@ -47,9 +52,9 @@
     # The kind of the instance, then its rack.
     labels: tuple[str, ...] = ()
 
-    def to_heartbeat(self, boot: str) -> worker.Heartbeat:
+    def to_heartbeat(self, agent_id: str) -> worker.Heartbeat:
         return worker.Heartbeat(
-            boot=boot,
+            boot=boots.join(agent_id, self.born_ms),
             sequence=self.sequence,
             service=self.service,
             rack=self.labels[-1] if len(self.labels) > 1 else '',
@@ -86,19 +91,19 @@
         if not path.startswith(_PATH_PREFIX):
             await http.send_error(send, 404, 'no such call')
             return
-        boot = urllib.parse.unquote(path.removeprefix(_PATH_PREFIX))
+        agent_id = urllib.parse.unquote(path.removeprefix(_PATH_PREFIX))
         if scope['method'] == 'DELETE':
-            self._agent.note_boot_ended(boot, announced=True)
+            self._agent.note_departure(agent_id)
         elif scope['method'] == 'PUT':
             try:
                 report = _Report.model_validate_json(body)
             except pydantic.ValidationError as error:
                 logs.write_error(
-                    'heartbeat-unreadable', boot=boot, error=error
+                    'heartbeat-unreadable', boot=agent_id, error=error
                 )
                 await http.send_error(send, 400, str(error))
                 return
-            self._agent.note_heartbeat(report.to_heartbeat(boot))
+            self._agent.note_heartbeat(report.to_heartbeat(agent_id))
         else:
             await http.send_error(send, 405, 'allowed: PUT, DELETE')
             return
--- a/src/persimmonsail/platform/runner.py
+++ b/src/persimmonsail/platform/runner.py
@@ -7,6 +7,7 @@
 
 from persimmonsail import exceptions
 from persimmonsail import httpclient
+from persimmonsail.jobs import boots
 from persimmonsail.jobs import worker
 
 # An order is answered within milliseconds; one that takes longer was
@@ -33,6 +34,8 @@
 
 
 class _HoldReply(_ClockReply):
+    # When the agent started; older agents omit it.
+    born_ms: int = pydantic.Field(default=0, alias='born')
     # Rows of task, run, checkpoint, percent and a gauge whose meaning
     # depends on the task; older agents omit the gauge.
     running: tuple[tuple[t.Any, ...], ...] = ()
@@ -63,7 +66,13 @@
 
 
 class Runner(worker.Worker):
-    """Calls the worker's agent over HTTP."""
+    """Calls the worker's agent over HTTP.
+
+    An agent that has started again under its id accepts calls for the start
+    before. Calls are therefore sent only on connections on which the
+    intended start has answered before: a connection ends with its process.
+    Agents that don't report their starts refuse calls for another id.
+    """
 
     def __init__(self, address: str) -> None:
         self._client = httpclient.Client(address, _ORDER_TIMEOUT_SECONDS)
@@ -121,8 +130,10 @@
         answer = await self._call(
             'hold', boot, body, _ORDER_TIMEOUT_SECONDS + wait
         )
+        reply = _parse(_HoldReply, answer)
+        _check_born(reply, boot)
         try:
-            return _parse(_HoldReply, answer).to_snapshot()
+            return reply.to_snapshot()
         except (ValueError, TypeError) as error:
             # A snapshot without the row would report its run as gone.
             raise exceptions.WorkerUnavailable(
@@ -140,9 +151,37 @@
         body: dict[str, t.Any],
         timeout: float = _ORDER_TIMEOUT_SECONDS,
     ) -> httpclient.Response:
+        _, born_ms = boots.split(boot)
+        peer = boot if born_ms else ''
+        while True:
+            try:
+                return await self._send(name, boot, body, timeout, peer)
+            except exceptions.PeerUnconfirmed:
+                await self._confirm(boot, body['fencingToken'])
+
+    async def _confirm(self, boot: str, epoch: int) -> None:
+        """Confirm that one more connection leads to a boot.
+
+        Changes nothing at whichever boot answers.
+        """
+        body = {'fencingToken': epoch, 'acked': 0}
+        answer = await self._send('hold', boot, body, _ORDER_TIMEOUT_SECONDS)
+        _check_born(_parse(_HoldReply, answer), boot)
+        self._client.confirm_peer(answer, boot)
+
+    async def _send(
+        self,
+        name: str,
+        boot: str,
+        body: dict[str, t.Any],
+        timeout: float,
+        peer: str = '',
+    ) -> httpclient.Response:
+        agent_id, _ = boots.split(boot)
+        headers = {_BOOT_HEADER: agent_id}
         try:
             answer = await self._client.call(
-                'POST', f'/v1/{name}', body, {_BOOT_HEADER: boot}, timeout
+                'POST', f'/v1/{name}', body, headers, timeout, peer
             )
         except exceptions.ServiceNotReached as error:
             raise exceptions.WorkerNotReached(f'{name}: {error}') from error
@@ -162,6 +201,15 @@
         raise exceptions.WorkerUnavailable(f'{name}: status {status}')
 
 
+def _check_born(reply: _HoldReply, boot: str) -> None:
+    """Raise ``WorkerBootChanged`` if another start has answered."""
+    agent_id, born_ms = boots.split(boot)
+    if reply.born_ms and reply.born_ms != born_ms:
+        raise exceptions.WorkerBootChanged(
+            f'{boot}: {boots.join(agent_id, reply.born_ms)} has answered'
+        )
+
+
 def _parse(model: type[_ModelT], answer: httpclient.Response) -> _ModelT:
     try:
         return model.model_validate_json(answer.content)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -7,7 +7,7 @@
 stopped. A prefix ``crash=KEYS`` lists tasks of the job, as
 ``0.0.0/0.0.1``, that crash the agent shortly after each of their starts.
 
-A restarted agent gets a new id unless the faults say otherwise. It has lost
+A restarted agent keeps its id unless the faults say otherwise. It has lost
 all state, its clock and its numbers start anew, and connections of the
 start before are closed; what was sent over them is lost, except for calls
 that are executed late.
@@ -83,7 +83,7 @@
     crash_seconds: float = 0.02
     down_seconds: float = 0.2
     millicores: int = 8000
-    new_ids: bool = True
+    new_ids: bool = False
     sends_born: bool = True
     clock_ms: int = 0
 
