--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -90,6 +90,9 @@
         self._incarnation: incarnation_module.Incarnation | None = None
         self._successor: worker_module.Heartbeat | None = None
         self._ended_boots: list[str] = []
+        # Starts sent to ended boots that the next boot of the same agent may
+        # execute, and until when.
+        self._late_starts: dict[incarnation_module.RunId, float] = {}
         self._crashes: collections.deque[incarnation_module.Crash] = (
             collections.deque(maxlen=_MAX_ENDED_BOOTS)
         )
@@ -129,6 +132,8 @@
     def _begin_incarnation(self, heartbeat: worker_module.Heartbeat) -> None:
         now = clock.read()
         self._successor = None
+        if not self._is_restart(heartbeat.boot):
+            self._late_starts.clear()
         incarnation = incarnation_module.Incarnation(heartbeat, now)
         self._incarnation = incarnation
         logs.write_event(
@@ -136,9 +141,36 @@
             boot=heartbeat.boot,
             service=heartbeat.service,
             millicores=heartbeat.capacity.millicores,
+            late_starts=len(self._late_starts),
         )
+        self._bar_late_starts(incarnation, now)
         self._renewal_requested.set()
 
+    def _is_restart(self, boot: str) -> bool:
+        """Return whether a boot's agent has the id of the last ended one."""
+        if not self._ended_boots:
+            return False
+        agent_id, born_ms = boots.split(boot)
+        last_id, _ = boots.split(self._ended_boots[-1])
+        return bool(born_ms) and agent_id == last_id
+
+    def _bar_late_starts(
+        self, incarnation: incarnation_module.Incarnation, now: float
+    ) -> None:
+        """Bar starts that were sent to the agent's earlier boots.
+
+        Until that is answered the runs stay pending, so that their tasks
+        are not placed again meanwhile.
+        """
+        for key, until in self._late_starts.items():
+            if until <= now:
+                continue
+            incarnation.note_late_start(key, until)
+            incarnation.pending[key] = specification.Size()
+            incarnation.stopping.add(key)
+            self._group.start_soon(self._executor.stop, incarnation, key)
+        self._late_starts.clear()
+
     def note_departure(self, agent_id: str) -> None:
         """Process an announcement that the worker's agent ends.
 
@@ -181,6 +213,7 @@
             announced = announced or now < incarnation.departing_until
             if not announced and not incarnation.heartbeat.leaving:
                 self._record_crash(incarnation.describe_crash(now))
+            self._late_starts.update(incarnation.list_late_starts(now))
             self._incarnation = None
             successor = self._successor
             if (
@@ -276,6 +309,9 @@
             incarnationreport.fill_crash(report.crashes.add(), crash, now)
         link.crashes.clear()
         if incarnation is None:
+            for (task, run), until in self._late_starts.items():
+                if until > now:
+                    report.pending.add(task=task, run=run)
             return report
         incarnationreport.fill_report(report, incarnation, now)
         report.fenced = incarnation.fenced_epoch >= self._authority.epoch
--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -1,9 +1,12 @@
 """A sidecar's view of one incarnation of its worker's agent."""
 
+import contextlib
 import dataclasses
 import math
 import typing as t
 
+from persimmonsail import exceptions
+from persimmonsail.jobs import clock
 from persimmonsail.jobs import specification
 from persimmonsail.jobs import worker as worker_module
 from persimmonsail import logs
@@ -20,6 +23,10 @@
 # The agent's clock may be slow by 2% of a lease of 6 s, and it detects the
 # end of a lease slightly late.
 LAPSE_MARGIN_SECONDS = 0.5
+# How long after a call that got no answer the agent may still execute it.
+# An agent that starts again under its id executes calls that were sent to
+# the start before.
+LATE_CALL_SECONDS = 10.0
 
 
 @dataclasses.dataclass
@@ -123,6 +130,10 @@
         self.granted_until = now
         self.extended_until = 0.0
         self.departing_until = 0.0
+        # Starts that are being sent, and those of which a call got no
+        # answer, with the time until which it may be executed late.
+        self._open_starts: set[RunId] = set()
+        self._late_starts: dict[RunId, float] = {}
         # Send time of each start that was, or may have been, executed and
         # whose run is not known to have ended.
         self._sent_at: dict[RunId, float] = {}
@@ -175,6 +186,32 @@
         """Record that a call got no answer."""
         self.failed_at = self.failed_at or now
 
+    @contextlib.contextmanager
+    def send_start(self, key: RunId) -> t.Iterator[None]:
+        """Record a start as late if its call in the block gets no answer."""
+        self._open_starts.add(key)
+        try:
+            yield
+        except exceptions.WorkerNotReached:
+            raise
+        except exceptions.WorkerUnavailable:
+            self.note_late_start(key, clock.read() + LATE_CALL_SECONDS)
+            raise
+        finally:
+            self._open_starts.discard(key)
+
+    def note_late_start(self, key: RunId, until: float) -> None:
+        """Record that a start may be executed until some time."""
+        self._late_starts[key] = max(self._late_starts.get(key, 0.0), until)
+
+    def list_late_starts(self, now: float) -> dict[RunId, float]:
+        """Return the starts that may yet be executed, and until when."""
+        late = dict.fromkeys(self._open_starts, now + LATE_CALL_SECONDS)
+        for key, until in self._late_starts.items():
+            if until > now:
+                late[key] = max(late.get(key, 0.0), until)
+        return late
+
     def note_start_sent(self, key: RunId, at: float) -> None:
         """Record that a start was sent and may have been executed."""
         # A snapshot may have shown the run before its start was answered,
--- a/src/persimmonsail/jobs/orders.py
+++ b/src/persimmonsail/jobs/orders.py
@@ -111,9 +111,10 @@
             )
             attempts += 1
             try:
-                clock_ms = await self._worker.start(
-                    incarnation.boot, self._authority.epoch, order
-                )
+                with incarnation.send_start(key):
+                    clock_ms = await self._worker.start(
+                        incarnation.boot, self._authority.epoch, order
+                    )
             except exceptions.WorkerBootChanged:
                 self._on_boot_ended(incarnation.boot)
                 return
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -105,7 +105,8 @@
         # have to be counted before it waits to be placed again.
         for crash in report.crashes:
             self._crashes.note(instance, crash, now)
-        self._abandon_ended_boots(instance, report, reaction)
+        pending = {(ref.task, ref.run) for ref in report.pending}
+        self._abandon_ended_boots(instance, report, pending, reaction)
         instance.has_agent = bool(report.boot)
         instance.silent_seconds = report.silent_seconds
         instance.answered_at = now - report.silent_seconds
@@ -130,8 +131,7 @@
                 self.abandon_runs(instance, 'lapsed')
                 reaction.replan = True
             return reaction
-        pending = {(ref.task, ref.run) for ref in report.pending}
-        self._resolve_earlier_boots(instance, report, reaction)
+        self._resolve_earlier_boots(instance, report, pending, reaction)
         for row in report.running:
             run = self._handle_running(instance, row, now)
             if run is not None and not observations.is_being_stopped(
@@ -208,12 +208,18 @@
         self,
         instance: instances.Instance,
         report: fleet_pb2.Report,
+        pending: set[instances.RunId],
         reaction: Reaction,
     ) -> None:
+        """Abandon the runs of boots that ended.
+
+        Except for pending ones: a start that was sent to such a boot and
+        got no answer may be executed by the next one.
+        """
         # A sidecar of an earlier version reports no joined names.
         ended = {*report.over, *report.ended_boots}
-        for run in list(instance.runs.values()):
-            if run.boot in ended:
+        for key, run in list(instance.runs.items()):
+            if run.boot in ended and key not in pending:
                 self._abandon_run(instance, run, 'boot-over')
                 reaction.replan = True
 
@@ -221,20 +227,23 @@
         self,
         instance: instances.Instance,
         report: fleet_pb2.Report,
+        pending: set[instances.RunId],
         reaction: Reaction,
     ) -> None:
         """Resolve runs of boots that are neither present nor reported ended.
 
-        The sidecar has restarted since. What the present boot runs is there,
-        whatever boot was claimed; other runs have ended with their boots.
+        The sidecar has restarted since and doesn't know what it sent to
+        them. What the present boot runs is there, whatever boot was claimed.
+        A run that never was observed may still be started late, so it is
+        left to be stopped as absent. Others have ended with their boots.
         """
         running = {(row.task, row.run) for row in report.running}
         for key, run in list(instance.runs.items()):
-            if run.boot == instance.boot:
+            if run.boot == instance.boot or key in pending:
                 continue
             if key in running:
                 run.boot = instance.boot
-            else:
+            elif run.observed_at:
                 self._abandon_run(instance, run, 'boot-changed')
                 reaction.replan = True
 
--- a/tests/jobs/test_agent.py
+++ b/tests/jobs/test_agent.py
@@ -171,6 +171,25 @@
                 group.cancel_scope.cancel()
         return sidecar_agent
 
+    async def test_a_late_start_is_barred_at_the_next_boot(self):
+        """A task runs on two instances after its agent restarted.
+
+        A start without an answer is executed by the agent's next boot,
+        which knows of no run that was stopped or ended before.
+        """
+        fake_worker = RestartingWorker('start', 'stop')
+        orders = fleet_pb2.Orders(sequence=1)
+        orders.starts.add(task='a.0.0.0', run=1, boot='i', born_ms=1)
+        barred = ('stop', 'i@2', 'a.0.0.0', 1)
+        sidecar_agent = await self.restart_after(
+            fake_worker, orders, lambda _: fake_worker.calls.count(barred) > 1
+        )
+        report = sidecar_agent._build_report(agent._Link())
+        self.assertEqual(('i', 2), (report.boot, report.born_ms))
+        self.assertEqual(['i@1'], list(report.ended_boots))
+        self.assertEqual([], list(report.over))
+        self.assertEqual(['a.0.0.0'], [row.task for row in report.pending])
+
     async def test_an_acknowledgement_ends_with_its_boot(self):
         """Ends of a restarted agent are discarded unread."""
         fake_worker = RestartingWorker()
@@ -184,6 +203,20 @@
         await sidecar_agent._executor.poll(incarnation)
         self.assertEqual([('i@1', 7)], fake_worker.discarded)
 
+    async def test_another_agent_is_used_at_once(self):
+        """It refuses calls that name the agent before."""
+        fake_worker = RestartingWorker('start', 'discard')
+        orders = fleet_pb2.Orders(
+            sequence=1, boot='i', born_ms=1, acknowledged=7
+        )
+        orders.starts.add(task='a.0.0.0', run=1, boot='i', born_ms=1)
+        sidecar_agent = await self.restart_after(
+            fake_worker, orders, boot='k@3'
+        )
+        report = sidecar_agent._build_report(agent._Link())
+        self.assertEqual('k', report.boot)
+        self.assertEqual([], list(report.pending))
+
     def test_a_late_departure_ends_no_later_boot(self):
         """A watcher runs on two instances.
 
--- a/tests/jobs/test_reports.py
+++ b/tests/jobs/test_reports.py
@@ -260,6 +260,21 @@
         self.assertIn(self.tasks[0].key, self.job.waiting)
         self.assertEqual(1, run.number)
 
+    def test_an_unobserved_run_of_an_earlier_boot_is_stopped_first(self):
+        """A task runs on two instances after its agent restarted.
+
+        The sidecar had restarted too and did not know of the start, which
+        the agent's next boot executed after the task was placed again.
+        """
+        run = self.place(self.tasks[0])
+        reaction = self.read(self.report_next_boot())
+        self.assertEqual([run], reaction.stops)
+        self.assertNotIn(self.tasks[0].key, self.job.waiting)
+        report = self.report_next_boot()
+        report.barred.add(task=run.task, run=1, reason='absent')
+        self.read(report)
+        self.assertIn(self.tasks[0].key, self.job.waiting)
+
     def test_a_run_stays_where_its_boot_gets_another_name(self):
         """Watchers run on two instances while sidecars are upgraded.
 
@@ -273,6 +288,22 @@
         self.assertEqual([run], list(self.instance.runs.values()))
         self.assertEqual('boot-1@2', run.boot)
 
+    def test_a_start_that_may_be_executed_late_keeps_its_run(self):
+        """A task runs on two instances after its agent restarted.
+
+        Its start had got no answer; the agent's next boot executed it after
+        the task was placed again.
+        """
+        run = self.place(self.tasks[0])
+        for name in ('', 'boot-1'):
+            report = self.report_next_boot(ended_boots=['boot-1'])
+            report.boot = name
+            report.pending.add(task=run.task, run=1)
+            self.read(report)
+            self.assertNotIn(self.tasks[0].key, self.job.waiting)
+        self.read(self.report_next_boot(ended_boots=['boot-1']))
+        self.assertIn(self.tasks[0].key, self.job.waiting)
+
     def test_ends_of_the_next_boot_count_from_one(self):
         """Tasks are executed again after their agent restarted."""
         for number in (1, 2):
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -96,6 +96,28 @@
             await running.wait_starts(4, 8.0)
             await self.wait_running(running, IDS[0], 2, 1.0)
 
+    async def test_a_late_start_runs_nothing_twice(self):
+        """A task runs on two instances after its agent restarted.
+
+        Its start got no answer and was executed by the agent's next start,
+        to which it seemed to be meant.
+        """
+        async with self.deploy() as running:
+            await self.start(running, 'side-1', 'side-2')
+            await self.complete(running, IDS[0], 4)
+            for runner in running.runners.values():
+                await running.set_faults(
+                    runner, late_starts=6, late_seconds=1.5
+                )
+            body = deployed.make_body(6, payload='700')
+            await running.submit('entry-1', IDS[1], body)
+            await anyio.sleep(0.3)
+            await self.restart_agents(running, clock_ms=EARLIER_CLOCK_MS)
+            await running.wait_state('entry-1', IDS[1], 'complete')
+            await anyio.sleep(2.0)
+            starts = await running.list_starts()
+            self.assertEqual([], deployed.find_overlaps(starts))
+
     async def test_all_agents_restart_twice_behind_a_silent_store(self):
         """Tasks of a zone run twice after its agents restarted twice."""
         async with self.deploy() as running:
