--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -91,8 +91,10 @@
         self._successor: worker_module.Heartbeat | None = None
         self._ended_boots: list[str] = []
         # Starts sent to ended boots that the next boot of the same agent may
-        # execute, and until when.
+        # execute, and until when; until when it may execute calls sent to
+        # them that discard ends.
         self._late_starts: dict[incarnation_module.RunId, float] = {}
+        self._late_discards_until = 0.0
         self._crashes: collections.deque[incarnation_module.Crash] = (
             collections.deque(maxlen=_MAX_ENDED_BOOTS)
         )
@@ -134,7 +136,10 @@
         self._successor = None
         if not self._is_restart(heartbeat.boot):
             self._late_starts.clear()
-        incarnation = incarnation_module.Incarnation(heartbeat, now)
+            self._late_discards_until = 0.0
+        incarnation = incarnation_module.Incarnation(
+            heartbeat, now, self._late_discards_until
+        )
         self._incarnation = incarnation
         logs.write_event(
             'worker-boot',
@@ -142,6 +147,7 @@
             service=heartbeat.service,
             millicores=heartbeat.capacity.millicores,
             late_starts=len(self._late_starts),
+            deferred_seconds=max(incarnation.usable_at - now, 0.0),
         )
         self._bar_late_starts(incarnation, now)
         self._renewal_requested.set()
@@ -214,6 +220,10 @@
             if not announced and not incarnation.heartbeat.leaving:
                 self._record_crash(incarnation.describe_crash(now))
             self._late_starts.update(incarnation.list_late_starts(now))
+            self._late_discards_until = max(
+                self._late_discards_until,
+                incarnation.find_late_discards_end(now),
+            )
             self._incarnation = None
             successor = self._successor
             if (
@@ -380,6 +390,8 @@
             reason = orders_module.EXPIRED
         elif incarnation.heartbeat.leaving:
             reason = 'leaving'
+        elif clock.read() < incarnation.usable_at:
+            reason = 'deferred'
         elif not size.fits(free):
             reason = 'room'
         if reason:
--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -110,10 +110,19 @@
     departing_until : float
         Until when the agent's end counts as announced; 0 if it has not
         announced any.
+    usable_at : float
+        From when on it gets new work: before that, a call to the agent's
+        earlier boot may discard ends that nobody has read.
     """
 
-    def __init__(self, heartbeat: worker_module.Heartbeat, now: float) -> None:
+    def __init__(
+        self,
+        heartbeat: worker_module.Heartbeat,
+        now: float,
+        usable_at: float = 0.0,
+    ) -> None:
         self.heartbeat = heartbeat
+        self.usable_at = usable_at
         self.acknowledged = 0
         self.pending: dict[RunId, specification.Size] = {}
         self.stopping: set[RunId] = set()
@@ -130,6 +139,12 @@
         self.granted_until = now
         self.extended_until = 0.0
         self.departing_until = 0.0
+        # Ends up to this number are certainly discarded by the agent.
+        self._discarded_end = 0
+        # Until when a call that discards ends may be executed late, and the
+        # number of such calls that are being sent.
+        self._late_discards_until = 0.0
+        self._open_discards = 0
         # Starts that are being sent, and those of which a call got no
         # answer, with the time until which it may be executed late.
         self._open_starts: set[RunId] = set()
@@ -212,6 +227,34 @@
                 late[key] = max(late.get(key, 0.0), until)
         return late
 
+    @property
+    def undiscarded_end(self) -> int:
+        """Ends up to this number are still to be discarded; 0 for none."""
+        if self.acknowledged <= self._discarded_end:
+            return 0
+        return self.acknowledged
+
+    @contextlib.contextmanager
+    def send_discard(self, number: int) -> t.Iterator[None]:
+        """Record what a call in the block does that discards ends."""
+        self._open_discards += 1
+        try:
+            yield
+        except exceptions.WorkerNotReached:
+            raise
+        except exceptions.WorkerUnavailable:
+            self._late_discards_until = clock.read() + LATE_CALL_SECONDS
+            raise
+        finally:
+            self._open_discards -= 1
+        self._discarded_end = max(self._discarded_end, number)
+
+    def find_late_discards_end(self, now: float) -> float:
+        """Return until when a call may be executed that discards ends."""
+        if self._open_discards:
+            return now + LATE_CALL_SECONDS
+        return self._late_discards_until
+
     def note_start_sent(self, key: RunId, at: float) -> None:
         """Record that a start was sent and may have been executed."""
         # A snapshot may have shown the run before its start was answered,
--- a/src/persimmonsail/jobs/incarnationreport.py
+++ b/src/persimmonsail/jobs/incarnationreport.py
@@ -19,6 +19,7 @@
     report.silent_seconds = now - incarnation.answered_at
     report.lapsed = incarnation.is_lapsed(now)
     report.looked = incarnation.polled
+    report.deferred = now < incarnation.usable_at
     report.service = heartbeat.service
     report.rack = heartbeat.rack
     report.labels.extend(heartbeat.labels)
--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -119,6 +119,8 @@
         From its worker's agent; empty until that is known.
     leaving : bool
         Whether it is draining and gets no new work.
+    deferred : bool
+        Whether its worker's agent has just restarted and gets no work yet.
     departs_at : float
         When a leaving one may end; 0 if it is not known.
     attached : bool
@@ -164,6 +166,7 @@
     labels: tuple[str, ...] = ()
     capacity: specification.Size = specification.Size()
     leaving: bool = False
+    deferred: bool = False
     departs_at: float = 0.0
     attached: bool = False
     has_reported: bool = False
--- a/src/persimmonsail/jobs/observations.py
+++ b/src/persimmonsail/jobs/observations.py
@@ -98,13 +98,17 @@
             instance=instance.address,
             remaining=report.remaining_seconds,
         )
-    leaving_changed = report.leaving != instance.leaving
-    changed = leaving_changed or capacity != instance.capacity
+    changed = (
+        report.leaving != instance.leaving
+        or report.deferred != instance.deferred
+        or capacity != instance.capacity
+    )
     instance.service = report.service
     instance.rack = report.rack
     instance.labels = tuple(report.labels)
     instance.capacity = capacity
     instance.leaving = report.leaving
+    instance.deferred = report.deferred
     return changed
 
 
--- a/src/persimmonsail/jobs/orders.py
+++ b/src/persimmonsail/jobs/orders.py
@@ -1,5 +1,6 @@
 """Execution of a leader's orders through the worker's agent."""
 
+import contextlib
 import dataclasses
 import typing as t
 
@@ -342,9 +343,15 @@
             until = incarnation.to_agent_clock(allowed)
             incarnation.granted_until = max(incarnation.granted_until, allowed)
         epoch = self._authority.epoch
-        snapshot = await self._worker.poll(
-            incarnation.boot, epoch, incarnation.acknowledged, until, wait
-        )
+        # A long poll is often open when the agent ends. It discards nothing,
+        # as the agent's next start might execute it.
+        discarded = 0 if wait else incarnation.undiscarded_end
+        with contextlib.ExitStack() as stack:
+            if discarded:
+                stack.enter_context(incarnation.send_discard(discarded))
+            snapshot = await self._worker.poll(
+                incarnation.boot, epoch, discarded, until, wait
+            )
         incarnation.fenced_epoch = max(incarnation.fenced_epoch, epoch)
         incarnation.note_answer(clock.read())
         if until is not None:
--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -273,6 +273,7 @@
         and instance.has_reported
         and bool(instance.boot)
         and not instance.leaving
+        and not instance.deferred
         and instance.has_agent
         and instance.silent_seconds < _MAX_SILENCE_SECONDS
         and now >= instance.suspect_until
--- a/tests/jobs/test_agent.py
+++ b/tests/jobs/test_agent.py
@@ -203,6 +203,26 @@
         await sidecar_agent._executor.poll(incarnation)
         self.assertEqual([('i@1', 7)], fake_worker.discarded)
 
+    async def test_a_boot_whose_ends_may_be_discarded_is_not_used(self):
+        """Ends of a restarted agent are discarded unread.
+
+        A call to its earlier boot that acknowledged ends got no answer and
+        is executed late.
+        """
+        fake_worker = RestartingWorker('discard')
+        orders = fleet_pb2.Orders(
+            sequence=1, boot='i', born_ms=1, acknowledged=7
+        )
+        sidecar_agent = await self.restart_after(fake_worker, orders)
+        link = agent._Link()
+        self.assertTrue(sidecar_agent._build_report(link).deferred)
+        orders.starts.add(task='a.0.0.0', run=1, boot='i', born_ms=2)
+        sidecar_agent._link = link
+        sidecar_agent._apply_orders(link, orders)
+        self.assertEqual(['deferred'], [row.reason for row in link.barred])
+        sidecar_agent._incarnation.usable_at = clock.read()
+        self.assertFalse(sidecar_agent._build_report(link).deferred)
+
     async def test_another_agent_is_used_at_once(self):
         """It refuses calls that name the agent before."""
         fake_worker = RestartingWorker('start', 'discard')
@@ -215,6 +235,7 @@
         )
         report = sidecar_agent._build_report(agent._Link())
         self.assertEqual('k', report.boot)
+        self.assertFalse(report.deferred)
         self.assertEqual([], list(report.pending))
 
     def test_a_late_departure_ends_no_later_boot(self):
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -118,6 +118,24 @@
             starts = await running.list_starts()
             self.assertEqual([], deployed.find_overlaps(starts))
 
+    async def test_a_late_acknowledgement_discards_no_end(self):
+        """A completed task is executed again after its agent restarted.
+
+        A call that acknowledged ends of the start before got no answer and
+        was executed when the present one had ends of its own.
+        """
+        async with self.deploy() as running:
+            await self.start(running, 'side-1', 'side-2')
+            for runner in running.runners.values():
+                await running.set_faults(
+                    runner, late_holds=1, late_seconds=1.0
+                )
+            await self.complete(running, IDS[0], 16)
+            await self.restart_agents(running, clock_ms=LATER_CLOCK_MS)
+            for id in IDS[1:3]:
+                await self.complete(running, id, 8, payload='300')
+            await self.assert_done_once(running)
+
     async def test_all_agents_restart_twice_behind_a_silent_store(self):
         """Tasks of a zone run twice after its agents restarted twice."""
         async with self.deploy() as running:
