--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -36,6 +36,9 @@
     httpx.codes.GATEWAY_TIMEOUT,
 )
 _RETRY_SECONDS = 0.2
+# Time from an agent's restart until its sidecar has noticed it: a heartbeat,
+# and calls that fail on connections of the start before.
+_NOTICE_SECONDS = 1.0
 
 
 def make_body(*counts: int, payload: str = '50', **fields: t.Any) -> dict:
@@ -236,6 +239,16 @@
         }
 
 
+def is_unpreventable(start: dict[str, t.Any]) -> bool:
+    """Return whether nobody could keep a run from starting.
+
+    Its start was sent to an earlier start of the agent, got no answer, and
+    was executed by the present one before its sidecar could know of that.
+    """
+    age = start['began'] - start['born'] / 1000
+    return start['meant_for'] != start['born'] and age < _NOTICE_SECONDS
+
+
 def find_overlaps(
     starts: list[dict[str, t.Any]], acknowledged_only: bool = False
 ) -> list[str]:
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -116,6 +116,7 @@
     """A start that was executed, and when and how it ended.
 
     ``boot`` is the agent's id, and ``born`` tells its starts apart.
+    ``meant_for`` is when the start was born that the call was sent to.
     """
 
     boot: str
@@ -123,6 +124,7 @@
     task: str
     run: int
     began: float
+    meant_for: int
     ended: float = 0.0
     how: str = ''
     acknowledged: bool = False
@@ -277,17 +279,21 @@
         if self.faults.late_starts:
             self.faults.late_starts -= 1
             self._group.start_soon(
-                self._start_delayed, self.boot, body, self.faults.late_seconds
+                self._start_delayed,
+                self.boot,
+                self._born_ms,
+                body,
+                self.faults.late_seconds,
             )
             await anyio.sleep_forever()
-        return self._start_now(body)
+        return self._start_now(body, self._born_ms)
 
     async def _start_delayed(
-        self, boot: str, body: dict, seconds: float
+        self, boot: str, born_ms: int, body: dict, seconds: float
     ) -> None:
         await anyio.sleep(seconds)
         if boot == self.boot and body['fencingToken'] >= self._fencing_token:
-            self._start_now(body)
+            self._start_now(body, born_ms)
 
     async def _hold_delayed(
         self, boot: str, body: dict, seconds: float
@@ -296,7 +302,7 @@
         if boot == self.boot and body['fencingToken'] >= self._fencing_token:
             self._extend_and_discard(body)
 
-    def _start_now(self, body: dict) -> responses.Response:
+    def _start_now(self, body: dict, meant_for: int) -> responses.Response:
         task, number = body['task'], body['run']
         if body['untilMs'] < self._read_clock_ms():
             return self._refuse('late')
@@ -316,7 +322,9 @@
             ends_at = time.monotonic() + payload.seconds
         self._runs[task] = _Run(task, number, ends_at, self.faults.fail)
         self.starts.append(
-            Start(self.boot, self._born_ms, task, number, time.time())
+            Start(
+                self.boot, self._born_ms, task, number, time.time(), meant_for
+            )
         )
         if task.partition('.')[2] in payload.crashing:
             self._group.start_soon(self._crash_later, self._born_ms)
--- a/tools/emulator/worker.py
+++ b/tools/emulator/worker.py
@@ -4,6 +4,7 @@
 import math
 
 from persimmonsail.jobs import board as board_module
+from persimmonsail.jobs import boots
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import specification
@@ -102,7 +103,8 @@
         self.worked_seconds = 0.0
         self.speed = 1.0
         self.order_delay_seconds = 0.0
-        self.boot = 'boot-1'
+        self.boot = boots.join('agent', 1)
+        self._ended_boots: list[str] = []
         self.is_down = False
         # When an agent that a task has crashed restarts.
         self._restarts_at = math.inf
@@ -117,7 +119,10 @@
         """Crash the agent, and lose all runs."""
         self.is_down = True
         self._crashed_at = now
-        self._unreported_crash = fleet_pb2.Crash(boot=self.boot)
+        agent_id, born_ms = boots.split(self.boot)
+        self._unreported_crash = fleet_pb2.Crash(
+            boot=agent_id, born_ms=born_ms
+        )
         for run in sorted(self._runs.values(), key=lambda r: -r.begins_at):
             seconds = max(now - run.begins_at, 0.0)
             self._unreported_crash.runs.add(
@@ -132,7 +137,9 @@
         self.is_down = False
         self._restarts_at = math.inf
         self._last_end = 0
-        self.boot = f'boot-{int(self.boot.rpartition("-")[2]) + 1}'
+        agent_id, starts = boots.split(self.boot)
+        self._ended_boots.append(self.boot)
+        self.boot = boots.join(agent_id, starts + 1)
         self.changed = True
 
     def start(
@@ -315,9 +322,12 @@
         """Return the report of the sidecar."""
         self.changed = False
         self._ended = [row for row in self._ended if row.number > processed]
+        agent_id, born_ms = boots.split(self.boot)
         report = fleet_pb2.Report(
             seen=seen,
-            boot=self.boot,
+            boot=agent_id,
+            born_ms=born_ms,
+            ended_boots=self._ended_boots,
             service='planner',
             looked=not self.is_down,
             silent_seconds=_REPORTED_SILENCE_SECONDS if self.is_down else 0.0,
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -31,6 +31,8 @@
 # Drawn separately from the others, so that a seed that violated a guarantee
 # with those still reproduces the same faults.
 SILENCES: dict[str, tuple[_TargetKind, Fault]] = {}
+# Drawn separately as well, for the same reason.
+RESTARTS: dict[str, tuple[_TargetKind, Fault]] = {}
 
 
 def register(
@@ -205,7 +207,7 @@
 async def crash_worker(
     site: site_module.Site, rng: random.Random, name: str
 ) -> None:
-    """Crash a worker's agent; another boot replaces it."""
+    """Crash a worker's agent, which starts again under its id."""
     await site.set_faults(site.runners[name], restart=True)
 
 
@@ -272,6 +274,42 @@
     await site.set_faults(site.runners[name])
 
 
+@register('instance', RESTARTS)
+async def restart_repeatedly(
+    site: site_module.Site, rng: random.Random, name: str
+) -> None:
+    """Restart a worker's agent several times, soon one after the other."""
+    for _ in range(rng.randrange(2, 4)):
+        await site.set_faults(site.runners[name], restart=True)
+        await _sleep(rng, _SHORT_SECONDS)
+
+
+@register('instance', RESTARTS)
+async def restart_with_late_calls(
+    site: site_module.Site, rng: random.Random, name: str
+) -> None:
+    """Restart a worker's agent that executes earlier calls afterwards."""
+    late_calls = {
+        'late_starts': rng.randrange(4),
+        'late_holds': rng.randrange(3),
+        'late_seconds': rng.uniform(*_DELAY_SECONDS),
+    }
+    await site.set_faults(site.runners[name], **late_calls)
+    await _sleep(rng, _SHORT_SECONDS)
+    await site.set_faults(site.runners[name], restart=True)
+
+
+@register('instance', RESTARTS)
+async def restart_as_older(
+    site: site_module.Site, rng: random.Random, name: str
+) -> None:
+    """Replace a worker's agent by an older one for a while."""
+    older = {'new_ids': True, 'sends_born': False}
+    await site.set_faults(site.runners[name], restart=True, **older)
+    await _sleep(rng, _LONG_SECONDS)
+    await site.set_faults(site.runners[name], restart=True)
+
+
 # Registered under another name, which keeps its position in the draw order.
 SILENCES['lose_answers_of_one'] = ('process', cut_one_way)
 
--- a/tools/soaking/trial.py
+++ b/tools/soaking/trial.py
@@ -26,6 +26,7 @@
 _MAX_START_DELAY_SECONDS = 3.0
 # Silences are injected less often than other faults as each lasts longer.
 _SILENCE_INTERVAL_SECONDS = (1.0, 3.0)
+_RESTART_INTERVAL_SECONDS = (0.5, 3.0)
 _CRASH_EVENTS = {'worker-crashed', 'crash-counted', 'crash-at-once'}
 _POLL_SECONDS = 0.2
 
@@ -37,6 +38,8 @@
     ``cancels`` adds cancellations of jobs that would end by themselves, and
     faults that delay a cancellation on its way to those who execute it;
     without it a seed reproduces the faults and jobs of older recorded runs.
+    ``restarts`` adds agents that restart under their ids, once or repeatedly,
+    and execute calls that were sent to the start before.
     """
 
     seed: int
@@ -44,6 +47,7 @@
     entries: int = 3
     instances: int = 4
     cancels: bool = True
+    restarts: bool = True
 
 
 @dataclasses.dataclass
@@ -105,7 +109,7 @@
         return self._report
 
     async def _inject_all(self) -> None:
-        """Inject two series of faults, which overlap by their durations."""
+        """Inject the series of faults, which overlap by their durations."""
         busy: set[str] = set()
         silence_rng = random.Random(self._plan.seed + 2)
         async with anyio.create_task_group() as group:
@@ -124,6 +128,14 @@
                     silence_rng,
                     busy,
                 )
+            if self._plan.restarts:
+                group.start_soon(
+                    self._inject,
+                    faults.RESTARTS,
+                    _RESTART_INTERVAL_SECONDS,
+                    random.Random(self._plan.seed + 4),
+                    busy,
+                )
         await faults.clear_faults(self._site)
         self._faults_cleared_at = time.time()
 
@@ -174,8 +186,13 @@
         report = self._report
         report.jobs = len(self._callers.jobs)
         report.starts = len(starts)
+        preventable = [
+            start
+            for start in starts
+            if not platform_deployment.is_unpreventable(start)
+        ]
         for task in platform_deployment.find_overlaps(
-            starts, acknowledged_only=True
+            preventable, acknowledged_only=True
         ):
             report.violations.append(f'{task}: duplicate run')
         started = {start['task'].partition('.')[0] for start in starts}
