--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -41,9 +41,6 @@
 # A link without orders for this long is treated as broken.
 _LINK_TIMEOUT_SECONDS = 2.0
 _RETRY_SECONDS = 0.1
-# An agent that announces its end stops listening within this time. One that
-# still answers later has started anew since the announcement was sent.
-_DEPARTURE_SECONDS = 2.0
 # Number of ended boots and of crashes that are reported.
 _MAX_ENDED_BOOTS = 8
 # Number of the most recently started runs that a crash's log line names.
@@ -181,8 +178,8 @@
         """Process an announcement that the worker's agent ends.
 
         It names the agent and not the boot, and may be an earlier boot's
-        that was delayed. A boot that is distinguished from others has ended
-        once it does not accept connections any more.
+        that was delayed. An agent drains before it ends, so one of a boot
+        that does not drain is an earlier boot's.
         """
         incarnation = self._incarnation
         if incarnation is None:
@@ -190,12 +187,10 @@
         current_id, born_ms = boots.split(incarnation.boot)
         if current_id != agent_id:
             return
-        if not born_ms:
-            self.note_boot_ended(incarnation.boot, announced=True)
+        if born_ms and not incarnation.heartbeat.leaving:
+            logs.write_event('departure-late', boot=incarnation.boot)
             return
-        incarnation.departing_until = clock.read() + _DEPARTURE_SECONDS
-        logs.write_event('worker-departing', boot=incarnation.boot)
-        self._renewal_requested.set()
+        self.note_boot_ended(incarnation.boot, announced=True)
 
     def note_boot_ended(self, boot: str, announced: bool = False) -> None:
         """Record that a boot of the worker's agent has ended.
@@ -216,7 +211,6 @@
             now = clock.read()
             logs.write_event('worker-gone', boot=boot)
             incarnation.terminated = True
-            announced = announced or now < incarnation.departing_until
             if not announced and not incarnation.heartbeat.leaving:
                 self._record_crash(incarnation.describe_crash(now))
             self._late_starts.update(incarnation.list_late_starts(now))
@@ -456,12 +450,6 @@
             exceptions.OrderRefused,
             exceptions.WorkerUnavailable,
         ) as error:
-            if (
-                isinstance(error, exceptions.WorkerNotReached)
-                and clock.read() < incarnation.departing_until
-            ):
-                self.note_boot_ended(incarnation.boot, announced=True)
-                return False
             if not incarnation.failing:
                 logs.write_warning(
                     'worker-lost', boot=incarnation.boot, error=error
--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -107,9 +107,6 @@
     extended_until : float
         Time up to which an answered poll has extended the leases; 0 before
         the first one.
-    departing_until : float
-        Until when the agent's end counts as announced; 0 if it has not
-        announced any.
     usable_at : float
         From when on it gets new work: before that, a call to the agent's
         earlier boot may discard ends that nobody has read.
@@ -138,7 +135,6 @@
         self.failed_at = 0.0
         self.granted_until = now
         self.extended_until = 0.0
-        self.departing_until = 0.0
         # Ends up to this number are certainly discarded by the agent.
         self._discarded_end = 0
         # Until when a call that discards ends may be executed late, and the
--- a/tests/jobs/test_agent.py
+++ b/tests/jobs/test_agent.py
@@ -250,19 +250,15 @@
         self.agent.note_departure('i')
         self.assertEqual('i@2', self.boot)
 
-    async def test_a_departed_agent_has_ended_when_it_listens_no_more(self):
-        class ClosedWorker(IdleWorker):
-            async def poll(self, *arguments, **keywords):
-                raise exceptions.WorkerNotReached('refused')
-
-        sidecar_agent = agent.Agent(ClosedWorker(), 6.0)
-        sidecar_agent.note_heartbeat(make_heartbeat('i@1'))
-        await sidecar_agent._try_poll(sidecar_agent._incarnation)
-        self.assertEqual([], sidecar_agent._ended_boots)
-        sidecar_agent.note_departure('i')
-        await sidecar_agent._try_poll(sidecar_agent._incarnation)
-        self.assertEqual(['i@1'], sidecar_agent._ended_boots)
-        self.assertEqual([], list(sidecar_agent._crashes))
+    def test_a_drained_agent_has_ended_when_it_departs(self):
+        leaving = dataclasses.replace(make_heartbeat('i@1', 2), leaving=True)
+        self.agent.note_heartbeat(make_heartbeat('i@1'))
+        self.agent.note_heartbeat(leaving)
+        self.agent.note_departure('j')
+        self.assertEqual('i@1', self.boot)
+        self.agent.note_departure('i')
+        self.assertEqual(['i@1'], self.agent._ended_boots)
+        self.assertEqual([], list(self.agent._crashes))
 
     def test_an_agent_without_births_departs_at_once(self):
         self.agent.note_heartbeat(make_heartbeat('i'))
