--- a/tests/jobs/test_board.py
+++ b/tests/jobs/test_board.py
@@ -1,3 +1,5 @@
+import json
+
 import time
 
 from persimmonsail.jobs import board
@@ -44,6 +46,25 @@
         self.board.forget('lone')
         self.assertEqual([], self.board.list_orphaned_cancels(now_ms + 1000))
 
+    def test_rows_name_the_agent_alone_and_its_birth_apart(self):
+        """Watchers are started anew while entries are upgraded.
+
+        An earlier version compares a row's boot with the agent's id, and
+        reads no row that is longer.
+        """
+        job = cases.make_job(cases.make_step(3))
+        self.board.add(job)
+        for task, boot in zip(
+            list(job.waiting.values()), ('i-1@5', 'i-2'), strict=False
+        ):
+            self.board.place(task, 'a', boot)
+        text = job.progress.encode()
+        rows = json.loads(text)['tasks']
+        self.assertEqual(['i-1', 'i-2', ''], [row[4] for row in rows])
+        self.assertEqual({8}, {len(row) for row in rows})
+        tasks = record.decode_progress(text).tasks.values()
+        self.assertEqual(['i-1@5', 'i-2', ''], [task.boot for task in tasks])
+
     def test_a_step_opens_once_all_tasks_before_it_are_done(self):
         job = self.add(cases.make_step(2), cases.make_step(1, after=(0,)))
         first, second = job.waiting.values()
--- a/tests/jobs/test_orders.py
+++ b/tests/jobs/test_orders.py
@@ -93,6 +93,25 @@
             BOOT, sequence=2, capacity=specification.Size(2000, 1000)
         )
 
+    async def test_ends_are_discarded_by_short_calls_and_once(self):
+        """Ends of a restarted agent are discarded unread.
+
+        A long poll is open at most times, also when its agent ends, and the
+        next start may execute it.
+        """
+        numbers = []
+
+        class RecordingWorker(SlowWorker):
+            async def poll(self, boot, epoch, acknowledged, *rest):
+                numbers.append(acknowledged)
+                return await super().poll(boot, epoch, acknowledged)
+
+        executor = self.make_executor(RecordingWorker(None))
+        self.incarnation.acknowledged = 7
+        for wait in (1.5, 0.0, 0.0, 1.5):
+            await executor.poll(self.incarnation, wait=wait)
+        self.assertEqual([0, 7, 0, 0], numbers)
+
     async def test_a_start_without_an_answer_is_sent_again(self):
         calls = await self.send_start(lambda: None)
         self.assertEqual(['start', 'start'], calls)
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -21,6 +21,9 @@
     json.dumps(GOOD | {'state': 'resting'}).encode(),
     json.dumps(GOOD | {'labels': 'a'}).encode(),
     json.dumps(GOOD | {'seq': 'four'}).encode(),
+    json.dumps(GOOD | {'born': -1}).encode(),
+    json.dumps(GOOD | {'born': 10**30}).encode(),
+    json.dumps(GOOD | {'born': 'now'}).encode(),
     json.dumps(GOOD | {'capacity': 64000}).encode(),
     json.dumps(GOOD | {'capacity': {'cpu': -1}}).encode(),
     json.dumps(GOOD | {'capacity': {'cpu': 10**30}}).encode(),
@@ -68,6 +71,17 @@
         await self.application.serve(scope, receive, send)
         return statuses[0]
 
+    async def test_a_boot_is_named_by_id_and_birth(self):
+        """A restarted agent is taken for the one before."""
+        for born in (1774756760813, 1774756761000):
+            body = json.dumps(GOOD | {'born': born}).encode()
+            self.assertEqual(200, await self.put(body))
+        await self.put(json.dumps(GOOD).encode())
+        self.assertEqual(
+            ['i-1@1774756760813', 'i-1@1774756761000', 'i-1'],
+            [heartbeat.boot for heartbeat in self.agent.received],
+        )
+
     async def test_a_malformed_report_is_refused_and_others_are_accepted(self):
         self.assertEqual(200, await self.put(json.dumps(GOOD).encode()))
         for body in MALFORMED:
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -1,7 +1,7 @@
 """Runs the stateful fuzzing repeatedly with new seeds: ``make fuzz``.
 
-Each round runs the state machine of ``tests/test_stateful.py`` with its own
-seed in its own process. A failure prints its seed and the path of its
+Each round runs the state machines of ``_TESTS`` with its own seed in its own
+process. A failure prints its seed and the path of its
 complete output; the same seed reproduces it.
 """
 
@@ -17,6 +17,7 @@
 import tempfile
 
 _ROOT = pathlib.Path(__file__).parent.parent
+_TESTS = ('tests/test_stateful.py', 'tests/test_stateful_restarts.py')
 _SEED_BITS = 32
 _ERROR_LINE = re.compile(r'^E +(\S*Broken: .*|\S*Error: .*)$', re.MULTILINE)
 
@@ -36,7 +37,7 @@
 
 
 def run_round(seed: int, examples: int, steps: int, shrink: bool) -> Round:
-    """Run the state machine with one seed in its own process."""
+    """Run the state machines with one seed in their own process."""
     environment = {
         **os.environ,
         'PERSIMMONSAIL_FUZZ_SEED': str(seed),
@@ -46,7 +47,7 @@
         'PYTHONHASHSEED': '0',
     }
     result = subprocess.run(
-        [sys.executable, '-m', 'pytest', 'tests/test_stateful.py'],
+        [sys.executable, '-m', 'pytest', *_TESTS],
         cwd=_ROOT,
         env=environment,
         capture_output=True,
--- a/tools/guards_tasks.py
+++ b/tools/guards_tasks.py
@@ -8,7 +8,67 @@
     'tests/sidecars/test_supervisor_refusals.py',
 )
 
+_AGENT = 'src/persimmonsail/jobs/agent.py'
+_AGENT_TESTS = ('tests/jobs/test_agent.py',)
+_RUNNER_TESTS = ('tests/platform/test_runner.py',)
+
 GUARDS = [
+    guard.Guard(
+        "birth in a boot's name",
+        'I2',
+        'src/persimmonsail/jobs/boots.py',
+        "    return f'{agent_id}{_SEPARATOR}{born_ms}'",
+        '    return agent_id',
+        ('tests/jobs/test_boots.py',),
+    ),
+    guard.Guard(
+        'late starts barred at the next boot',
+        'I2',
+        _AGENT,
+        '        self._bar_late_starts(incarnation, now)',
+        '        pass',
+        _AGENT_TESTS,
+    ),
+    guard.Guard(
+        'no work while ends may be discarded late',
+        'I2',
+        _AGENT,
+        'heartbeat, now, self._late_discards_until',
+        'heartbeat, now',
+        _AGENT_TESTS,
+    ),
+    guard.Guard(
+        "announced end of a boot that doesn't drain",
+        'I2',
+        _AGENT,
+        'if born_ms and not incarnation.heartbeat.leaving:',
+        'if False:',
+        _AGENT_TESTS,
+    ),
+    guard.Guard(
+        'ends discarded by short calls',
+        'I2',
+        'src/persimmonsail/jobs/orders.py',
+        'discarded = 0 if wait else incarnation.undiscarded_end',
+        'discarded = incarnation.undiscarded_end',
+        ('tests/jobs/test_orders.py',),
+    ),
+    guard.Guard(
+        'calls over confirmed connections',
+        'I2',
+        'src/persimmonsail/platform/runner.py',
+        'timeout, peer=boot)',
+        'timeout)',
+        _RUNNER_TESTS,
+    ),
+    guard.Guard(
+        'replies of another start',
+        'I2',
+        'src/persimmonsail/platform/runner.py',
+        'if reply.born_ms and reply.born_ms != born_ms:',
+        'if False:',
+        _RUNNER_TESTS,
+    ),
     guard.Guard(
         'lease counts from the ticket',
         'I2',
