Notice a replaced agent at its first failed call

An unanswered call now ends all idle connections that are confirmed for the same peer. A connection that can't be confirmed is reported as 'not reached': nothing of the order was sent, so its task is placed elsewhere at once instead of after a lease.

--- a/src/persimmonsail/httpclient.py
+++ b/src/persimmonsail/httpclient.py
@@ -135,6 +135,8 @@
                 response = await connection.exchange(request, deadline)
         except _CONNECTION_ERRORS as error:
             await connection.close()
+            if peer:
+                await self._close_confirmed(peer)
             raise exceptions.ServiceUnanswered(
                 deadline.describe(error)
             ) from error
@@ -167,6 +169,17 @@
             return await self._acquire_confirmed(peer)
         raise exceptions.PeerUnconfirmed(peer)
 
+    async def _close_confirmed(self, peer: str) -> None:
+        """Close the idle connections to a peer that may have ended.
+
+        They could be silent as well, and each would cost a timeout before
+        a new connection shows who is there.
+        """
+        closing = [one for one in self._idle if one.peer == peer]
+        self._idle = [one for one in self._idle if one.peer != peer]
+        for connection in closing:
+            await connection.close()
+
     async def _acquire(self, deadline: '_Deadline') -> '_Connection':
         while self._idle:
             connection = self._idle.pop()
--- a/src/persimmonsail/platform/runner.py
+++ b/src/persimmonsail/platform/runner.py
@@ -154,7 +154,12 @@
             try:
                 return await self._send(name, boot, body, timeout, peer=boot)
             except exceptions.PeerUnconfirmed:
-                await self._confirm(boot, body['fencingToken'])
+                try:
+                    await self._confirm(boot, body['fencingToken'])
+                except exceptions.WorkerUnavailable as error:
+                    raise exceptions.WorkerNotReached(
+                        f'{name}: not confirmed: {error}'
+                    ) from error
 
     async def _confirm(self, boot: str, epoch: int) -> None:
         """Confirm that one more connection leads to a boot.
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -1,5 +1,7 @@
 import contextlib
 
+import testtools
+
 from persimmonsail import exceptions
 from persimmonsail import httpserver
 from persimmonsail.jobs import boots
@@ -83,6 +85,12 @@
             snapshot = await client.poll(next_boot, EPOCH, 0)
             self.assertEqual([1], [row.number for row in snapshot.ended])
 
+    async def test_an_order_that_was_not_sent_is_certainly_not_executed(self):
+        """A task waits for a lease although its start was never sent."""
+        async with self.serve(silent=True) as (server, client):
+            with testtools.ExpectedException(exceptions.WorkerNotReached):
+                await client.start(self.find_boot(server), EPOCH, ORDER)
+
     async def test_a_call_for_a_later_start_is_refused_by_a_former_one(self):
         async with self.serve() as (server, client):
             boot = boots.join(server.boot, server._born_ms + 1)
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -90,6 +90,34 @@
             self.assertIn(b'Expected-Instance: i-1', service.requests[1])
             self.assertTrue(service.requests[1].endswith(b'{"a":1}'))
 
+    async def test_a_call_for_a_peer_needs_a_confirmed_connection(self):
+        """A call is executed by the process that replaced its peer."""
+        async with self.open(OK, OK) as (client, service):
+            with testtools.ExpectedException(exceptions.PeerUnconfirmed):
+                await client.call('GET', '/v1/one', peer='p')
+            self.assertEqual([], service.requests)
+            client.confirm_peer(await client.call('GET', '/v1/one'), 'p')
+            await client.call('GET', '/v1/two', peer='p')
+            with testtools.ExpectedException(exceptions.PeerUnconfirmed):
+                await client.call('GET', '/v1/three', peer='q')
+            self.assertEqual(1, service.connections)
+
+    async def test_an_unanswered_call_ends_all_connections_to_its_peer(self):
+        """A replaced peer is noticed only after many timeouts."""
+        async with self.open(0.1, OK, OK, None) as (client, service):
+
+            async def connect():
+                client.confirm_peer(await client.call('GET', '/v1/one'), 'p')
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(connect)
+                group.start_soon(connect)
+            self.assertEqual(2, service.connections)
+            with testtools.ExpectedException(exceptions.ServiceUnanswered):
+                await client.call('GET', '/v1/two', peer='p')
+            with testtools.ExpectedException(exceptions.PeerUnconfirmed):
+                await client.call('GET', '/v1/three', peer='p')
+
     async def test_an_answer_may_come_slowly_and_not_stop(self):
         """A long response over a slow link can never be read completely.
 
