--- a/tests/test_logwriter.py
+++ b/tests/test_logwriter.py
@@ -90,14 +90,18 @@
         os.close(self.target)
 
     def test_closing_waits_for_the_reader_for_a_limited_time(self):
-        self.fill()
+        size = self.fill()
         writer = self.open()
         self.send(writer, 'a\n')
         started = time.monotonic()
         writer.close()
         waited = time.monotonic() - started
         self.assertGreater(waited, 0.9 * logwriter.CLOSE_TIMEOUT_SECONDS)
-        os.close(self.target)
+        # Its thread would write the line into the next test's pipe, which
+        # may have the same descriptor.
+        self.assertEqual(b'x' * size, os.read(self.reader, size))
+        writer.close()
+        self.assertEqual('a\n', self.read())
 
     def test_warnings_are_written_above_the_rate_limit(self):
         writer = self.open(max_lines_per_second=5)
