Keep calls that may be executed late in a module of their own

No behaviour changes: what incarnations and the sidecar's agent kept of starts and discards without an answer is one class, which a later boot inherits.

--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -26,6 +26,7 @@
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import incarnation as incarnation_module
 from persimmonsail.jobs import incarnationreport
+from persimmonsail.jobs import latecalls
 from persimmonsail.jobs import leases
 from persimmonsail.jobs import orders as orders_module
 from persimmonsail.jobs import specification
@@ -87,11 +88,8 @@
         self._incarnation: incarnation_module.Incarnation | None = None
         self._successor: worker_module.Heartbeat | None = None
         self._ended_boots: list[str] = []
-        # Starts sent to ended boots that the next boot of the same agent may
-        # execute, and until when; until when it may execute calls sent to
-        # them that discard ends.
-        self._late_starts: dict[incarnation_module.RunId, float] = {}
-        self._late_discards_until = 0.0
+        # Calls to ended boots that the agent's next boot may execute.
+        self._late_calls: latecalls.LateCalls | None = None
         self._crashes: collections.deque[incarnation_module.Crash] = (
             collections.deque(maxlen=_MAX_ENDED_BOOTS)
         )
@@ -132,21 +130,21 @@
         now = clock.read()
         self._successor = None
         if not self._is_restart(heartbeat.boot):
-            self._late_starts.clear()
-            self._late_discards_until = 0.0
+            self._late_calls = None
         incarnation = incarnation_module.Incarnation(
-            heartbeat, now, self._late_discards_until
+            heartbeat, now, self._late_calls
         )
         self._incarnation = incarnation
+        late_starts = incarnation.late_calls.list_starts(now)
         logs.write_event(
             'worker-boot',
             boot=heartbeat.boot,
             service=heartbeat.service,
             millicores=heartbeat.capacity.millicores,
-            late_starts=len(self._late_starts),
+            late_starts=len(late_starts),
             deferred_seconds=max(incarnation.usable_at - now, 0.0),
         )
-        self._bar_late_starts(incarnation, now)
+        self._bar_late_starts(incarnation, late_starts)
         self._renewal_requested.set()
 
     def _is_restart(self, boot: str) -> bool:
@@ -158,21 +156,19 @@
         return bool(born_ms) and agent_id == last_id
 
     def _bar_late_starts(
-        self, incarnation: incarnation_module.Incarnation, now: float
+        self,
+        incarnation: incarnation_module.Incarnation,
+        keys: t.Iterable[incarnation_module.RunId],
     ) -> None:
         """Bar starts that were sent to the agent's earlier boots.
 
         Until that is answered the runs stay pending, so that their tasks
         are not placed again meanwhile.
         """
-        for key, until in self._late_starts.items():
-            if until <= now:
-                continue
-            incarnation.note_late_start(key, until)
+        for key in keys:
             incarnation.pending[key] = specification.Size()
             incarnation.stopping.add(key)
             self._group.start_soon(self._executor.stop, incarnation, key)
-        self._late_starts.clear()
 
     def note_departure(self, agent_id: str) -> None:
         """Process an announcement that the worker's agent ends.
@@ -213,11 +209,7 @@
             incarnation.terminated = True
             if not announced and not incarnation.heartbeat.leaving:
                 self._record_crash(incarnation.describe_crash(now))
-            self._late_starts.update(incarnation.list_late_starts(now))
-            self._late_discards_until = max(
-                self._late_discards_until,
-                incarnation.find_late_discards_end(now),
-            )
+            self._late_calls = incarnation.late_calls
             self._incarnation = None
             successor = self._successor
             if (
@@ -313,8 +305,8 @@
             incarnationreport.fill_crash(report.crashes.add(), crash, now)
         link.crashes.clear()
         if incarnation is None:
-            for (task, run), until in self._late_starts.items():
-                if until > now:
+            if self._late_calls is not None:
+                for task, run in self._late_calls.list_starts(now):
                     report.pending.add(task=task, run=run)
             return report
         incarnationreport.fill_report(report, incarnation, now)
--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -1,12 +1,10 @@
 """A sidecar's view of one incarnation of its worker's agent."""
 
-import contextlib
 import dataclasses
 import math
 import typing as t
 
-from persimmonsail import exceptions
-from persimmonsail.jobs import clock
+from persimmonsail.jobs import latecalls
 from persimmonsail.jobs import specification
 from persimmonsail.jobs import worker as worker_module
 from persimmonsail import logs
@@ -23,10 +21,6 @@
 # The agent's clock may be slow by 2% of a lease of 6 s, and it detects the
 # end of a lease slightly late.
 LAPSE_MARGIN_SECONDS = 0.5
-# How long after a call that got no answer the agent may still execute it.
-# An agent that starts again under its id executes calls that were sent to
-# the start before.
-LATE_CALL_SECONDS = 10.0
 
 
 @dataclasses.dataclass
@@ -107,6 +101,8 @@
     extended_until : float
         Time up to which an answered poll has extended the leases; 0 before
         the first one.
+    late_calls : persimmonsail.jobs.latecalls.LateCalls
+        Calls without an answer that the agent may execute late.
     usable_at : float
         From when on it gets new work: before that, a call to the agent's
         earlier boot may discard ends that nobody has read.
@@ -116,10 +112,13 @@
         self,
         heartbeat: worker_module.Heartbeat,
         now: float,
-        usable_at: float = 0.0,
+        earlier_calls: latecalls.LateCalls | None = None,
     ) -> None:
         self.heartbeat = heartbeat
-        self.usable_at = usable_at
+        self.late_calls = latecalls.LateCalls()
+        if earlier_calls is not None:
+            self.late_calls.inherit(earlier_calls, now)
+        self.usable_at = self.late_calls.find_discards_end(now)
         self.acknowledged = 0
         self.pending: dict[RunId, specification.Size] = {}
         self.stopping: set[RunId] = set()
@@ -136,15 +135,7 @@
         self.granted_until = now
         self.extended_until = 0.0
         # Ends up to this number are certainly discarded by the agent.
-        self._discarded_end = 0
-        # Until when a call that discards ends may be executed late, and the
-        # number of such calls that are being sent.
-        self._late_discards_until = 0.0
-        self._open_discards = 0
-        # Starts that are being sent, and those of which a call got no
-        # answer, with the time until which it may be executed late.
-        self._open_starts: set[RunId] = set()
-        self._late_starts: dict[RunId, float] = {}
+        self.discarded_end = 0
         # Send time of each start that was, or may have been, executed and
         # whose run is not known to have ended.
         self._sent_at: dict[RunId, float] = {}
@@ -197,60 +188,13 @@
         """Record that a call got no answer."""
         self.failed_at = self.failed_at or now
 
-    @contextlib.contextmanager
-    def send_start(self, key: RunId) -> t.Iterator[None]:
-        """Record a start as late if its call in the block gets no answer."""
-        self._open_starts.add(key)
-        try:
-            yield
-        except exceptions.WorkerNotReached:
-            raise
-        except exceptions.WorkerUnavailable:
-            self.note_late_start(key, clock.read() + LATE_CALL_SECONDS)
-            raise
-        finally:
-            self._open_starts.discard(key)
-
-    def note_late_start(self, key: RunId, until: float) -> None:
-        """Record that a start may be executed until some time."""
-        self._late_starts[key] = max(self._late_starts.get(key, 0.0), until)
-
-    def list_late_starts(self, now: float) -> dict[RunId, float]:
-        """Return the starts that may yet be executed, and until when."""
-        late = dict.fromkeys(self._open_starts, now + LATE_CALL_SECONDS)
-        for key, until in self._late_starts.items():
-            if until > now:
-                late[key] = max(late.get(key, 0.0), until)
-        return late
-
     @property
     def undiscarded_end(self) -> int:
         """Ends up to this number are still to be discarded; 0 for none."""
-        if self.acknowledged <= self._discarded_end:
+        if self.acknowledged <= self.discarded_end:
             return 0
         return self.acknowledged
 
-    @contextlib.contextmanager
-    def send_discard(self, number: int) -> t.Iterator[None]:
-        """Record what a call in the block does that discards ends."""
-        self._open_discards += 1
-        try:
-            yield
-        except exceptions.WorkerNotReached:
-            raise
-        except exceptions.WorkerUnavailable:
-            self._late_discards_until = clock.read() + LATE_CALL_SECONDS
-            raise
-        finally:
-            self._open_discards -= 1
-        self._discarded_end = max(self._discarded_end, number)
-
-    def find_late_discards_end(self, now: float) -> float:
-        """Return until when a call may be executed that discards ends."""
-        if self._open_discards:
-            return now + LATE_CALL_SECONDS
-        return self._late_discards_until
-
     def note_start_sent(self, key: RunId, at: float) -> None:
         """Record that a start was sent and may have been executed."""
         # A snapshot may have shown the run before its start was answered,
--- a/src/persimmonsail/jobs/orders.py
+++ b/src/persimmonsail/jobs/orders.py
@@ -112,7 +112,7 @@
             )
             attempts += 1
             try:
-                with incarnation.send_start(key):
+                with incarnation.late_calls.send_start(key):
                     clock_ms = await self._worker.start(
                         incarnation.boot, self._authority.epoch, order
                     )
@@ -348,10 +348,11 @@
         discarded = 0 if wait else incarnation.undiscarded_end
         with contextlib.ExitStack() as stack:
             if discarded:
-                stack.enter_context(incarnation.send_discard(discarded))
+                stack.enter_context(incarnation.late_calls.send_discard())
             snapshot = await self._worker.poll(
                 incarnation.boot, epoch, discarded, until, wait
             )
+        incarnation.discarded_end = max(incarnation.discarded_end, discarded)
         incarnation.fenced_epoch = max(incarnation.fenced_epoch, epoch)
         incarnation.note_answer(clock.read())
         if until is not None:
--- a/tests/restartplay.py
+++ b/tests/restartplay.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import random
 import typing as t
 from unittest import mock
 
@@ -85,7 +84,7 @@
         self._ended: list[worker.EndedRow] = []
         self._last_end = 0
 
-    def make_heartbeat(self, leaving: bool = False) -> worker.Heartbeat:
+    def make_heartbeat(self) -> worker.Heartbeat:
         """Return the next heartbeat of the present start."""
         self._sequence += 1
         return worker.Heartbeat(
@@ -94,7 +93,6 @@
             service=cases.QUEUE.service,
             capacity=specification.Size(8000, 16000),
             clock_ms=self._read_clock(),
-            leaving=leaving,
         )
 
     def _read_clock(self) -> int:
@@ -321,10 +319,9 @@
 class Site:
     """Instances, their sidecars and one leader at a time."""
 
-    def __init__(self, count: int = 3, seed: int = 1) -> None:
+    def __init__(self, count: int = 3) -> None:
         self._loop_clock = loops.Clock()
         self._loop = loops.Loop(self._loop_clock)
-        self._random = random.Random(seed)
         self._stack = contextlib.ExitStack()
         self._stack.enter_context(
             mock.patch.object(clock, 'read', lambda: self.now)
