--- a/tests/restartplay.py
+++ b/tests/restartplay.py
@@ -357,8 +357,8 @@
         """End all tasks."""
         for task in self._tasks.values():
             task.cancel()
-        self._loop.run_round()
-        self._loop.run_round()
+        while not all(task.done() for task in self._tasks.values()):
+            self._loop.run_round()
         self._stack.close()
         self._loop.close()
 
