Look for runs of earlier boots before listing what runs

A leader listed the running rows of each report for runs claimed for another boot, of which there are nearly always none. Now it looks for such runs first. An attribute's comment moves into the class's list of attributes.

--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -101,6 +101,8 @@
     extended_until : float
         Time up to which an answered poll has extended the leases; 0 before
         the first one.
+    discarded_end : int
+        Ends up to this number are certainly discarded by the agent.
     late_calls : persimmonsail.jobs.latecalls.LateCalls
         Calls without an answer that the agent may execute late.
     usable_at : float
@@ -134,7 +136,6 @@
         self.failed_at = 0.0
         self.granted_until = now
         self.extended_until = 0.0
-        # Ends up to this number are certainly discarded by the agent.
         self.discarded_end = 0
         # Send time of each start that was, or may have been, executed and
         # whose run is not known to have ended.
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -237,10 +237,15 @@
         A run that never was observed may still be started late, so it is
         left to be stopped as absent. Others have ended with their boots.
         """
+        earlier = [
+            (key, run)
+            for key, run in instance.runs.items()
+            if run.boot != instance.boot and key not in pending
+        ]
+        if not earlier:
+            return
         running = {(row.task, row.run) for row in report.running}
-        for key, run in list(instance.runs.items()):
-            if run.boot == instance.boot or key in pending:
-                continue
+        for key, run in earlier:
             if key in running:
                 run.boot = instance.boot
             elif run.observed_at:
