Start nothing in an evacuated availability zone

A claim's transaction now requires that the zone's marker is absent, as it does for cancels; a claim refused for it is withdrawn, a gang as a whole. Leaders read the markers with the configuration and place nothing there. What runs in the zone stays.

Ruled out: a watch alone (a hung watch and hung polls start on: shown by a test with real processes once the requirement is taken out); reading at sidecars (59 more readers, and the same gap).

SplitTest asks for more than before: zones count as rows.

--- a/src/persimmonsail/jobs/commits.py
+++ b/src/persimmonsail/jobs/commits.py
@@ -1,4 +1,8 @@
-"""Commits of job progress that reject claims of cancelled jobs."""
+"""Commits of job progress that reject claims which became invalid.
+
+A claim is only committed if its job is not cancelled and the zone of its
+instance is not evacuated.
+"""
 
 import time
 import typing as t
@@ -6,14 +10,18 @@
 from persimmonsail import exceptions
 from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import clock
+from persimmonsail.jobs import evacuations as evacuations_module
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import ledger as ledger_module
+from persimmonsail.jobs import placer
 from persimmonsail.jobs import record
 from persimmonsail import logs
 from persimmonsail import store as store_module
 
 _MILLISECONDS = 1000
 
+ClaimsByJob = t.Mapping[str, t.Sequence[placer.Claim]]
+
 
 class Commits:
     """Commits jobs of the board, and records their committed phases.
@@ -24,9 +32,13 @@
         The leader's jobs.
     ledger : persimmonsail.jobs.ledger.Ledger
         This term's writes.
+    evacuations : persimmonsail.jobs.evacuations.Evacuations
+        The evacuated zones; those found by a refused commit are added.
     on_cancel : callable
         Called with the id of a job found to be cancelled, and the text of
         its cancel marker.
+    on_evacuation : callable
+        Called with a zone found to be evacuated; withdraws its claims.
     on_end : callable
         Called with each job whose final phase is committed.
     """
@@ -35,40 +47,45 @@
         self,
         board: board_module.Board,
         ledger: ledger_module.Ledger,
+        evacuations: evacuations_module.Evacuations,
         on_cancel: t.Callable[[str, str], None],
+        on_evacuation: t.Callable[[str], None],
         on_end: t.Callable[[job_module.Job], None],
     ) -> None:
         self._board = board
         self._ledger = ledger
+        self._evacuations = evacuations
+        self._on_evacuation = on_evacuation
         self._on_cancel = on_cancel
         self._on_end = on_end
 
-    async def write(
-        self, ids: t.Sequence[str], claimed: t.Collection[str]
-    ) -> float:
+    async def write(self, ids: t.Sequence[str], claims: ClaimsByJob) -> float:
         """Commit the current state of jobs in one transaction.
 
         Parameters
         ----------
         ids : sequence of str
             The jobs of one group of ``split_rows``.
-        claimed : collection of str
-            Jobs with a newly placed task.
+        claims : mapping of str to sequence of persimmonsail.jobs.placer.Claim
+            The new claims, by job.
 
         Returns
         -------
         float
             A time, on ``clock``, at which none of the claimed jobs was
-            cancelled, except for those now marked as cancelled.
+            cancelled and none of the zones evacuated, except for those that
+            ``on_cancel`` and ``on_evacuation`` were called with.
         """
         started_at = clock.read()
         jobs = [self._board.jobs[id] for id in ids if id in self._board.jobs]
         while True:
             phases = [job.phase for job in jobs]
             try:
-                verified_at = await self._write_once(jobs, claimed)
+                verified_at = await self._write_once(jobs, claims)
             except exceptions.KeysPresent as error:
-                self._apply_cancels(error.found)
+                self._apply_markers(error.found)
+                # The retry of the refused write commits these.
+                self._board.changed.difference_update(ids)
                 continue
             break
         for job, phase in zip(jobs, phases, strict=True):
@@ -77,7 +94,7 @@
         return verified_at
 
     async def _write_once(
-        self, jobs: t.Sequence[job_module.Job], claimed: t.Collection[str]
+        self, jobs: t.Sequence[job_module.Job], claims: ClaimsByJob
     ) -> float:
         for job in jobs:
             self._board.clear_uncommitted(job)
@@ -85,21 +102,29 @@
             store_module.Write(record.PROGRESS + job.id, job.progress.encode())
             for job in jobs
         ]
-        # The watch for cancels may hang while writes succeed.
-        absent = [
-            record.CANCELS + job.id
-            for job in jobs
-            if job.id in claimed and not job.phase.is_final
+        # The watches for markers may hang while writes succeed.
+        claimed = [
+            job for job in jobs if job.id in claims and not job.phase.is_final
         ]
+        cancels = [record.CANCELS + job.id for job in claimed]
+        zones = {
+            claim.instance.zone
+            for job in claimed
+            for claim in claims[job.id]
+            if claim.is_held
+        }
+        absent = [*cancels, *self._evacuations.list_markers(zones)]
         return await self._ledger.commit(writes, absent)
 
-    def _apply_cancels(self, markers: t.Mapping[str, str]) -> None:
-        """Apply the cancels that a write was refused for."""
+    def _apply_markers(self, markers: t.Mapping[str, str]) -> None:
+        """Apply the markers that a write was refused for."""
         for key, text in markers.items():
-            id = key.removeprefix(record.CANCELS)
-            self._on_cancel(id, text)
-            # The retry of the refused write commits it.
-            self._board.changed.discard(id)
+            zone = self._evacuations.find_zone(key)
+            if zone:
+                self._evacuations.add_found(zone)
+                self._on_evacuation(zone)
+            else:
+                self._on_cancel(key.removeprefix(record.CANCELS), text)
 
     def _record_phase(
         self, job: job_module.Job, phase: record.JobPhase, seconds: float
@@ -118,20 +143,24 @@
 
 
 def split_rows(
-    ids: t.Sequence[str], claimed: t.Collection[str]
+    ids: t.Sequence[str], claims: ClaimsByJob
 ) -> t.Iterator[list[str]]:
     """Split jobs into groups that fit into one transaction each.
 
-    A claimed job takes a second row: its cancel marker must be absent.
+    A claimed job takes a second row: its cancel marker must be absent. So
+    does each zone with claims in a group.
     """
     group: list[str] = []
+    zones: set[str] = set()
     rows = 0
     for id in ids:
-        job_rows = 2 if id in claimed else 1
-        if rows + job_rows > ledger_module.MAX_ROWS:
+        job_rows = 2 if id in claims else 1
+        job_zones = {claim.instance.zone for claim in claims.get(id, ())}
+        if rows + job_rows + len(zones | job_zones) > ledger_module.MAX_ROWS:
             yield group
-            group, rows = [], 0
+            group, zones, rows = [], set(), 0
         group.append(id)
+        zones |= job_zones
         rows += job_rows
     if group:
         yield group
--- a/src/persimmonsail/jobs/fleet.py
+++ b/src/persimmonsail/jobs/fleet.py
@@ -16,6 +16,7 @@
 from persimmonsail.jobs import reports
 from persimmonsail.jobs import suspects
 from persimmonsail import logs
+from persimmonsail import metrics
 
 # A leader that can't reach the store continues to renew leases for this long;
 # no observed outage is longer. A successor waits this time before it starts
@@ -62,6 +63,7 @@
         self._reader = reader
         self._on_reaction = on_reaction
         self.instances: dict[str, instances.Instance] = {}
+        self._evacuated_zones: frozenset[str] = frozenset()
         self._links: dict[str, link_module.InstanceLink] = {}
         self._group: anyio.abc.TaskGroup
 
@@ -122,6 +124,37 @@
             return
         self._order_stop(instance, run)
 
+    def apply_evacuations(self, zones: t.Collection[str]) -> None:
+        """Place no new work in these zones, and only in these."""
+        for instance in self.instances.values():
+            instance.evacuated = instance.zone in zones
+        for zone in sorted(set(zones) - self._evacuated_zones):
+            members = [i for i in self.instances.values() if i.zone == zone]
+            logs.write_event(
+                'evacuation-applied',
+                zone=zone,
+                instances=len(members),
+                runs=sum(len(instance.runs) for instance in members),
+            )
+        self._evacuated_zones = frozenset(zones)
+
+    def withdraw(self, claims: t.Sequence[placer.Claim], zone: str) -> None:
+        """Withdraw those of these unsent claims that are in a zone.
+
+        A gang is withdrawn as a whole, as its members only work together.
+        """
+        gangs = {
+            claim.task.step_name
+            for claim in claims
+            if claim.task.step.gang and claim.instance.zone == zone
+        }
+        for claim in claims:
+            in_gang = claim.task.step_name in gangs
+            if claim.instance.zone != zone and not in_gang:
+                continue
+            if claim.is_held:
+                self._withdraw(claim, 'evacuated')
+
     def start(self, claim: placer.Claim, verified_at: float) -> None:
         """Order the start of a run whose claim is committed.
 
@@ -133,9 +166,9 @@
             When its job was last known not to be cancelled, on ``clock``.
         """
         instance = claim.instance
-        key = (claim.run.task, claim.run.number)
-        if instance.runs.get(key) is not claim.run:
-            # Abandoned while the claim was written.
+        key = claim.run.id
+        if not claim.is_held:
+            # Abandoned or withdrawn while the claim was written.
             return
         if claim.run.phase is not instances.RunPhase.ORDERED:
             # Its stop was ordered meanwhile; the start would follow it.
@@ -148,7 +181,7 @@
         expires_at = verified_at + _START_DEADLINE_SECONDS
         deadline = link.to_sidecar_clock(expires_at)
         if deadline is None or clock.read() >= expires_at:
-            self._roll_back(claim, verified_at)
+            self._withdraw(claim, 'expired')
             return
         claim.run.order = link.next_sequence
         start = link.edit_next_orders().starts.add()
@@ -160,14 +193,17 @@
         if claim.run.speed_limit < 100:
             start.percent = claim.run.speed_limit
 
-    def _roll_back(self, claim: placer.Claim, verified_at: float) -> None:
+    def _withdraw(self, claim: placer.Claim, reason: str) -> None:
         """Roll back a claim whose start was never sent."""
+        metrics.CLAIMS_WITHDRAWN.increment(reason)
         logs.write_event(
             'claim-withdrawn',
             task=claim.run.task,
             run=claim.run.number,
             instance=claim.instance.address,
-            known_seconds=clock.read() - verified_at,
+            zone=claim.instance.zone,
+            reason=reason,
+            age_seconds=clock.read() - claim.run.ordered_at,
         )
         self._reader.roll_back_claim(claim.instance, claim.run)
         self._on_reaction(reports.Reaction(replan=True))
--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -91,6 +91,11 @@
     suspect: bool = False
     isolation_seconds: float = 0.0
 
+    @property
+    def id(self) -> tuple[str, int]:
+        """The task's full name and the run's number."""
+        return (self.task, self.number)
+
     @property
     def serves(self) -> bool:
         """Whether the run has a latency target of its own."""
@@ -121,6 +126,8 @@
         Whether it is draining and gets no new work.
     deferred : bool
         Whether its worker's agent has just restarted and gets no work yet.
+    evacuated : bool
+        Whether operators have evacuated its zone: it gets no new work.
     departs_at : float
         When a leaving one may end; 0 if it is not known.
     attached : bool
@@ -167,6 +174,7 @@
     capacity: specification.Size = specification.Size()
     leaving: bool = False
     deferred: bool = False
+    evacuated: bool = False
     departs_at: float = 0.0
     attached: bool = False
     has_reported: bool = False
--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -6,6 +6,7 @@
 jobs, and only then sends the resulting orders.
 """
 
+import collections
 import time
 import typing as t
 
@@ -19,6 +20,7 @@
 from persimmonsail.jobs import capacities
 from persimmonsail.jobs import clock
 from persimmonsail.jobs import commits
+from persimmonsail.jobs import evacuations as evacuations_module
 from persimmonsail.jobs import fleet as fleet_module
 from persimmonsail.jobs import fleetsnapshot
 from persimmonsail.jobs import inbox
@@ -62,6 +64,8 @@
         How long an ended job can be queried.
     advisor : persimmonsail.jobs.advisor.Advisor, optional
         Decides where steps of queues with an advisor may run.
+    evacuations : persimmonsail.jobs.evacuations.Evacuations, optional
+        The zones that get no new runs.
     """
 
     def __init__(
@@ -72,8 +76,10 @@
         lease_seconds: float,
         retention_seconds: float,
         advisor: advisor_module.Advisor | None = None,
+        evacuations: evacuations_module.Evacuations | None = None,
     ) -> None:
         self._advisor = advisor
+        self._evacuations = evacuations or evacuations_module.Evacuations()
         self._store = store
         self._ledger = ledger
         self._view = view
@@ -95,8 +101,14 @@
         self._fleet = fleet_module.Fleet(
             ledger, lease_seconds, self._reader, self._handle_reaction
         )
+        self._unsent_claims: list[placer.Claim] = []
         self._commits = commits.Commits(
-            self.board, ledger, self.cancel_job, self._forget_job
+            self.board,
+            ledger,
+            self._evacuations,
+            self.cancel_job,
+            self._withdraw_claims,
+            self._forget_job,
         )
 
     async def run(self) -> None:
@@ -294,6 +306,7 @@
         while True:
             self._wake = anyio.Event()
             self._fleet.abandon_unreachable()
+            self._fleet.apply_evacuations(self._evacuations.zones)
             previous_start, started_at = started_at, clock.read()
             claims = scheduling.plan(
                 self.board,
@@ -327,17 +340,30 @@
         ]
         changed = sorted(self.board.changed)
         self.board.changed.clear()
-        claimed = {claim.task.job.id for claim in claims}
-        for ids in commits.split_rows(changed, claimed):
-            verified_at = await self._commits.write(ids, claimed)
-            group_ids = set(ids)
-            for claim in claims:
-                if claim.task.job.id in group_ids:
-                    self._fleet.start(claim, verified_at)
+        self._unsent_claims = claims
+        claims_by_job = collections.defaultdict(list)
+        for claim in claims:
+            claims_by_job[claim.task.job.id].append(claim)
+        for ids in commits.split_rows(changed, claims_by_job):
+            verified_at = await self._commits.write(ids, claims_by_job)
+            for claim in self._pop_claims(set(ids)):
+                self._fleet.start(claim, verified_at)
         for instance, boot, number in processed:
             if instance.boot == boot:
                 instance.committed_end = number
 
+    def _pop_claims(self, ids: t.Collection[str]) -> list[placer.Claim]:
+        """Remove and return the unsent claims of some jobs."""
+        claims, self._unsent_claims = self._unsent_claims, []
+        popped = []
+        for claim in claims:
+            is_popped = claim.task.job.id in ids
+            (popped if is_popped else self._unsent_claims).append(claim)
+        return popped
+
+    def _withdraw_claims(self, zone: str) -> None:
+        self._fleet.withdraw(self._unsent_claims, zone)
+
     def _forget_job(self, job: job_module.Job) -> None:
         """Drop the learned state of an ended job's steps."""
         self._approvals.forget(job.id)
--- a/src/persimmonsail/jobs/ledger.py
+++ b/src/persimmonsail/jobs/ledger.py
@@ -96,8 +96,9 @@
         writes : sequence of persimmonsail.store.Write
             The writes.
         absent : sequence of str
-            Keys that must all be absent. Once written, they are not removed
-            before every copy of this transaction is gone.
+            Keys that must all be absent. If one is written, and removed while
+            a copy of a refused transaction is still in flight, that copy may
+            take effect; the next commit then ends this term.
 
         Returns
         -------
--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -274,6 +274,7 @@
         and bool(instance.boot)
         and not instance.leaving
         and not instance.deferred
+        and not instance.evacuated
         and instance.has_agent
         and instance.silent_seconds < _MAX_SILENCE_SECONDS
         and now >= instance.suspect_until
--- a/src/persimmonsail/jobs/placer.py
+++ b/src/persimmonsail/jobs/placer.py
@@ -26,6 +26,11 @@
     instance: instances.Instance
     permit: str = ''
 
+    @property
+    def is_held(self) -> bool:
+        """Whether its run still takes capacity of the instance."""
+        return self.instance.runs.get(self.run.id) is self.run
+
 
 class Placer:
     """Places the tasks of one step.
--- a/src/persimmonsail/metrics.py
+++ b/src/persimmonsail/metrics.py
@@ -241,7 +241,11 @@
     'Calls between processes that ended without an answer.',
     ('method',),
 )
-
+CLAIMS_WITHDRAWN = Counter(
+    'persimmonsail_claims_withdrawn_total',
+    'Claims of capacity that were given up before the start was sent.',
+    ('reason',),
+)
 CRASHES_COUNTED = Counter(
     'persimmonsail_crashes_counted_total',
     "Crashes of workers' agents counted for a task.",
@@ -271,6 +275,7 @@
     LEDGER_COMMITS,
     LEDGER_RECORDS,
     LINKS_LOST,
+    CLAIMS_WITHDRAWN,
     CRASHES_COUNTED,
     LOOP_LAG_SECONDS,
     Gauge(
--- a/src/persimmonsail/platform/configuration.py
+++ b/src/persimmonsail/platform/configuration.py
@@ -1,14 +1,18 @@
-"""Decodes the operators' configuration and follows it in the store."""
+"""Decodes what operators write to the store, and follows it there."""
 
 import anyio
 import pydantic
 
 from persimmonsail import exceptions
+from persimmonsail.jobs import evacuations as evacuations_module
 from persimmonsail.jobs import queues
 from persimmonsail import logs
 from persimmonsail import store as store_module
 
+_OPERATOR_PREFIX = 'op/'
 _CONFIGURATION_KEY = 'op/config'
+# Exists for each evacuated availability zone, followed by the zone.
+EVACUATION_PREFIX = 'op/evacuate/'
 # A change must be in force within 2 s of its commit. A watch can stop
 # delivering for good, so the key is also polled; at this interval two
 # failed reads leave time for a third.
@@ -94,13 +98,27 @@
 
 
 class Follower:
-    """Updates a view of the configuration from the store."""
+    """Updates a view of the configuration, and the evacuated zones.
+
+    Parameters
+    ----------
+    store : persimmonsail.store.TransactionalStore
+        The store that operators write to.
+    view : persimmonsail.jobs.queues.View
+        The configuration in force.
+    evacuations : persimmonsail.jobs.evacuations.Evacuations
+        The evacuated zones.
+    """
 
     def __init__(
-        self, store: store_module.TransactionalStore, view: queues.View
+        self,
+        store: store_module.TransactionalStore,
+        view: queues.View,
+        evacuations: evacuations_module.Evacuations,
     ) -> None:
         self._store = store
         self._view = view
+        self._evacuations = evacuations
         self._revision = 0
         # The store's revision up to which changes have been read.
         self._followed_revision = 0
@@ -116,7 +134,7 @@
     async def _run_polls(self) -> None:
         while True:
             try:
-                page = await self._store.scan(_CONFIGURATION_KEY)
+                page = await self._store.scan(_OPERATOR_PREFIX)
             except exceptions.StoreUnavailable as error:
                 self._note_contact(False, error)
                 await anyio.sleep(_RETRY_DELAY_SECONDS)
@@ -125,6 +143,9 @@
             for item in page.items:
                 if item.key == _CONFIGURATION_KEY:
                     self._apply(item.value, item.revision)
+            self._evacuations.apply_scan(
+                (item.key for item in page.items), page.revision
+            )
             self._followed_revision = max(
                 self._followed_revision, page.revision
             )
@@ -135,7 +156,7 @@
         while True:
             try:
                 found = await self._store.watch_changes(
-                    _CONFIGURATION_KEY, self._followed_revision, _WATCH_SECONDS
+                    _OPERATOR_PREFIX, self._followed_revision, _WATCH_SECONDS
                 )
             except exceptions.StoreError:
                 # The poll logs the lost contact, and continues meanwhile.
@@ -145,6 +166,9 @@
                 self._followed_revision, found.revision
             )
             for change in found.changes:
+                self._evacuations.apply_change(
+                    change.key, change.value is not None, change.revision
+                )
                 if (
                     change.key == _CONFIGURATION_KEY
                     and change.value is not None
--- a/src/persimmonsail/platform/entry.py
+++ b/src/persimmonsail/platform/entry.py
@@ -17,6 +17,7 @@
 from persimmonsail import httpserver
 from persimmonsail.jobs import capacities
 from persimmonsail.jobs import election
+from persimmonsail.jobs import evacuations
 from persimmonsail.jobs import fleet_grpc
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import intake as intake_module
@@ -63,6 +64,9 @@
         self._settings = settings
         self._store = serving.open_store(settings)
         self._view = queues.View()
+        self._evacuations = evacuations.Evacuations(
+            configuration.EVACUATION_PREFIX
+        )
         self._links = links_module.Links(
             links_module.make_limits(settings.links)
         )
@@ -112,7 +116,9 @@
                 stack.push_async_callback(self._advisor.close)
             stack.enter_context(self._links)
             group = await stack.enter_async_context(anyio.create_task_group())
-            follower = configuration.Follower(self._store, self._view)
+            follower = configuration.Follower(
+                self._store, self._view, self._evacuations
+            )
             group.start_soon(follower.run)
             group.start_soon(looplag.monitor)
             if not self._candidate.is_small:
@@ -201,6 +207,7 @@
             jobs.lease,
             jobs.retention,
             self._advisor,
+            self._evacuations,
         )
         try:
             await self._leader.run()
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -39,6 +39,7 @@
 # Time from an agent's restart until its sidecar has noticed it: a heartbeat,
 # and calls that fail on connections of the start before.
 _NOTICE_SECONDS = 1.0
+_ZONE = 'r-a'
 
 
 def make_body(*counts: int, payload: str = '50', **fields: t.Any) -> dict:
@@ -85,6 +86,14 @@
         """Write a key as an operator would."""
         await self._post(f'{self.store}/operator', key=key, value=value)
 
+    async def evacuate(self, zone: str) -> None:
+        """Request that a zone gets no new runs."""
+        await self.write_as_operator(f'op/evacuate/{zone}', {})
+
+    async def reopen(self, zone: str) -> None:
+        """Withdraw the evacuation of a zone."""
+        await self.write_as_operator(f'op/evacuate/{zone}', None)
+
     async def set_faults(
         self, address: str, **faults: t.Any
     ) -> dict[str, t.Any]:
@@ -127,14 +136,16 @@
         self.api_hosts[name] = process.find('api-listening')[-1]['http']
         return process
 
-    async def start_instance(self, name: str) -> deployment.Process:
+    async def start_instance(
+        self, name: str, zone: str = _ZONE
+    ) -> deployment.Process:
         """Start a worker's agent and its sidecar."""
         runner = await self.running.start_stand_in('runner', f'runner-{name}')
         self.runners[name] = runner
-        return await self.start_sidecar(name)
+        return await self.start_sidecar(name, zone=zone)
 
     async def start_sidecar(
-        self, name: str, control: str = '127.0.0.1:0'
+        self, name: str, control: str = '127.0.0.1:0', zone: str = _ZONE
     ) -> deployment.Process:
         """Start a sidecar for a running worker's agent."""
         sections = self._make_sections(
@@ -142,7 +153,7 @@
             worker=self.runners[name],
             heartbeats='127.0.0.1:0',
         )
-        sections['process']['control'] = control
+        sections['process'].update(control=control, zone=zone)
         process = await self.running.start_role('sidecar', name, sections)
         heartbeats = process.find('listening')[-1]['http']
         await self._post(f'{self.runners[name]}/connect', address=heartbeats)
@@ -199,11 +210,16 @@
     async def list_starts(self) -> list[dict[str, t.Any]]:
         """Return every start that any worker's agent executed."""
         starts = []
-        for runner in self.runners.values():
-            response = await self.running.client.get(f'http://{runner}/starts')
-            starts += response.json()
+        for name in self.runners:
+            starts += await self.list_instance_starts(name)
         return sorted(starts, key=lambda start: start['began'])
 
+    async def list_instance_starts(self, name: str) -> list[dict[str, t.Any]]:
+        """Return every start that one instance's agent executed."""
+        runner = self.runners[name]
+        response = await self.running.client.get(f'http://{runner}/starts')
+        return response.json()
+
     async def wait_starts(self, count: int, seconds: float = 20.0) -> None:
         """Wait until ``count`` starts were executed."""
         with anyio.fail_after(seconds):
@@ -229,7 +245,7 @@
         if self.lease_seconds is not None:
             jobs['lease'] = self.lease_seconds
         return {
-            'process': {'name': name, 'region': 'r', 'zone': 'r-a'},
+            'process': {'name': name, 'region': 'r', 'zone': _ZONE},
             'store': {
                 'kind': 'platform',
                 'address': self.store,
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -2,7 +2,8 @@
 
 Serves the platform's protocol. ``POST /faults`` sets the faults to
 inject, ``GET /items`` returns all keys with their values, and ``POST
-/operator`` writes a key as an operator would.
+/operator`` writes a key as an operator would, or removes it if the value is
+null.
 """
 
 import base64
@@ -39,12 +40,15 @@
         precondition still holds.
     hang_watch : str
         Watches of this prefix get no response; all other calls do.
+    hang_reads : str
+        Neither watches nor scans of this prefix get a response.
     """
 
     down: str = ''
     lose_writes: int = 0
     delay_writes: float = 0.0
     hang_watch: str = ''
+    hang_reads: str = ''
 
 
 @dataclasses.dataclass
@@ -165,6 +169,8 @@
         if (failure := await self._apply_outage()) is not None:
             return failure
         query = request.query_params
+        if query['prefix'] == self.faults.hang_reads:
+            await anyio.sleep_forever()
         keys = sorted(
             key
             for key in self._items
@@ -185,7 +191,8 @@
         while True:
             if (failure := await self._apply_outage()) is not None:
                 return failure
-            if query['prefix'] == self.faults.hang_watch:
+            hung = (self.faults.hang_watch, self.faults.hang_reads)
+            if query['prefix'] in hung:
                 await anyio.sleep_forever()
             if after < self._discarded_revision:
                 return responses.JSONResponse({}, status_code=410)
@@ -275,8 +282,12 @@
         self, request: requests.Request
     ) -> responses.Response:
         body = await request.json()
+        key = body['key']
+        if body['value'] is None:
+            revision = self._apply([], [key])
+            return responses.JSONResponse({'revision': revision})
         value = base64.b64encode(json.dumps(body['value']).encode()).decode()
-        revision = self._apply([{'key': body['key'], 'value': value}], [])
+        revision = self._apply([{'key': key, 'value': value}], [])
         return responses.JSONResponse({'revision': revision})
 
     async def _list_items(
--- a/tests/jobs/test_leader.py
+++ b/tests/jobs/test_leader.py
@@ -3,6 +3,7 @@
 
 import anyio
 
+from persimmonsail.jobs import evacuations
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import fleetsnapshot
 from persimmonsail.jobs import leader as leader_module
@@ -20,9 +21,38 @@
         """Return a leader that has no configuration yet."""
         term = ledger.Term('term', test_ledger.FakeStore().revision, 'lease')
         return leader_module.Leader(
-            None, ledger.Ledger(store, term), queues.View(), 5.8, 150.0
+            None,
+            ledger.Ledger(store, term),
+            queues.View(),
+            5.8,
+            150.0,
+            evacuations=evacuations.Evacuations(MARKERS),
         )
 
+    def plan_jobs(self, leader, ids, fleet, step=None):
+        """Add a job for each id, and place their tasks."""
+        queue = cases.QUEUE
+        for id in ids:
+            leader.add_job(id, self.make_submission(queue, step))
+        return cases.plan(
+            leader.board, fleetsnapshot.FleetSnapshot(), fleet, 100.0, 100.0
+        )
+
+    def record_starts(self, leader):
+        """Return the claims whose starts are ordered from now on."""
+        started = []
+        start = leader._fleet.start
+
+        def record_start(claim, verified_at):
+            # The fleet has no links here, so held claims can't be sent.
+            if claim.is_held:
+                started.append(claim)
+            else:
+                start(claim, verified_at)
+
+        leader._fleet.start = record_start
+        return started
+
     async def test_checkpoints_outlast_a_loss_of_power(self):
         """Guards against tasks restarting from scratch after a power loss.
 
@@ -69,6 +99,70 @@
         )
         self.assertEqual(1, len(store.commits))
 
+    async def test_no_claim_in_an_evacuated_zone_is_written(self):
+        """Guards against starts in a zone by a leader with an old view."""
+        store = test_ledger.FakeStore()
+        leader = self.open_leader(store)
+        fleet = make_fleet('a', 'b')
+        claims = self.plan_jobs(leader, [cases.ID, 'b' * 16], fleet)
+        self.assertEqual({'a', 'b'}, {c.instance.zone for c in claims})
+        store.present_keys = {MARKERS + 'a': 'any text'}
+        started = self.record_starts(leader)
+        await leader._commit(claims)
+        self.assertEqual(['b'], [claim.instance.zone for claim in started])
+        self.assertEqual(1, len(store.commits))
+        (withdrawn,) = [c for c in claims if c.instance.zone == 'a']
+        self.assertFalse(withdrawn.task.is_placed)
+        self.assertEqual({}, fleet[0].runs)
+
+    async def test_a_gang_is_withdrawn_as_a_whole(self):
+        """Guards against members that wait for others in vain."""
+        store = test_ledger.FakeStore()
+        leader = self.open_leader(store)
+        fleet = make_fleet('a', 'b')
+        step = cases.make_step(2, gang=True)
+        claims = self.plan_jobs(leader, [cases.ID], fleet, step)
+        self.assertEqual(2, len(claims))
+        store.present_keys = {MARKERS + 'b': '{}'}
+        started = self.record_starts(leader)
+        await leader._commit(claims)
+        self.assertEqual([], started)
+        self.assertEqual([{}, {}], [instance.runs for instance in fleet])
+
+    async def test_a_claim_is_withdrawn_after_its_link_was_lost(self):
+        """Guards against a commit that is refused and retried for ever."""
+        store = test_ledger.FakeStore()
+        leader = self.open_leader(store)
+        instance = cases.make_instance(zone='a')
+        claims = self.plan_jobs(leader, [cases.ID], [instance])
+        # As for all runs of an instance whose link is opened again.
+        claims[0].run.order = 0
+        store.present_keys = {MARKERS + 'a': '{}'}
+        started = self.record_starts(leader)
+        with anyio.fail_after(5):
+            await leader._commit(claims)
+        self.assertEqual([], started)
+
+    async def test_what_runs_in_an_evacuated_zone_stays(self):
+        store = test_ledger.FakeStore()
+        leader = self.open_leader(store)
+        instance = cases.make_instance(zone='a')
+        leader._fleet.instances[instance.address] = instance
+        claims = self.plan_jobs(leader, [cases.ID], [instance])
+        self.record_starts(leader)
+        await leader._commit(claims)
+        leader._evacuations.apply_change(MARKERS + 'a', True, 7)
+        leader._fleet.apply_evacuations(leader._evacuations.zones)
+        store.present_keys = {MARKERS + 'a': '{}'}
+        leader.board.changed.add(cases.ID)
+        await leader._commit([])
+        self.assertEqual(2, len(store.commits))
+        self.assertTrue(claims[0].is_held)
+        self.assertEqual([], self.plan_jobs(leader, ['c' * 16], [instance]))
+        leader._evacuations.apply_change(MARKERS + 'a', False, 8)
+        leader._fleet.apply_evacuations(leader._evacuations.zones)
+        self.assertEqual(1, len(self.plan_jobs(leader, [], [instance])))
+
     def test_a_leader_that_is_cut_off_counts_no_jobs(self):
         """Guards against 'no job waits' being reported while dozens do.
 
@@ -83,8 +177,9 @@
         leader._ledger.confirmed_at -= 2.0
         self.assertIsNone(leader.count_pending(cases.QUEUE.name))
 
-    def make_submission(self, queue):
-        submitted = specification.Specification('', (cases.make_step(1),))
+    def make_submission(self, queue, step=None):
+        step = step or cases.make_step(1)
+        submitted = specification.Specification('', (step,))
         return json.dumps(
             {
                 'queue': queue.name,
@@ -190,6 +285,15 @@
         self.assertIsNotNone(leader._parse_job(cases.ID, text, None))
 
 
+def make_fleet(*zones):
+    """Return an instance for one task in each of these zones."""
+    return [
+        cases.make_instance(f'10.0.0.{index}:7000', cores=1, zone=zone)
+        for index, zone in enumerate(zones)
+    ]
+
+
+MARKERS = 'zones/closed/'
 UNKNOWN_TASK = json.dumps(
     {
         'phase': 'active',
