Set unknown speed limits to what is allowed at a takeover

Now such a limit counts as unknown until the first order, which sets it to what is allowed at that moment. Ruled out: assuming 100 (a paused run would stay so).

--- a/src/persimmonsail/jobs/eviction.py
+++ b/src/persimmonsail/jobs/eviction.py
@@ -25,6 +25,7 @@
 def record_speed_limit(run: instances.Run, percent: int, now: float) -> None:
     """Record a run's new speed limit, and since when it has been low."""
     run.speed_limit = percent
+    run.speed_limit_known = True
     run.speed_limit_at = now
     if percent >= _SLOW_PERCENT:
         run.throttled_since = 0.0
--- a/src/persimmonsail/jobs/fleet.py
+++ b/src/persimmonsail/jobs/fleet.py
@@ -106,8 +106,7 @@
             step=task.step,
             queue=task.job.queue,
             ordered_at=now,
-            # Unknown; the first throttling order sets it.
-            speed_limit=0,
+            speed_limit_known=False,
             suspect=task.is_suspect,
         )
         instance.add_run(run)
@@ -321,7 +320,7 @@
             task=run.task,
             run=run.number,
             instance=instance.address,
-            before=run.speed_limit,
+            before=run.speed_limit if run.speed_limit_known else -1,
             percent=percent,
         )
         eviction.record_speed_limit(run, percent, clock.read())
--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -53,7 +53,10 @@
         Tail latency in milliseconds for a serving task, else millicores
         in use.
     speed_limit : int
-        The speed limit that was ordered, in percent.
+        The speed limit that was last ordered, in percent.
+    speed_limit_known : bool
+        Whether this leader ordered it. A run that another leader started
+        has some other limit until the first order.
     speed_limit_at : float
         When the speed limit was last ordered; 0 for never.
     throttled_since : float
@@ -84,6 +87,7 @@
     progressed_at: float = 0.0
     gauge: float = 0.0
     speed_limit: int = 100
+    speed_limit_known: bool = True
     speed_limit_at: float = 0.0
     throttled_since: float = 0.0
     over_target_since: float = 0.0
--- a/src/persimmonsail/jobs/observations.py
+++ b/src/persimmonsail/jobs/observations.py
@@ -38,8 +38,7 @@
         step=task.step if task else _UNKNOWN_STEP,
         queue=task.job.queue if task else '',
         ordered_at=now,
-        # Unknown until the first order sets it.
-        speed_limit=0,
+        speed_limit_known=False,
     )
     instance.add_run(run)
     return run
@@ -133,6 +132,7 @@
         run.phase is instances.RunPhase.RUNNING
         and not run.step.long_running
         and not run.step.gang
+        and run.speed_limit_known
         and run.speed_limit == _FULL_SPEED_PERCENT
         and 0 < run.step.estimate_ms <= _MAX_ESTIMATE_MS
     )
--- a/src/persimmonsail/jobs/throttling.py
+++ b/src/persimmonsail/jobs/throttling.py
@@ -6,6 +6,11 @@
 that hardly interfere are only throttled at load peaks, and only down to a
 floor. If the target is missed nevertheless, runs that interfere or may do
 so are paused, and after some time all best-effort runs on the instance.
+
+A rolling restart of all entries changes the leader every few seconds. A new
+leader doesn't know the limits of the runs that it finds, and sets each to what
+is allowed now: raised step by step from nothing, all work on the fleet would
+stall at each change.
 """
 
 import typing as t
@@ -73,8 +78,10 @@
     for run, allowed in zip(best_effort, limits, strict=True):
         if now - run.speed_limit_at < _MIN_CHANGE_INTERVAL_SECONDS:
             continue
-        percent = _limit_rise(run.speed_limit, allowed)
-        if _is_significant(run.speed_limit, percent):
+        percent = _choose_percent(run, allowed)
+        if not run.speed_limit_known or _is_significant(
+            run.speed_limit, percent
+        ):
             changes.append(Change(run, percent))
     return changes
 
@@ -230,9 +237,13 @@
     return known
 
 
-def _limit_rise(current: int, allowed: float) -> int:
-    max_percent = max(current * _MAX_RISE_FACTOR, _INITIAL_RISE_PERCENT)
-    percent = round(min(allowed, max_percent))
+def _choose_percent(run: instances.Run, allowed: float) -> int:
+    percent = round(allowed)
+    if run.speed_limit_known:
+        max_percent = max(
+            run.speed_limit * _MAX_RISE_FACTOR, _INITIAL_RISE_PERCENT
+        )
+        percent = round(min(allowed, max_percent))
     return percent if percent >= _MIN_PERCENT else 0
 
 
