Evacuate zones in the soak

Cause: no soak had zones, so that nothing there could show a start in an evacuated one. Older seeds keep their plans.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,7 @@
     'restart_repeatedly',
     'restart_with_late_calls',
 }
+EVACUATIONS = {'evacuate'}
 FAULTS = {
     'change_configuration',
     'crash_many',
@@ -92,6 +93,7 @@
         self.assertEqual(FAULTS, set(faults.FAULTS))
         self.assertEqual(SILENCES, set(faults.SILENCES))
         self.assertEqual(RESTARTS, set(faults.RESTARTS))
+        self.assertEqual(EVACUATIONS, set(faults.EVACUATIONS))
 
     def test_late_start_after_a_cancel_is_detected(self):
         job = callers.Job('a', long_running=True, cancelled_at=10.0)
@@ -128,15 +130,27 @@
         self.assertGreater(report.faults, 0)
 
     async def test_short_run_violates_no_guarantee(self):
-        await self.run_seed(seed=11, seconds=4.0, restarts=False)
+        await self.run_seed(
+            seed=11, seconds=4.0, restarts=False, evacuations=False
+        )
 
     async def test_short_run_with_restarting_agents(self):
-        await self.run_seed(seed=12, seconds=6.0)
+        await self.run_seed(seed=12, seconds=6.0, evacuations=False)
+
+    async def test_short_run_with_evacuations(self):
+        await self.run_seed(seed=14, seconds=8.0)
 
     async def test_regression_seeds(self):
         for seed in REGRESSION_SEEDS:
-            await self.run_seed(seed, 12.0, cancels=False, restarts=False)
+            await self.run_seed(
+                seed,
+                12.0,
+                cancels=False,
+                restarts=False,
+                evacuations=False,
+            )
 
     async def test_regression_seeds_with_cancels(self):
         for seed in REGRESSION_SEEDS_WITH_CANCELS:
-            await self.run_plan(trial.Plan(seed, restarts=False))
+            plan = trial.Plan(seed, restarts=False, evacuations=False)
+            await self.run_plan(plan)
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -7,6 +7,7 @@
 
 import random
 import signal
+import time
 import typing as t
 
 import anyio
@@ -18,6 +19,8 @@
 _LONG_SECONDS = (0.5, 6.0)
 # Delay of writes in the store and of starts in a worker's agent.
 _DELAY_SECONDS = (0.5, 3.0)
+# Longer than the time that the start of a task may take.
+_EVACUATION_SECONDS = (5.5, 9.0)
 _RESTART_SECONDS = 0.3
 # Free capacity for none, two, four and more simultaneous tasks.
 _CAPACITIES_MILLICORES = (400, 1000, 2000, 6000)
@@ -25,7 +28,7 @@
 _REVOKED_SHARE = 0.5
 
 Fault = t.Callable[[site_module.Site, random.Random, str], t.Awaitable[None]]
-_TargetKind = t.Literal['process', 'instance', 'store']
+_TargetKind = t.Literal['process', 'instance', 'store', 'zone']
 
 FAULTS: dict[str, tuple[_TargetKind, Fault]] = {}
 # Drawn separately from the others, so that a seed that violated a guarantee
@@ -33,6 +36,8 @@
 SILENCES: dict[str, tuple[_TargetKind, Fault]] = {}
 # Drawn separately as well, for the same reason.
 RESTARTS: dict[str, tuple[_TargetKind, Fault]] = {}
+# Drawn separately as well; not faults, but what operators do during them.
+EVACUATIONS: dict[str, tuple[_TargetKind, Fault]] = {}
 
 
 def register(
@@ -59,6 +64,7 @@
         'process': [*site.entries, *site.runners],
         'instance': [*site.runners],
         'store': ['store'],
+        'zone': site_module.ZONES,
     }[kind]
     return name, rng.choice(sorted(targets)), fault
 
@@ -310,6 +316,21 @@
     await site.set_faults(site.runners[name], restart=True)
 
 
+@register('zone', EVACUATIONS)
+async def evacuate(
+    site: site_module.Site, rng: random.Random, name: str
+) -> None:
+    """Evacuate a zone, and reopen it later."""
+    await site.evacuate(name)
+    evacuated_at = time.time()
+    await _sleep(rng, _EVACUATION_SECONDS)
+    reopened_at = time.time()
+    await site.reopen(name)
+    site.evacuations.append(
+        site_module.Evacuation(name, evacuated_at, reopened_at)
+    )
+
+
 # Registered under another name, which keeps its position in the draw order.
 SILENCES['lose_answers_of_one'] = ('process', cut_one_way)
 
--- a/tools/soaking/trial.py
+++ b/tools/soaking/trial.py
@@ -27,6 +27,9 @@
 # Silences are injected less often than other faults as each lasts longer.
 _SILENCE_INTERVAL_SECONDS = (1.0, 3.0)
 _RESTART_INTERVAL_SECONDS = (0.5, 3.0)
+_EVACUATION_INTERVAL_SECONDS = (0.5, 3.0)
+# No task may start in a zone later than this after its evacuation.
+_MAX_EVACUATION_SECONDS = 5.0
 _CRASH_EVENTS = {'worker-crashed', 'crash-counted', 'crash-at-once'}
 _POLL_SECONDS = 0.2
 
@@ -39,7 +42,8 @@
     faults that delay a cancellation on its way to those who execute it;
     without it a seed reproduces the faults and jobs of older recorded runs.
     ``restarts`` adds agents that restart under their ids, once or repeatedly,
-    and execute calls that were sent to the start before.
+    and execute calls that were sent to the start before. ``evacuations`` adds
+    zones that operators evacuate.
     """
 
     seed: int
@@ -48,6 +52,7 @@
     instances: int = 4
     cancels: bool = True
     restarts: bool = True
+    evacuations: bool = True
 
 
 @dataclasses.dataclass
@@ -136,6 +141,14 @@
                     random.Random(self._plan.seed + 4),
                     busy,
                 )
+            if self._plan.evacuations:
+                group.start_soon(
+                    self._inject,
+                    faults.EVACUATIONS,
+                    _EVACUATION_INTERVAL_SECONDS,
+                    random.Random(self._plan.seed + 5),
+                    busy,
+                )
         await faults.clear_faults(self._site)
         self._faults_cleared_at = time.time()
 
@@ -195,6 +208,7 @@
             preventable, acknowledged_only=True
         ):
             report.violations.append(f'{task}: duplicate run')
+        report.violations += await self._list_evacuated_starts()
         started = {start['task'].partition('.')[0] for start in starts}
         for job in self._callers.jobs:
             report.violations += [
@@ -240,6 +254,26 @@
             )
         return violations
 
+    async def _list_evacuated_starts(self) -> list[str]:
+        """Return the starts in a zone that was evacuated long before."""
+        violations = []
+        for name, zone in self._site.zones.items():
+            starts = await self._site.list_instance_starts(name)
+            violations += [
+                f'{start["task"]}: began in {zone}, evacuated at {begin:.2f}'
+                for begin, end in self._list_closed_periods(zone)
+                for start in starts
+                if begin + _MAX_EVACUATION_SECONDS < start['began'] < end
+            ]
+        return violations
+
+    def _list_closed_periods(self, zone: str) -> list[tuple[float, float]]:
+        return [
+            (evacuation.evacuated_at, evacuation.reopened_at)
+            for evacuation in self._site.evacuations
+            if evacuation.zone == zone
+        ]
+
     def _list_abandoned(self) -> set[str]:
         """Return the jobs that a leader abandoned for their crashes."""
         return {
