--- a/tests/test_emulate.py
+++ b/tests/test_emulate.py
@@ -1,3 +1,4 @@
+import math
 import statistics
 
 from persimmonsail.jobs import interference
@@ -42,6 +43,24 @@
         self.assertGreater(on_time, 0.6)
         self.assertGreater(worth, 0.76)
 
+    def test_takeovers_hold_back_no_work(self):
+        """Guards against heavy jobs that slow down at each takeover.
+
+        In a rolling restart of all entries another leader takes over every
+        two seconds.
+        """
+        deployment = deployments.Deployment(truth.Shape(), load.Rates())
+        paced, undisturbed = (
+            statistics.mean(
+                day.Day(deployment, seed, takeover_seconds=seconds)
+                .play()
+                .paced
+                for seed in SEEDS
+            )
+            for seconds in (2.0, math.inf)
+        )
+        self.assertLess(paced, 1.25 * undisturbed)
+
     def test_large_fast_load_variation_is_tracked(self):
         """Guards against watchers missing targets at each load peak.
 
--- a/tools/emulate.py
+++ b/tools/emulate.py
@@ -11,6 +11,7 @@
 import concurrent.futures
 import dataclasses
 import functools
+import math
 import statistics
 import sys
 
@@ -54,14 +55,21 @@
 _WORST_SHARE = 0.1
 
 
-def _play(name: str, without: str, policy: str, seed: int) -> score.Result:
+def _play(
+    name: str,
+    without: str,
+    takeover_seconds: float,
+    policy: str,
+    seed: int,
+) -> score.Result:
     logging.set_verbosity(logging.FATAL)
     if name in _DRAW_FUNCTIONS:
         deployment = _DRAW_FUNCTIONS[name](seed)
     else:
         deployment = deployments.Deployment(*_SHAPES[name])
     with ablations.switch_off(without):
-        return day.Day(deployment, seed, _MODELS[policy]).play()
+        played = day.Day(deployment, seed, _MODELS[policy], takeover_seconds)
+        return played.play()
 
 
 def _print_means(label: str, results: list[score.Result]) -> None:
@@ -101,6 +109,12 @@
     parser.add_argument(
         '--without', choices=sorted(ablations.ABLATIONS), default=''
     )
+    parser.add_argument(
+        '--takeover-seconds',
+        type=float,
+        default=math.inf,
+        help='how often another leader takes over',
+    )
     parser.add_argument('--each', action='store_true')
     arguments = parser.parse_args()
     policies = arguments.policies or ['learnt']
@@ -109,7 +123,11 @@
     with concurrent.futures.ProcessPoolExecutor(arguments.jobs) as pool:
         for policy in policies:
             play = functools.partial(
-                _play, arguments.shape, arguments.without, policy
+                _play,
+                arguments.shape,
+                arguments.without,
+                arguments.takeover_seconds,
+                policy,
             )
             by_policy[policy] = list(pool.map(play, seeds))
             _print_means(policy, by_policy[policy])
--- a/tools/emulator/day.py
+++ b/tools/emulator/day.py
@@ -1,5 +1,7 @@
 """An emulated day, from its first job to its score."""
 
+import math
+
 from persimmonsail.decisions import quarantine
 from persimmonsail.jobs import advice
 from persimmonsail.jobs import board as board_module
@@ -43,6 +45,8 @@
         Seeds the jobs and the truth.
     make_model : callable
         Makes the leader's interference model from the truth.
+    takeover_seconds : float
+        How often another leader takes over, which knows no speed limits.
     """
 
     def __init__(
@@ -50,7 +54,10 @@
         deployment: deployments.Deployment,
         seed: int,
         make_model: yardsticks.MakeModel = lambda truth: interference.Model(),
+        takeover_seconds: float = math.inf,
     ) -> None:
+        self._takeover_seconds = takeover_seconds
+        self._next_takeover = takeover_seconds
         self._truth = truth_module.Truth(deployment.shape, seed)
         caller = load_module.Caller(deployment.rates, deployment.shape, seed)
         self._faults = deployment.faults
@@ -108,6 +115,9 @@
                 self._submit(pending.pop())
                 replan = True
             self._apply_faults(now)
+            if now >= self._next_takeover:
+                self._next_takeover += self._takeover_seconds
+                self._forget_speed_limits()
             for worker in self._workers:
                 worker.tick(now)
             for index in range(len(self._workers)):
@@ -158,6 +168,13 @@
             if _is_due(fault.at + fault.seconds, now):
                 kind.end(worker, fault)
 
+    def _forget_speed_limits(self) -> None:
+        for view in self._views:
+            for run in view.best_effort_runs:
+                run.speed_limit_known = False
+                run.speed_limit_at = 0.0
+                run.throttled_since = 0.0
+
     def _process_report(self, index: int, now: float) -> bool:
         worker = self._workers[index]
         view = self._views[index]
