--- a/src/persimmonsail/jobs/interference.py
+++ b/src/persimmonsail/jobs/interference.py
@@ -22,13 +22,10 @@
 import math
 import typing as t
 
-import numpy
-
 from persimmonsail.jobs import gauges
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import loads
 from persimmonsail.jobs import regression
-from persimmonsail.jobs import similarity
 
 # Prior for a pair that was not observed yet: most interfere hardly, the others
 # by any amount.
@@ -233,35 +230,17 @@
         if now - self._adapted_at >= _ADAPT_SECONDS:
             self._adapted_at = now
             self._adapt_kinds()
-            self._predict_pairs()
 
     def _adapt_kinds(self) -> None:
         posteriors = [
             posterior
             for fit in self._fits.values()
-            for posterior in fit.posteriors.values()
+            for posterior in fit.list_posteriors()
         ]
         self._kinds[:] = regression.adapt_kinds(
             _PRIOR_KINDS, posteriors, _PRIOR_PAIRS
         )
 
-    def _predict_pairs(self) -> None:
-        """Predict pairs from images that behave alike."""
-        names = sorted(
-            {name for fit in self._fits.values() for name in fit.posteriors}
-        )
-        if not names:
-            return
-        evidence = numpy.array(
-            [
-                [fit.measure_evidence(name) for name in names]
-                for fit in self._fits.values()
-            ]
-        )
-        predicted = similarity.predict(evidence, self._kinds[-1].share)
-        for fit, row in zip(self._fits.values(), predicted, strict=True):
-            fit.set_predictions(dict(zip(names, row.tolist(), strict=True)))
-
     def export(self) -> dict[str, LearnedState]:
         """Return what was learned about each image, for a later leader."""
         return {
--- a/src/persimmonsail/jobs/regression.py
+++ b/src/persimmonsail/jobs/regression.py
@@ -95,8 +95,6 @@
         Precision of the observations: the inverse of their variance.
     mean, deviation : float
         Over all kinds.
-    evidence : float
-        Logarithm of the likelihood ratio of the last kind to the first.
     """
 
     probabilities: tuple[float, ...]
@@ -104,7 +102,6 @@
     weight: float
     mean: float = 0.0
     deviation: float = 0.0
-    evidence: float = 0.0
 
 
 class Regression:
@@ -127,8 +124,6 @@
         self._upper_bounds: dict[str, float] = {}
         self._lower_bounds: dict[str, float] = {}
         self._posteriors: dict[str, Posterior] = {}
-        # Log-odds of the last kind, relative to its share; 0 if absent.
-        self._predicted: dict[str, float] = {}
         self._pending = 0
         self._count = 0
         # Weight of the newest observation in the sums.
@@ -140,7 +135,7 @@
         """Return a coefficient's mean."""
         value = self._values.get(name)
         if value is None:
-            return self._estimate_prior(name, 0.0)
+            return sum(kind.share * kind.mean for kind in self._kinds)
         return value
 
     def get_upper_bound(self, name: str) -> float:
@@ -150,53 +145,27 @@
         """
         upper_bound = self._upper_bounds.get(name)
         if upper_bound is None:
-            return self._estimate_prior(name, _UPPER_BOUND_DEVIATIONS)
+            return self._estimate_prior(_UPPER_BOUND_DEVIATIONS)
         return upper_bound
 
     def get_lower_bound(self, name: str) -> float:
         """Return the probable lower bound of a coefficient."""
         lower_bound = self._lower_bounds.get(name)
         if lower_bound is None:
-            bound = self._estimate_prior(name, -_LOWER_BOUND_DEVIATIONS)
-            return max(bound, 0.0)
+            return max(self._estimate_prior(-_LOWER_BOUND_DEVIATIONS), 0.0)
         return lower_bound
 
-    def _estimate_prior(self, name: str, deviations: float) -> float:
-        shares = _shift_shares(self._kinds, self._predicted.get(name, 0.0))
-        mean = 0.0
-        square = 0.0
-        for share, kind in zip(shares, self._kinds, strict=True):
-            mean += share * kind.mean
-            square += share * (kind.mean**2 + kind.deviation**2)
-        return mean + deviations * math.sqrt(max(square - mean * mean, 0.0))
-
-    @property
-    def posteriors(self) -> t.Mapping[str, Posterior]:
-        """The posterior of each coefficient that was observed."""
-        return self._posteriors
-
-    def measure_evidence(self, name: str) -> float:
-        """Return what a coefficient's observations say for the last kind.
-
-        Returns
-        -------
-        float
-            The logarithm of their likelihood ratio; 0 without any.
-        """
-        posterior = self._posteriors.get(name)
-        if posterior is None:
-            return 0.0
-        return posterior.evidence
-
-    def set_predictions(self, predicted: dict[str, float]) -> None:
-        """Set the log-odds of the last kind, relative to its share.
+    def _estimate_prior(self, deviations: float) -> float:
+        mean = sum(kind.share * kind.mean for kind in self._kinds)
+        square = sum(
+            kind.share * (kind.mean**2 + kind.deviation**2)
+            for kind in self._kinds
+        )
+        return mean + deviations * math.sqrt(square - mean * mean)
 
-        Parameters
-        ----------
-        predicted : dict of str to float
-            By name; 0 for all others.
-        """
-        self._predicted = predicted
+    def list_posteriors(self) -> list[Posterior]:
+        """Return the posterior of each coefficient that was observed."""
+        return list(self._posteriors.values())
 
     def add(
         self, xs: t.Mapping[str, float], y: float, weight: float = 1.0
@@ -287,10 +256,7 @@
                     other_sum += product * values[other]
                 target = (self._targets[name] - other_sum) / unit
                 posterior = posteriors[name] = _estimate(
-                    kinds,
-                    target,
-                    row[name] / unit,
-                    self._predicted.get(name, 0.0),
+                    kinds, target, row[name] / unit
                 )
                 values[name] = min(max(posterior.mean, 0.0), _MAX_COEFFICIENT)
                 max_change = max(max_change, abs(values[name] - previous))
@@ -331,10 +297,7 @@
 
 
 def _estimate(
-    kinds: t.Sequence[_KindTerms],
-    target: float,
-    weight: float,
-    predicted: float = 0.0,
+    kinds: t.Sequence[_KindTerms], target: float, weight: float
 ) -> Posterior:
     """Estimate one coefficient over its kinds.
 
@@ -345,8 +308,6 @@
     target, weight : float
         The sums of ``x * y`` and of ``x * x`` over all observations, in
         units of the variance.
-    predicted : float, optional
-        Log-odds of the last kind, relative to its share.
     """
     scores = []
     means = []
@@ -360,8 +321,6 @@
         scores.append(score + 0.5 * mean * mean * precision)
         means.append(mean)
         precisions.append(precision)
-    evidence = scores[-1] - scores[0] - _find_prior_score(kinds)
-    scores[-1] += predicted
     highest = max(scores)
     probabilities = [math.exp(score - highest) for score in scores]
     total = sum(probabilities)
@@ -381,29 +340,9 @@
         weight=weight,
         mean=mean,
         deviation=math.sqrt(max(square / total - mean * mean, 0.0)),
-        evidence=evidence,
     )
 
 
-def _find_prior_score(kinds: t.Sequence[_KindTerms]) -> float:
-    """Return the last kind's score minus the first's, unobserved."""
-    first, last = (
-        kind.score
-        - 0.5 * math.log(kind.precision)
-        + 0.5 * kind.weighted_mean**2 / kind.precision
-        for kind in (kinds[0], kinds[-1])
-    )
-    return last - first
-
-
-def _shift_shares(kinds: t.Sequence[Kind], log_odds: float) -> list[float]:
-    """Return the kinds' shares, with the last one's odds changed."""
-    weights = [kind.share for kind in kinds]
-    weights[-1] *= math.exp(log_odds)
-    total = sum(weights)
-    return [weight / total for weight in weights]
-
-
 def adapt_kinds(
     prior: t.Sequence[Kind],
     posteriors: t.Collection[Posterior],
--- a/tools/emulator/truth.py
+++ b/tools/emulator/truth.py
@@ -45,10 +45,6 @@
         The delay with which a tail latency follows its causes.
     checkpoint_seconds : float
         The seconds of work between two checkpoints of a task.
-    resources : int
-        If positive, images interfere through this many resources: each
-        best-effort image loads one of them, and each serving image depends
-        on some. Otherwise all pairs are independent.
     """
 
     base_latency_ms: float = 4.0
@@ -70,7 +66,6 @@
     outlier_share: float = 0.08
     lag_seconds: float = 0.45
     checkpoint_seconds: float = 1.0
-    resources: int = 0
 
     @property
     def target_ms(self) -> int:
@@ -137,36 +132,17 @@
         self._random = random.Random(seed)
         self._coefficients: dict[tuple[str, str], float] = {}
         self._phases: dict[str, float] = {}
-        # The resource that each best-effort image loads, and whether a
-        # serving image needs a resource.
-        self._loaded_resources: dict[str, int] = {}
-        self._needed_resources: dict[tuple[str, int], bool] = {}
 
     def get_coefficient(self, serving: str, best_effort: str) -> float:
         """Return how strongly one image actually interferes with another."""
         pair = (serving, best_effort)
         if pair not in self._coefficients:
-            interferes = self._draw_interferes(serving, best_effort)
-            self._coefficients[pair] = self._draw_coefficient(interferes)
+            self._coefficients[pair] = self._draw_coefficient()
         return self._coefficients[pair]
 
-    def _draw_interferes(self, serving: str, best_effort: str) -> bool:
-        shape = self.shape
-        if not shape.resources:
-            return self._random.random() < shape.interfering_share
-        if best_effort not in self._loaded_resources:
-            self._loaded_resources[best_effort] = self._random.randrange(
-                shape.resources
-            )
-        needed = serving, self._loaded_resources[best_effort]
-        if needed not in self._needed_resources:
-            self._needed_resources[needed] = (
-                self._random.random() < shape.interfering_share
-            )
-        return self._needed_resources[needed]
-
-    def _draw_coefficient(self, interferes: bool) -> float:
+    def _draw_coefficient(self) -> float:
         shape = self.shape
+        interferes = self._random.random() < shape.interfering_share
         if not shape.strength_spread:
             return self._random.uniform(
                 *(_STRONG_COEFFICIENTS if interferes else _WEAK_COEFFICIENTS)
