--- a/src/persimmonsail/jobs/commits.py
+++ b/src/persimmonsail/jobs/commits.py
@@ -84,7 +84,7 @@
                 verified_at = await self._write_once(jobs, claims)
             except exceptions.KeysPresent as error:
                 self._apply_markers(error.found)
-                # The retry of the refused write commits these.
+                # The retry writes the jobs as they are then.
                 self._board.changed.difference_update(ids)
                 continue
             break
--- a/src/persimmonsail/jobs/fleet.py
+++ b/src/persimmonsail/jobs/fleet.py
@@ -138,7 +138,7 @@
         self._evacuated_zones = frozenset(zones)
 
     def withdraw(self, claims: t.Sequence[placer.Claim], zone: str) -> None:
-        """Withdraw those of these unsent claims that are in a zone.
+        """Withdraw the claims in an evacuated zone; none of them was sent.
 
         A gang is withdrawn as a whole, as its members only work together.
         """
@@ -162,7 +162,8 @@
         claim : persimmonsail.jobs.placer.Claim
             The claimed run.
         verified_at : float
-            When its job was last known not to be cancelled, on ``clock``.
+            When its job was last known not to be cancelled and its zone not
+            to be evacuated, on ``clock``.
         """
         instance = claim.instance
         key = claim.run.id
--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -354,14 +354,12 @@
 
     def _pop_claims(self, ids: t.Collection[str]) -> list[placer.Claim]:
         """Remove and return the unsent claims of some jobs."""
-        claims, self._unsent_claims = self._unsent_claims, []
-        popped = []
-        for claim in claims:
-            is_popped = claim.task.job.id in ids
-            (popped if is_popped else self._unsent_claims).append(claim)
-        return popped
+        claims = self._unsent_claims
+        self._unsent_claims = [c for c in claims if c.task.job.id not in ids]
+        return [c for c in claims if c.task.job.id in ids]
 
     def _withdraw_claims(self, zone: str) -> None:
+        """Withdraw the unsent claims in an evacuated zone."""
         self._fleet.withdraw(self._unsent_claims, zone)
 
     def _forget_job(self, job: job_module.Job) -> None:
