--- a/tests/jobs/test_leader_load.py
+++ b/tests/jobs/test_leader_load.py
@@ -1,7 +1,13 @@
+import contextlib
+import io
+import logging
 import statistics
 from unittest import mock
 
+from absl import logging as absl_logging
+
 from persimmonsail.jobs import election
+from persimmonsail import logs
 from tests import base
 from tools.emulator import day
 from tools.emulator import load
@@ -11,6 +17,24 @@
 MAX_LAG_SECONDS = 0.25 * (election.LEASE_SECONDS - 2 * election.RENEW_SECONDS)
 
 
+@contextlib.contextmanager
+def log_as_in_production():
+    """Log all lines, and only through the product's own handler.
+
+    Counted calls would otherwise depend on what earlier tests of the same
+    process have configured, and include those of the test runner's handlers.
+    """
+    root = logging.getLogger()
+    handlers, verbosity = root.handlers, absl_logging.get_verbosity()
+    root.handlers = []
+    try:
+        logs.configure('leader', io.StringIO())
+        yield
+    finally:
+        root.handlers = handlers
+        absl_logging.set_verbosity(verbosity)
+
+
 class LeaderLoadTest(base.TestCase):
     """Replays the first seconds of a calm day on a large fleet.
 
@@ -23,6 +47,7 @@
             mock.patch.object(load, 'DAY_SECONDS', seconds),
             mock.patch.object(day, '_LEAD_SECONDS', lead),
             mock.patch.object(day, '_DRAIN_SECONDS', 0.0),
+            log_as_in_production(),
         ):
             replay = metered.MeteredDay(metered.make_large(instances), 1)
             replay.play()
