--- a/src/persimmonsail/jobs/eviction.py
+++ b/src/persimmonsail/jobs/eviction.py
@@ -14,8 +14,7 @@
 _MILLISECONDS = 1000
 # A best-effort run that was throttled below this speed for this long is
 # evicted: a load peak lasts about 3 s, while stopping and resuming takes 0.3
-# to 1.0 s (emulator, 16 days: 0.76 of the heavy jobs on time with 4 s, 0.79
-# with 2 s, 0.84 with this value).
+# to 1.0 s.
 _SLOW_PERCENT = 25
 _MAX_THROTTLED_SECONDS = 0.7
 # A run with more progress than this is not worth moving.
--- a/src/persimmonsail/jobs/gauges.py
+++ b/src/persimmonsail/jobs/gauges.py
@@ -18,8 +18,7 @@
 # the load that a task tolerates without interference.
 ZERO_FULLNESS_RATIO = 0.25
 # Delay with which a tail latency follows its causes, since requests that
-# already wait are served first (emulator, 28 drawn deployments with 0.15 to
-# 0.9 s: worth 0.015 less with 0.35).
+# already wait are served first.
 _LAG_SECONDS = 0.6
 # Smaller shares of an instance are negligible.
 _MIN_SHARE = 0.002
--- a/src/persimmonsail/jobs/interference.py
+++ b/src/persimmonsail/jobs/interference.py
@@ -67,13 +67,9 @@
 # independently varying loads exceeds their mean (order statistics of a normal
 # distribution).
 EXPECTED_MAXIMA = (0.0, 0.56, 0.85, 1.03)
-# Assumed share of its declared processors that a serving task uses. Learning
-# it from instances that are full had no benefit (emulator, 12 days of known
-# shapes and 16 drawn: +0.004 +-0.006 and +0.001 +-0.001 without it).
+# Assumed share of its declared processors that a serving task uses.
 _SERVING_USE = 0.5
-# Headroom in standard deviations of the prediction errors: one error in twelve
-# was larger (emulator, 28 drawn deployments: worth 0.852 with 1.0, 0.864 with
-# 1.6, 0.840 with 2.4; on known shapes 1.0 and 1.4 are alike).
+# Headroom in standard deviations of the prediction errors.
 _UNCERTAINTY_DEVIATIONS = 1.4
 _MIN_UNCERTAINTY = 0.03
 
--- a/src/persimmonsail/jobs/order.py
+++ b/src/persimmonsail/jobs/order.py
@@ -6,10 +6,9 @@
 still be on time precede those that can't. Among the former, the one with
 the least remaining work relative to its value comes first: with
 least-slack-first, a full fleet works on all jobs concurrently and finishes
-all of them slightly late (emulator, 16 days: 0.75 of the heavy jobs on
-time, 0.80 with this order). Among late jobs, the shortest comes first, as
-it frees its capacity soonest. Whether a job can be on time is predicted
-from the observed speed of runs, not from the estimate.
+all of them slightly late. Among late jobs, the shortest comes first, as it
+frees its capacity soonest. Whether a job can be on time is predicted from
+the observed speed of runs, not from the estimate.
 """
 
 import collections
--- a/src/persimmonsail/jobs/regression.py
+++ b/src/persimmonsail/jobs/regression.py
@@ -32,8 +32,7 @@
 _CONVERGED_CHANGE = 0.01
 # Standard deviations from a coefficient's mean to its upper bound: with more,
 # heavy tasks wait beside free capacity; with less, serving tasks suffer
-# interference (emulator, 12 days of known shapes: worth 0.858 with 0.1, 0.880
-# with this, 0.852 with 0.7).
+# interference.
 _UPPER_BOUND_DEVIATIONS = 0.3
 # Standard deviations from a coefficient's mean to its lower bound.
 _LOWER_BOUND_DEVIATIONS = 0.7
--- a/src/persimmonsail/jobs/throttling.py
+++ b/src/persimmonsail/jobs/throttling.py
@@ -19,9 +19,7 @@
 from persimmonsail.jobs import interference
 
 # Minimum time between changes of a run's limit. Reports arrive twice a
-# second, and more often when runs end (emulator, 16 days: 0.83 of the heavy
-# jobs on time with 0.6, 0.85 with this, and an eighth less time over the
-# targets).
+# second, and more often when runs end.
 _MIN_CHANGE_INTERVAL_SECONDS = 0.4
 # Once a target has been missed for this long, all best-effort runs on the
 # instance are paused, whatever was learned: with the next report and the
@@ -32,8 +30,7 @@
 # Smaller relative changes are not worth an order; lower limits become 0.
 _MIN_CHANGE = 0.2
 _MIN_PERCENT = 4
-# Floor for runs that hardly interfere, which do most of the work (with 10,
-# 0.34 of the heavy jobs were on time instead of 0.83).
+# Floor for runs that hardly interfere, which do most of the work.
 _MIN_LIGHT_PERCENT = 40
 # A limit rises by at most this factor, or from 0 to this percentage.
 _MAX_RISE_FACTOR = 3.0
