--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -19,7 +19,7 @@
 _LONG_SECONDS = (0.5, 6.0)
 # Delay of writes in the store and of starts in a worker's agent.
 _DELAY_SECONDS = (0.5, 3.0)
-# Longer than the time that the start of a task may take.
+# Longer than the time after which nothing may start in the zone.
 _EVACUATION_SECONDS = (5.5, 9.0)
 _RESTART_SECONDS = 0.3
 # Free capacity for none, two, four and more simultaneous tasks.
