--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -366,9 +366,12 @@
             self._approvals.drop_permit(task.step_name, instance.boot)
         end = board_module.End.NOT_STARTED
         accepted = self._end_run(task, barred.run, end, '')
-        task.refusals += 1
-        backoff_end = now + _compute_backoff(task.refusals)
-        task.not_before = max(task.not_before, backoff_end)
+        if accepted:
+            # Otherwise the run's end is already known: its stop was answered
+            # after the end had been reported.
+            task.refusals += 1
+            backoff_end = now + _compute_backoff(task.refusals)
+            task.not_before = max(task.not_before, backoff_end)
         logs.write_event(
             'run-barred',
             task=barred.task,
--- a/tests/jobs/test_reports.py
+++ b/tests/jobs/test_reports.py
@@ -158,6 +158,16 @@
         self.read(report, later)
         self.assertLess(self.tasks[0].not_before - later, 0.2)
 
+    def test_a_stop_answered_after_its_end_is_no_refusal(self):
+        """Guards against delaying the next run of each evicted task."""
+        run = self.place(self.tasks[0])
+        report = self.report()
+        report.ended.add(number=1, task=run.task, run=1, how='stopped')
+        report.barred.add(task=run.task, run=1, reason='absent')
+        self.read(report)
+        self.assertEqual(0, self.tasks[0].refusals)
+        self.assertEqual(0.0, self.tasks[0].not_before)
+
     def test_an_end_counts_once(self):
         """A job fails after one failure of a task.
 
