Reject jobs that would end when they are of no use any more

Until now a job was refused only if no instance can ever hold it, or the store is away.

The leader measures each service's waiting work by urgency, what arrives and what is done while tasks wait; every entry decides by its copy. A rejection is a marker in the store that bars submissions on their way, so that it stays true. To make room, reads of a job's state, the outcomes of calls and the parsing of stored items left intake.py and leader.py for modules of their own (no behaviour changes there).

--- a/src/persimmonsail/auditing/audit_jobs.py
+++ b/src/persimmonsail/auditing/audit_jobs.py
@@ -1,4 +1,4 @@
-"""The checks of jobs: J1 to J3."""
+"""The checks of jobs: J1 to J4."""
 
 import collections
 import typing as t
@@ -92,6 +92,31 @@
             )
 
 
+@verdicts.register('J4', 'a job that was only rejected never begins')
+def check_rejected_jobs(case: verdicts.Case, report: verdicts.Report) -> None:
+    """Find starts of jobs whose submissions were all rejected."""
+    submissions = collections.defaultdict(list)
+    for event in case.logs.select('job-call'):
+        if event.get('call') == 'submit':
+            submissions[event.get('job')].append(event)
+    rejected = {
+        job: events[0]
+        for job, events in submissions.items()
+        if all(event.get('outcome') == 'rejected' for event in events)
+    }
+    report.cases += len(rejected)
+    for start in case.logs.select('started'):
+        task = start.get('task')
+        rejection = rejected.get(task.partition('.')[0])
+        if rejection is not None:
+            report.add_violation(
+                task,
+                f'run {start.get("run")} began, and its job was rejected',
+                rejection,
+                start,
+            )
+
+
 def _find_cancels(
     evidence: evidence_module.Evidence,
 ) -> dict[str, evidence_module.Event]:
--- a/src/persimmonsail/auditing/explanation.py
+++ b/src/persimmonsail/auditing/explanation.py
@@ -144,6 +144,19 @@
         )
 
 
+@register
+def _find_rejection(case: Case) -> t.Iterator[Cause]:
+    """Find why a submission was rejected for load."""
+    for event in case.select('job-rejected'):
+        yield Cause(
+            f'rejected: it would have ended in {event.get("end_seconds")} s '
+            f'behind {event.get("ahead_core_ms")} core-ms of other work, and '
+            f'is of use for {event.get("limit_seconds")} s; to return after '
+            f'{event.get("retry_after")} s',
+            event,
+        )
+
+
 def _find_lost_store(
     case: Case, event: evidence.Event
 ) -> evidence.Event | None:
--- a/src/persimmonsail/exceptions.py
+++ b/src/persimmonsail/exceptions.py
@@ -196,6 +196,20 @@
     """A submission is invalid; nothing of it was stored."""
 
 
+class JobRejected(PersimmonsailError):
+    """A job was rejected for load; it never runs unless submitted again.
+
+    Attributes
+    ----------
+    retry_after : float
+        Seconds after which the caller should submit it again.
+    """
+
+    def __init__(self, reason: str, retry_after: float) -> None:
+        super().__init__(reason)
+        self.retry_after = retry_after
+
+
 class BodyTooLarge(PersimmonsailError):
     """A request's body exceeds the limit; it was read to its end."""
 
--- a/src/persimmonsail/jobs/fleet_grpc.py
+++ b/src/persimmonsail/jobs/fleet_grpc.py
@@ -50,6 +50,10 @@
     async def CountPending(self, stream: 'grpclib.server.Stream[persimmonsail.jobs.fleet_pb2.QueueQuery, persimmonsail.jobs.fleet_pb2.QueueReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def GetForecasts(self, stream: 'grpclib.server.Stream[persimmonsail.jobs.fleet_pb2.ForecastQuery, persimmonsail.jobs.fleet_pb2.ForecastReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Submit(self, stream: 'grpclib.server.Stream[persimmonsail.jobs.fleet_pb2.SubmitQuery, persimmonsail.jobs.fleet_pb2.OutcomeReply]') -> None:
         pass
@@ -72,6 +76,12 @@
                 persimmonsail.jobs.fleet_pb2.QueueQuery,
                 persimmonsail.jobs.fleet_pb2.QueueReply,
             ),
+            '/persimmonsail.jobs.Leader/GetForecasts': grpclib.const.Handler(
+                self.GetForecasts,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonsail.jobs.fleet_pb2.ForecastQuery,
+                persimmonsail.jobs.fleet_pb2.ForecastReply,
+            ),
             '/persimmonsail.jobs.Leader/Submit': grpclib.const.Handler(
                 self.Submit,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -102,6 +112,12 @@
             persimmonsail.jobs.fleet_pb2.QueueQuery,
             persimmonsail.jobs.fleet_pb2.QueueReply,
         )
+        self.GetForecasts = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonsail.jobs.Leader/GetForecasts',
+            persimmonsail.jobs.fleet_pb2.ForecastQuery,
+            persimmonsail.jobs.fleet_pb2.ForecastReply,
+        )
         self.Submit = grpclib.client.UnaryUnaryMethod(
             channel,
             '/persimmonsail.jobs.Leader/Submit',
--- a/src/persimmonsail/jobs/gateway.py
+++ b/src/persimmonsail/jobs/gateway.py
@@ -14,6 +14,7 @@
 from persimmonsail import exceptions
 from persimmonsail.jobs import clock
 from persimmonsail.jobs import intake as intake_module
+from persimmonsail.jobs import outcomes
 from persimmonsail.jobs import queues
 from persimmonsail.jobs import record
 from persimmonsail.jobs import specification as specification_module
@@ -104,14 +105,22 @@
             raise problems.Problem(
                 422, 'Not accepted', problems.NOT_RUN, str(error)
             ) from error
+        except exceptions.JobRejected as error:
+            raise problems.Problem(
+                503,
+                'Overloaded',
+                problems.NOT_RUN,
+                str(error),
+                error.retry_after,
+            ) from error
         _log_call('submit', request, id, outcome.value)
-        if outcome is intake_module.Outcome.ACCEPTED:
+        if outcome is outcomes.Outcome.ACCEPTED:
             return responses.JSONResponse(
                 {'job': id, 'queue': queue.name},
                 status_code=202,
                 headers={'location': request.url.path},
             )
-        if outcome is intake_module.Outcome.CANCELLED:
+        if outcome is outcomes.Outcome.CANCELLED:
             raise problems.Problem(
                 422,
                 'Not accepted',
@@ -132,7 +141,7 @@
                 body['reason'] = found.reason
             return responses.JSONResponse(body)
         _log_call('find', request, id, found.value)
-        if found is intake_module.Outcome.ABSENT:
+        if found is outcomes.Outcome.ABSENT:
             raise _describe_absent(id)
         raise problems.Problem(
             503,
@@ -148,11 +157,11 @@
         id = _read_id(request)
         outcome = await self._intake.cancel(id, deadline)
         _log_call('cancel', request, id, outcome.value)
-        if outcome is intake_module.Outcome.ACCEPTED:
+        if outcome is outcomes.Outcome.ACCEPTED:
             return responses.JSONResponse(
                 {'job': id, 'queue': queue.name}, status_code=202
             )
-        if outcome is intake_module.Outcome.ABSENT:
+        if outcome is outcomes.Outcome.ABSENT:
             raise _describe_absent(id)
         raise _describe_outcome(outcome, 'cancelled')
 
@@ -268,9 +277,9 @@
 
 
 def _describe_outcome(
-    outcome: intake_module.Outcome, action: str
+    outcome: outcomes.Outcome, action: str
 ) -> problems.Problem:
-    if outcome is intake_module.Outcome.REFUSED:
+    if outcome is outcomes.Outcome.REFUSED:
         return problems.Problem(
             503,
             f'Not {action}',
@@ -291,6 +300,4 @@
     call: str, request: requests.Request, id: str, outcome: str
 ) -> None:
     seconds = time.monotonic() - request.state.begun
-    intake_module.log_call(
-        call, id, request.path_params['queue'], outcome, seconds
-    )
+    outcomes.log_call(call, id, request.path_params['queue'], outcome, seconds)
--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -12,10 +12,10 @@
 
 import anyio
 
-from persimmonsail import addresses
 from persimmonsail.decisions import quarantine
 from persimmonsail.jobs import advice
 from persimmonsail.jobs import advisor as advisor_module
+from persimmonsail.jobs import backlogmeter
 from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import capacities
 from persimmonsail.jobs import clock
@@ -24,6 +24,7 @@
 from persimmonsail.jobs import fleet as fleet_module
 from persimmonsail.jobs import fleetsnapshot
 from persimmonsail.jobs import inbox
+from persimmonsail.jobs import inboxitems
 from persimmonsail.jobs import interference
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import learnedstate
@@ -31,6 +32,7 @@
 from persimmonsail.jobs import placer
 from persimmonsail.jobs import queues
 from persimmonsail.jobs import record
+from persimmonsail.jobs import rejections
 from persimmonsail.jobs import reports
 from persimmonsail.jobs import scheduling
 from persimmonsail.jobs import sweep
@@ -85,6 +87,7 @@
         self._view = view
         self._retention_seconds = retention_seconds
         self.board = board_module.Board()
+        self.backlog = backlogmeter.Meter()
         self.loaded = False
         self._wake = anyio.Event()
         self._model = interference.Model()
@@ -111,6 +114,11 @@
             self._forget_job,
         )
 
+    @property
+    def epoch(self) -> int:
+        """The number of this term; rises with each leader."""
+        return self._ledger.term.epoch
+
     async def run(self) -> None:
         """Load all state, then place tasks until cancelled or deposed."""
         async with anyio.create_task_group() as group:
@@ -124,6 +132,11 @@
                 self.board,
                 self._retention_seconds,
             )
+            group.start_soon(
+                rejections.run_sweep_loop,
+                self._store,
+                self._retention_seconds,
+            )
             group.start_soon(self._run_checkpoint_loop)
             group.start_soon(
                 learnedstate.run_save_loop, self._store, self._model
@@ -186,7 +199,7 @@
         if job is None:
             return
         placed = job.list_placed()
-        marker = _parse_cancel(id, text)
+        marker = inboxitems.parse_cancel(id, text)
         logs.write_event(
             'job-cancelled',
             job=id,
@@ -247,25 +260,7 @@
     def _parse_job(
         self, id: str, text: str, progress: str | None
     ) -> job_module.Job | None:
-        try:
-            stored = record.StoredSubmission.model_validate_json(text)
-            job = job_module.Job(
-                id,
-                stored.queue,
-                stored.accepted_ms,
-                stored.read_specification(),
-                record.decode_progress(progress) if progress else None,
-            )
-        except ValueError as error:
-            # Written by another version; needs attention by the operator.
-            logs.write_error('job-unreadable', job=id, error=error)
-            return None
-        # Without its terms a job would fail at its first failed run, or wait
-        # forever, until the configuration is read, and also if the queue
-        # has been removed from it since.
-        if stored.terms is not None:
-            self._view.add(stored.terms)
-        return job
+        return inboxitems.parse_job(id, text, progress, self._view)
 
     def _restore_claims(self) -> None:
         """Restore the runs that earlier leaders placed.
@@ -278,15 +273,8 @@
                 self._fleet.adopt_claim(task)
 
     def _register_instance(self, address: str, text: str) -> None:
-        try:
-            # Other writers may have stored an entry under any key; a link to
-            # an invalid address would raise an error and end this term.
-            addresses.check(address)
-            stored = record.StoredInstance.model_validate_json(text)
-        except ValueError as error:
-            logs.write_warning(
-                'instance-unreadable', instance=address, error=error
-            )
+        stored = inboxitems.parse_instance(address, text)
+        if stored is None:
             return
         instance = self._fleet.get(address)
         instance.name = stored.name
@@ -320,6 +308,13 @@
                 time.time(),
                 started_at - previous_start,
             )
+            self.backlog.measure(
+                self.board,
+                self._view.queues_by_name,
+                self._reader.slowdowns,
+                clock.read(),
+                time.time(),
+            )
             planning_seconds = clock.read() - started_at
             is_full = len(claims) >= scheduling.MAX_CLAIMS
             await self._commit(claims)
@@ -385,14 +380,5 @@
             self._wake.set()
 
 
-def _parse_cancel(id: str, text: str) -> record.StoredCancel:
-    """Parse a cancel marker; an unreadable one cancels the job as well."""
-    try:
-        return record.StoredCancel.model_validate_json(text)
-    except ValueError as error:
-        logs.write_warning('cancel-unreadable', job=id, error=error)
-        return record.StoredCancel()
-
-
 def _wall_ms() -> int:
     return round(time.time() * _MILLISECONDS)
--- a/src/persimmonsail/jobs/leaderservice.py
+++ b/src/persimmonsail/jobs/leaderservice.py
@@ -5,6 +5,7 @@
 from persimmonsail.jobs import clock
 from persimmonsail.jobs import fleet_grpc
 from persimmonsail.jobs import fleet_pb2
+from persimmonsail.jobs import forecasts
 from persimmonsail.jobs import intake as intake_module
 
 if t.TYPE_CHECKING:
@@ -65,3 +66,12 @@
             reply.leads = True
             reply.pending = pending
         await stream.send_message(reply)
+
+    async def GetForecasts(self, stream: t.Any) -> None:
+        """Return the forecasts of the services' backlogs."""
+        await stream.recv_message()
+        leader = self._get_leader()
+        reply = fleet_pb2.ForecastReply()
+        if leader is not None:
+            reply = forecasts.describe(leader)
+        await stream.send_message(reply)
--- a/src/persimmonsail/jobs/order.py
+++ b/src/persimmonsail/jobs/order.py
@@ -19,7 +19,7 @@
 from persimmonsail.jobs import queues
 
 # A late job still earns part of its value until 3 times its objective.
-_MAX_LATE_FACTOR = 3.0
+MAX_LATE_FACTOR = 3.0
 # The size-independent part of a job's value equals the value of 0.43 of a
 # mean job's work (0.3 of the value is fixed, 0.7 proportional to work).
 _FIXED_VALUE_SHARE = 0.43
@@ -83,14 +83,33 @@
     slack_ms = objective_ms - age_ms - remaining_ms
     if slack_ms >= -_ESTIMATE_ERROR * remaining_ms:
         work = job.specification.work_core_ms
-        value = work + _FIXED_VALUE_SHARE * mean_work
-        return Urgency(
-            queue.priority, 0, job.remaining_core_ms / max(value, 1.0)
-        )
-    late = age_ms + remaining_ms <= _MAX_LATE_FACTOR * objective_ms
+        cost = _find_cost(job.remaining_core_ms, work, mean_work)
+        return Urgency(queue.priority, 0, cost)
+    late = age_ms + remaining_ms <= MAX_LATE_FACTOR * objective_ms
     return Urgency(queue.priority, 1 if late else 2, remaining_ms)
 
 
+def rate_new(work: float, queue: queues.Queue, mean_work: float) -> Urgency:
+    """Return the urgency of a job that arrives now.
+
+    Parameters
+    ----------
+    work : float
+        Its work, in core-milliseconds.
+    queue : persimmonsail.jobs.queues.Queue
+        Its queue.
+    mean_work : float
+        Mean work of this queue's jobs, in core-milliseconds.
+    """
+    return Urgency(queue.priority, 0, _find_cost(work, work, mean_work))
+
+
+def _find_cost(remaining: float, work: float, mean_work: float) -> float:
+    """Return a job's remaining work relative to its value."""
+    value = work + _FIXED_VALUE_SHARE * mean_work
+    return remaining / max(value, 1.0)
+
+
 def measure_mean_works(jobs: t.Iterable[job_module.Job]) -> dict[str, float]:
     """Return the mean work of each queue's jobs, in core-milliseconds."""
     works = collections.defaultdict(list)
@@ -103,5 +122,4 @@
 
 def find_objective_ms(job: job_module.Job, queue: queues.Queue) -> float:
     """Return a job's objective, counted from its acceptance."""
-    path_ms = job.specification.critical_path_ms
-    return queue.slack_factor * path_ms + queue.target_ms
+    return queue.find_objective_ms(job.specification.critical_path_ms)
--- a/src/persimmonsail/jobs/queues.py
+++ b/src/persimmonsail/jobs/queues.py
@@ -39,6 +39,10 @@
     target_ms: int = 0
     advised: bool = False
 
+    def find_objective_ms(self, path_ms: float) -> float:
+        """Return the objective of a job with this critical path."""
+        return self.slack_factor * path_ms + self.target_ms
+
 
 @dataclasses.dataclass(frozen=True)
 class Service:
--- a/src/persimmonsail/jobs/record.py
+++ b/src/persimmonsail/jobs/record.py
@@ -18,6 +18,8 @@
 CANCELS = INBOX + 'cancel/'
 INSTANCES = INBOX + 'instance/'
 PROGRESS = 'progress/'
+# Jobs that were rejected and may be submitted again.
+REJECTIONS = 'rejected/'
 LEADER = 'leader'
 HEAD = 'head'
 LEARNED_STATE = 'knowledge'
--- a/src/persimmonsail/metrics.py
+++ b/src/persimmonsail/metrics.py
@@ -246,6 +246,11 @@
     'Claims of capacity that were given up before the start was sent.',
     ('reason',),
 )
+JOBS_REJECTED = Counter(
+    'persimmonsail_jobs_rejected_total',
+    'Jobs that were rejected, as they would have ended too late.',
+    ('queue',),
+)
 CRASHES_COUNTED = Counter(
     'persimmonsail_crashes_counted_total',
     "Crashes of workers' agents counted for a task.",
@@ -276,6 +281,7 @@
     LEDGER_RECORDS,
     LINKS_LOST,
     CLAIMS_WITHDRAWN,
+    JOBS_REJECTED,
     CRASHES_COUNTED,
     LOOP_LAG_SECONDS,
     Gauge(
--- a/src/persimmonsail/platform/entry.py
+++ b/src/persimmonsail/platform/entry.py
@@ -92,6 +92,7 @@
             self._get_leader,
             self._capacities,
             self._advisor is not None,
+            settings.jobs.admission == 'forecast',
         )
 
     async def run(self, signals: t.AsyncIterator[signal.Signals]) -> None:
@@ -126,6 +127,7 @@
             group.start_soon(
                 capacities.run_read_loop, self._store, self._capacities
             )
+            group.start_soon(self._intake.follow_forecasts)
             candidacy = anyio.CancelScope()
             candidacy_ended = anyio.Event()
             group.start_soon(self._run_candidate, candidacy, candidacy_ended)
--- a/src/persimmonsail/platform/front.py
+++ b/src/persimmonsail/platform/front.py
@@ -11,6 +11,7 @@
 from persimmonsail import exceptions
 from persimmonsail.jobs import clock
 from persimmonsail.jobs import intake as intake_module
+from persimmonsail.jobs import outcomes
 from persimmonsail.jobs import queues
 from persimmonsail.jobs import record
 from persimmonsail import logs
@@ -113,6 +114,12 @@
             request.log('submit', queue, id, 'invalid', error=error)
             await request.refuse(400, str(error))
             return
+        except exceptions.JobRejected as error:
+            request.log('submit', queue, id, 'rejected', error=error)
+            await request.refuse(
+                503, f'not accepted: {error}', math.ceil(error.retry_after)
+            )
+            return
         request.log(
             'submit',
             queue,
@@ -120,11 +127,11 @@
             outcome.value,
             version=self._view.current.version,
         )
-        if outcome is intake_module.Outcome.ACCEPTED:
+        if outcome is outcomes.Outcome.ACCEPTED:
             await request.answer({})
-        elif outcome is intake_module.Outcome.CANCELLED:
+        elif outcome is outcomes.Outcome.CANCELLED:
             await request.refuse(410, 'not accepted: it was cancelled before')
-        elif outcome is intake_module.Outcome.REFUSED:
+        elif outcome is outcomes.Outcome.REFUSED:
             await request.refuse(
                 503, 'not accepted: the store is out of reach'
             )
@@ -138,7 +145,7 @@
         if isinstance(found, record.JobState):
             request.log('find', queue, id, found.phase.value)
             await request.answer({'state': _STATES[found.phase]})
-        elif found is intake_module.Outcome.ABSENT:
+        elif found is outcomes.Outcome.ABSENT:
             request.log('find', queue, id, 'absent')
             await request.refuse(410, 'no such job')
         else:
@@ -150,9 +157,9 @@
     ) -> None:
         outcome = await self._intake.cancel(id, request.until)
         request.log('cancel', queue, id, outcome.value)
-        if outcome is intake_module.Outcome.ACCEPTED:
+        if outcome is outcomes.Outcome.ACCEPTED:
             await request.answer({})
-        elif outcome is intake_module.Outcome.ABSENT:
+        elif outcome is outcomes.Outcome.ABSENT:
             await request.refuse(410, 'no such job')
         else:
             await request.refuse(503, 'not known to be cancelled: ask again')
@@ -197,11 +204,16 @@
         self.answered = True
         await http.send_json(self._send, 200, body)
 
-    async def refuse(self, status: int, text: str) -> None:
-        """Answer with an error; a 503 also says when to retry."""
+    async def refuse(
+        self,
+        status: int,
+        text: str,
+        retry_after: int = intake_module.RETRY_SECONDS,
+    ) -> None:
+        """Answer with an error; a 503 also says when to retry, in seconds."""
         self.answered = True
-        retry_after = intake_module.RETRY_SECONDS if status == 503 else None
-        await http.send_error(self._send, status, text, retry_after)
+        seconds = retry_after if status == 503 else None
+        await http.send_error(self._send, status, text, seconds)
 
     def log(
         self,
@@ -213,6 +225,4 @@
     ) -> None:
         """Log the request's outcome."""
         seconds = time.monotonic() - self._started_at
-        intake_module.log_call(
-            call, id, queue.name, outcome, seconds, **fields
-        )
+        outcomes.log_call(call, id, queue.name, outcome, seconds, **fields)
--- a/src/persimmonsail/settings.py
+++ b/src/persimmonsail/settings.py
@@ -137,6 +137,9 @@
     # How long tasks keep running after the leader's last message. The
     # worker's agent grants leases of at most 6 s.
     lease: Seconds = 5.8
+    # Which jobs are accepted: all, or those that by the leader's forecast
+    # end while they are of use to their callers.
+    admission: t.Literal['all', 'forecast'] = 'all'
     # How long callers may query an ended job, plus a margin.
     retention: LongSeconds = 150.0
 
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -69,6 +69,8 @@
         self.advisor = ''
         # Duration of leases; None leaves the default of each role.
         self.lease_seconds: float | None = None
+        # Which jobs entries accept; None leaves the default.
+        self.admission: str | None = None
 
     async def __aenter__(self) -> 'PlatformDeployment':
         self._exit_stack = contextlib.AsyncExitStack()
@@ -127,6 +129,8 @@
             api='127.0.0.1:0',
             metrics='127.0.0.1:0',
         )
+        if self.admission is not None:
+            sections['jobs']['admission'] = self.admission
         sections['store']['address'] = store or self.store
         if self.advisor:
             sections['jobs']['advisor'] = self.advisor
--- a/tests/auditing/test_audit.py
+++ b/tests/auditing/test_audit.py
@@ -14,7 +14,13 @@
 HELD = verdicts.Verdict.HELD
 VIOLATED = verdicts.Verdict.VIOLATED
 NOT_SHOWN = verdicts.Verdict.NOT_SHOWN
-INVARIANTS = (*(f'I{number}' for number in range(1, 10)), 'J1', 'J2', 'J3')
+INVARIANTS = (
+    *(f'I{number}' for number in range(1, 10)),
+    'J1',
+    'J2',
+    'J3',
+    'J4',
+)
 
 
 class AuditCase(base.TestCase):
--- a/tests/auditing/test_audit_jobs.py
+++ b/tests/auditing/test_audit_jobs.py
@@ -75,6 +75,33 @@
         reports = self.check_invariants(self.scenario)
         self.assertEqual([], reports['J3'].violations)
 
+    def submit(self, time, outcome):
+        self.scenario.add(
+            time,
+            'entry',
+            'job-call',
+            call='submit',
+            job='job-5',
+            outcome=outcome,
+        )
+
+    def test_a_task_of_a_rejected_job_began(self):
+        """Guards against answers that a job never runs which are untrue."""
+        self.submit(36.0, 'rejected')
+        scenarios.run_job_task(
+            self.scenario, 40.0, 'job-5.0.0.0', 1, 'stopped'
+        )
+        self.assert_only(self.scenario, 'J4', 'job-5.0.0.0')
+
+    def test_a_rejected_job_may_be_submitted_again(self):
+        self.submit(36.0, 'rejected')
+        self.submit(38.0, 'accepted')
+        scenarios.run_job_task(
+            self.scenario, 40.0, 'job-5.0.0.0', 1, 'stopped'
+        )
+        reports = self.check_invariants(self.scenario)
+        self.assertEqual([], reports['J4'].violations)
+
     def test_a_complete_job_with_a_task_that_failed(self):
         self.scenario.find('run-ended', task=TASK, run=2).fields['how'] = (
             'failed'
--- a/tests/jobs/test_gateway.py
+++ b/tests/jobs/test_gateway.py
@@ -4,7 +4,7 @@
 import httpx
 
 from persimmonsail.jobs import gateway
-from persimmonsail.jobs import intake
+from persimmonsail.jobs import outcomes
 from persimmonsail.jobs import queues
 from persimmonsail.jobs import record
 from persimmonsail.jobs import specification
@@ -28,7 +28,7 @@
     """Stands in for the intake with one outcome for all calls."""
 
     def __init__(self):
-        self.outcome = intake.Outcome.ACCEPTED
+        self.outcome = outcomes.Outcome.ACCEPTED
         self.phase = record.JobState(record.JobPhase.ACTIVE)
         self.pending = 3
         self.submitted = []
@@ -128,7 +128,7 @@
     async def test_a_job_that_was_cancelled_before_is_refused_permanently(
         self,
     ):
-        self.intake.outcome = intake.Outcome.CANCELLED
+        self.intake.outcome = outcomes.Outcome.CANCELLED
         response = await self.put(BODY, 422)
         self.assertEqual('not-run', response.json()['work'])
         self.assertNotIn('retry-after', response.headers)
@@ -169,14 +169,14 @@
         self.assertEqual([], unread)
 
     async def test_every_outcome_says_whether_anything_was_done(self):
-        self.intake.outcome = intake.Outcome.REFUSED
+        self.intake.outcome = outcomes.Outcome.REFUSED
         for method in ('PUT', 'DELETE'):
             response = await self.send(method, content=json.dumps(BODY))
             self.assertEqual(503, response.status_code)
             self.assertEqual('not-run', response.json()['work'])
             self.assertEqual('1', response.headers['retry-after'])
-        self.intake.outcome = intake.Outcome.UNKNOWN
-        self.intake.phase = intake.Outcome.UNKNOWN
+        self.intake.outcome = outcomes.Outcome.UNKNOWN
+        self.intake.phase = outcomes.Outcome.UNKNOWN
         self.intake.pending = None
         for method in ('PUT', 'DELETE'):
             response = await self.send(method, content=json.dumps(BODY))
@@ -188,7 +188,7 @@
         ):
             response = await self.send('GET', path, template)
             self.assertEqual(503, response.status_code)
-        self.intake.outcome = self.intake.phase = intake.Outcome.ABSENT
+        self.intake.outcome = self.intake.phase = outcomes.Outcome.ABSENT
         for method in ('GET', 'DELETE'):
             response = await self.send(method)
             self.assertEqual(404, response.status_code)
--- a/tests/jobs/test_intake.py
+++ b/tests/jobs/test_intake.py
@@ -5,6 +5,7 @@
 from persimmonsail.jobs import capacities
 from persimmonsail.jobs import clock
 from persimmonsail.jobs import intake
+from persimmonsail.jobs import outcomes
 from persimmonsail.jobs import record
 from persimmonsail.jobs import specification
 from persimmonsail import store as store_module
@@ -33,6 +34,7 @@
 
     def __init__(self):
         self.items = {}
+        self.revision = 0
 
     async def get(self, key):
         return self.items.get(key)
@@ -43,14 +45,23 @@
         except exceptions.TransactionConflict as error:
             raise exceptions.Conflict(key, 1) from error
 
+    async def scan(self, prefix):
+        found = [i for key, i in self.items.items() if key.startswith(prefix)]
+        return store_module.Page(self.revision, tuple(found))
+
     async def commit(self, conditions, writes, removals=()):
-        found = {
-            key: self.items[key] for key in conditions if key in self.items
+        current = {
+            key: self.items[key].revision if key in self.items else 0
+            for key in conditions
         }
-        if found:
+        if current != conditions:
+            found = {key: self.items[key] for key in current if current[key]}
             raise exceptions.TransactionConflict(found)
+        self.revision += 1
+        for key in removals:
+            self.items.pop(key, None)
         for write in writes:
-            item = store_module.Item(write.key, write.value, 1)
+            item = store_module.Item(write.key, write.value, self.revision)
             self.items[write.key] = item
 
 
@@ -81,6 +92,59 @@
     return intake.Intake(store, None, lambda: '', lambda: None, observed)
 
 
+class FullGate:
+    """Rejects every job."""
+
+    def check(self, id, queue, specification):
+        raise exceptions.JobRejected('full', 30.0)
+
+
+class RefusingStore(HealthyStore):
+    """A store that refuses or does not answer writes."""
+
+    def __init__(self, error):
+        super().__init__()
+        self.error = error
+
+    async def commit(self, conditions, writes, removals=()):
+        raise self.error
+
+
+class AdmissionTest(base.TestCase):
+    """Jobs that are submitted while their service is overloaded."""
+
+    async def submit(self, store, gate):
+        tested = make_intake(store)
+        tested._gate = gate
+        job = specification.Specification('', (cases.make_step(),))
+        deadline = clock.read() + 5.0
+        return await tested.submit(cases.ID, cases.QUEUE, job, deadline)
+
+    async def test_a_rejected_job_is_not_stored_until_it_returns(self):
+        store = HealthyStore()
+        with testtools.ExpectedException(exceptions.JobRejected):
+            await self.submit(store, FullGate())
+        self.assertNotIn(record.JOBS + cases.ID, store.items)
+        outcome = await self.submit(store, None)
+        self.assertIs(outcomes.Outcome.ACCEPTED, outcome)
+
+    async def test_an_accepted_job_stays_accepted(self):
+        """Guards against a repeated submission of a job that runs."""
+        store = HealthyStore()
+        for gate in (None, FullGate()):
+            outcome = await self.submit(store, gate)
+            self.assertIs(outcomes.Outcome.ACCEPTED, outcome)
+
+    async def test_a_rejection_that_is_not_stored_is_none(self):
+        """Guards against a rejection that the store did not confirm."""
+        for error, expected in (
+            (exceptions.CallRefused('503'), outcomes.Outcome.REFUSED),
+            (exceptions.StoreUnavailable('silent'), outcomes.Outcome.UNKNOWN),
+        ):
+            outcome = await self.submit(RefusingStore(error), FullGate())
+            self.assertIs(expected, outcome)
+
+
 class IntakeTest(base.TestCase):
     async def test_what_can_never_run_is_refused_and_not_stored(self):
         """A job that can never run must be refused.
@@ -107,24 +171,24 @@
         tested = make_intake(store)
         deadline = clock.read() + 5.0
         outcome = await tested.store_cancel(cases.ID, deadline)
-        self.assertIs(intake.Outcome.ABSENT, outcome)
+        self.assertIs(outcomes.Outcome.ABSENT, outcome)
         outcome = await tested.store_job(cases.ID, '{}', deadline)
-        self.assertIs(intake.Outcome.CANCELLED, outcome)
+        self.assertIs(outcomes.Outcome.CANCELLED, outcome)
         self.assertNotIn(record.JOBS + cases.ID, store.items)
         outcome = await tested.store_cancel(cases.ID, deadline)
-        self.assertIs(intake.Outcome.ABSENT, outcome)
+        self.assertIs(outcomes.Outcome.ABSENT, outcome)
 
     async def test_a_repeated_call_has_the_same_outcome(self):
         tested = make_intake(HealthyStore())
         deadline = clock.read() + 5.0
         for _ in range(2):
             outcome = await tested.store_job(cases.ID, '{}', deadline)
-            self.assertIs(intake.Outcome.ACCEPTED, outcome)
+            self.assertIs(outcomes.Outcome.ACCEPTED, outcome)
         for _ in range(2):
             outcome = await tested.store_cancel(cases.ID, deadline)
-            self.assertIs(intake.Outcome.ACCEPTED, outcome)
+            self.assertIs(outcomes.Outcome.ACCEPTED, outcome)
         outcome = await tested.store_job(cases.ID, '{}', deadline)
-        self.assertIs(intake.Outcome.ACCEPTED, outcome)
+        self.assertIs(outcomes.Outcome.ACCEPTED, outcome)
 
     async def test_a_job_passed_on_to_a_lost_store_is_refused_at_once(self):
         """Callers must be able to retry if the store returns after 4 s.
@@ -137,7 +201,7 @@
         tested = make_intake(store)
         deadline = clock.read() + 5.0
         outcome = await tested.store_job(cases.ID, '{}', deadline)
-        self.assertIs(intake.Outcome.REFUSED, outcome)
+        self.assertIs(outcomes.Outcome.REFUSED, outcome)
         self.assertEqual(0, store.writes)
 
     async def test_a_read_is_answered_as_soon_as_the_store_is_back(self):
@@ -160,14 +224,14 @@
 
     async def assert_absent(self, tested, deadline):
         found = await tested.find_state(cases.ID, deadline)
-        self.assertIs(intake.Outcome.ABSENT, found)
+        self.assertIs(outcomes.Outcome.ABSENT, found)
 
     async def test_a_store_that_was_lost_is_asked_once(self):
         """A caller must not wait until its deadline in vain."""
         store = SilentStore(timeout=0.1, lost=True)
         tested = make_intake(store)
         found = await tested.find_state(cases.ID, clock.read() + 30.0)
-        self.assertIs(intake.Outcome.UNKNOWN, found)
+        self.assertIs(outcomes.Outcome.UNKNOWN, found)
         self.assertEqual(1, store.reads)
 
     async def test_a_read_ends_with_its_callers_time(self):
@@ -178,5 +242,5 @@
             for wait in (0.0, 0.7):
                 store.reads = 0
                 found = await tested.find_state(cases.ID, clock.read() + wait)
-                self.assertIs(intake.Outcome.UNKNOWN, found)
+                self.assertIs(outcomes.Outcome.UNKNOWN, found)
                 self.assertGreater(store.reads, 0)
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -13,9 +13,9 @@
 from standins import deployment
 from tests import base
 
-# The evidence itself, I1 to I9, J1 to J3. Compared with the number of
+# The evidence itself, I1 to I9, J1 to J4. Compared with the number of
 # verdicts, as a check that the audit leaves out would go unnoticed.
-_CHECK_COUNT = 13
+_CHECK_COUNT = 14
 _ENDS = frozenset({'succeeded', 'failed', 'evicted', 'stopped'})
 
 
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -448,6 +448,14 @@
     ):
         run_job_task(scenario, time, f'job-1.0.0.{index}', run, how)
     scenario.add(34.0, 'entry', 'job-phase', job='job-1', phase='complete')
+    scenario.add(
+        33.0,
+        'entry',
+        'job-call',
+        call='submit',
+        job='job-4',
+        outcome='rejected',
+    )
     run_job_task(scenario, 34.0, 'job-3.0.0.0', 1, 'stopped')
     scenario.add(
         34.5,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -131,14 +131,23 @@
 
     async def test_short_run_violates_no_guarantee(self):
         await self.run_seed(
-            seed=11, seconds=4.0, restarts=False, evacuations=False
+            seed=11,
+            seconds=4.0,
+            restarts=False,
+            evacuations=False,
+            crowds=False,
         )
 
     async def test_short_run_with_restarting_agents(self):
-        await self.run_seed(seed=12, seconds=6.0, evacuations=False)
+        await self.run_seed(
+            seed=12, seconds=6.0, evacuations=False, crowds=False
+        )
 
     async def test_short_run_with_evacuations(self):
-        await self.run_seed(seed=14, seconds=8.0)
+        await self.run_seed(seed=14, seconds=8.0, crowds=False)
+
+    async def test_short_run_with_a_crowd(self):
+        await self.run_seed(seed=15, seconds=9.0)
 
     async def test_regression_seeds(self):
         for seed in REGRESSION_SEEDS:
@@ -148,9 +157,12 @@
                 cancels=False,
                 restarts=False,
                 evacuations=False,
+                crowds=False,
             )
 
     async def test_regression_seeds_with_cancels(self):
         for seed in REGRESSION_SEEDS_WITH_CANCELS:
-            plan = trial.Plan(seed, restarts=False, evacuations=False)
+            plan = trial.Plan(
+                seed, restarts=False, evacuations=False, crowds=False
+            )
             await self.run_plan(plan)
--- a/tools/emulator/day.py
+++ b/tools/emulator/day.py
@@ -3,7 +3,10 @@
 import math
 
 from persimmonsail.decisions import quarantine
+from persimmonsail.jobs import admission
 from persimmonsail.jobs import advice
+from persimmonsail.jobs import backlog
+from persimmonsail.jobs import backlogmeter
 from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import eviction
 from persimmonsail.jobs import fleet_pb2
@@ -47,6 +50,13 @@
         Makes the leader's interference model from the truth.
     takeover_seconds : float
         How often another leader takes over, which knows no speed limits.
+    admits_by_forecast : bool
+        Whether jobs are rejected that would end too late.
+
+    Attributes
+    ----------
+    decisions : dict of str to persimmonsail.jobs.admission.Decision
+        The decision on the admission of each job.
     """
 
     def __init__(
@@ -55,7 +65,11 @@
         seed: int,
         make_model: yardsticks.MakeModel = lambda truth: interference.Model(),
         takeover_seconds: float = math.inf,
+        admits_by_forecast: bool = False,
     ) -> None:
+        self._admits_by_forecast = admits_by_forecast
+        self._backlog = backlogmeter.Meter()
+        self.decisions: dict[str, admission.Decision] = {}
         self._takeover_seconds = takeover_seconds
         self._next_takeover = takeover_seconds
         self._truth = truth_module.Truth(deployment.shape, seed)
@@ -150,6 +164,10 @@
         )
 
     def _submit(self, arrival: load_module.Arrival) -> None:
+        decision = self._decide(arrival)
+        self.decisions[arrival.id] = decision
+        if self._admits_by_forecast and not decision.is_admitted:
+            return
         self.board.add(
             job_module.Job(
                 arrival.id,
@@ -159,6 +177,18 @@
             )
         )
 
+    def _decide(self, arrival: load_module.Arrival) -> admission.Decision:
+        """Decide on the admission of a job, as an entry does."""
+        work = arrival.specification.work_core_ms
+        return admission.decide(
+            self._backlog.forecasts.get(
+                load_module.SERVICE, backlog.Forecast()
+            ),
+            load_module.QUEUES[arrival.queue],
+            arrival.specification,
+            self._backlog.mean_works.get(arrival.queue, work),
+        )
+
     def _apply_faults(self, now: float) -> None:
         for fault in self._faults:
             kind = faults.KINDS[fault.kind]
@@ -216,6 +246,13 @@
     def _place(self, now: float) -> None:
         clock = now + _CLOCK_OFFSET_SECONDS
         claims = self._plan(clock)
+        self._backlog.measure(
+            self.board,
+            load_module.QUEUES,
+            self._reader.slowdowns,
+            clock,
+            clock,
+        )
         self._note_ends(now)
         for claim in claims:
             claim.run.order = 1
--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -6,6 +6,7 @@
 import typing as t
 
 import anyio
+import anyio.abc
 import httpx
 
 from standins import platform_deployment
@@ -18,6 +19,9 @@
 # from submission to cancellation.
 _CANCELLED_SHARE = 0.2
 _CANCEL_DELAY_SECONDS = (0.0, 1.5)
+# What a crowd submits: an instance runs two of its tasks at a time.
+_LARGE_BODY = platform_deployment.make_body(6, payload='400', cpu=4000)
+_CROWD_INTERVAL_SECONDS = 0.12
 _FINAL_STATES = ('complete', 'failed', 'canceled')
 
 
@@ -90,12 +94,14 @@
         # Separate, so that cancellations do not change a seed's submissions.
         self._cancel_rng = cancel_rng
         self.jobs: list[Job] = []
+        self._group: anyio.abc.TaskGroup
         # Cleared by the trial to stop further submissions.
         self.submitting = True
 
     async def run(self) -> None:
         """Submit jobs until stopped, then wait for all of them."""
         async with anyio.create_task_group() as group:
+            self._group = group
             number = 0
             while self.submitting:
                 number += 1
@@ -108,8 +114,16 @@
                     group.start_soon(self._cancel_after_delay, job)
                 await anyio.sleep(self._rng.uniform(0.05, 0.5))
 
-    async def _follow(self, job: Job) -> None:
-        if not await self._submit(job):
+    async def crowd(self, rng: random.Random, size: int) -> None:
+        """Submit many large jobs one after the other."""
+        for _ in range(size):
+            job = Job(f'{rng.getrandbits(64):016x}', long_running=False)
+            self.jobs.append(job)
+            self._group.start_soon(self._follow, job, _LARGE_BODY)
+            await anyio.sleep(_CROWD_INTERVAL_SECONDS)
+
+    async def _follow(self, job: Job, body: dict | None = None) -> None:
+        if not await self._submit(job, body or self._make_body(job)):
             return
         while not job.ended:
             await anyio.sleep(_POLL_SECONDS)
@@ -119,8 +133,7 @@
                 await self._cancel(job)
             await self._poll(job)
 
-    async def _submit(self, job: Job) -> bool:
-        body = self._make_body(job)
+    async def _submit(self, job: Job, body: dict) -> bool:
         # The caller may abandon a refused job, but not one that may have
         # been accepted.
         for _ in range(40):
--- a/tools/soaking/trial.py
+++ b/tools/soaking/trial.py
@@ -32,6 +32,8 @@
 _MAX_EVACUATION_SECONDS = 5.0
 _CRASH_EVENTS = {'worker-crashed', 'crash-counted', 'crash-at-once'}
 _POLL_SECONDS = 0.2
+# Four instances work on it for some twenty seconds.
+_CROWD_SIZE = 60
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,7 +45,8 @@
     without it a seed reproduces the faults and jobs of older recorded runs.
     ``restarts`` adds agents that restart under their ids, once or repeatedly,
     and execute calls that were sent to the start before. ``evacuations`` adds
-    zones that operators evacuate.
+    zones that operators evacuate. ``crowds`` adds a crowd of callers, and
+    entries that reject jobs by the leader's forecast.
     """
 
     seed: int
@@ -53,6 +56,7 @@
     cancels: bool = True
     restarts: bool = True
     evacuations: bool = True
+    crowds: bool = True
 
 
 @dataclasses.dataclass
@@ -86,6 +90,8 @@
         self._plan = plan
         self._rng = random.Random(plan.seed)
         self._site = site_module.Site(directory)
+        if plan.crowds:
+            self._site.admission = 'forecast'
         self._directory = directory
         self._callers = callers_module.Callers(
             self._site,
@@ -102,6 +108,12 @@
             await site.start_all(self._plan.entries, self._plan.instances)
             async with anyio.create_task_group() as group:
                 group.start_soon(self._callers.run)
+                if self._plan.crowds:
+                    group.start_soon(
+                        self._callers.crowd,
+                        random.Random(self._plan.seed + 6),
+                        _CROWD_SIZE,
+                    )
                 await self._inject_all()
                 self._callers.submitting = False
                 await self._wait_jobs_end()
