--- a/tests/test_emulate.py
+++ b/tests/test_emulate.py
@@ -106,6 +106,31 @@
         self.assertGreater(largest_done, 0.5 * done)
 
 
+class AdmissionTest(base.TestCase):
+    """Callers hand in several times the heavy jobs that a service does."""
+
+    def test_rejected_jobs_would_have_ended_too_late(self):
+        """Guards against rejecting jobs that the service does in time.
+
+        Nothing is rejected here, so that it is seen when each job ends.
+        """
+        deployment = deployments.Deployment(
+            truth.Shape(), load.Rates(heavy=2.2)
+        )
+        spans = []
+        for seed in SEEDS:
+            played = day.Day(deployment, seed)
+            played.play()
+            spans += [
+                (played.find_span(id), decision.limit_seconds)
+                for id, decision in played.decisions.items()
+                if not decision.is_admitted
+            ]
+        in_use = sum(span <= limit for span, limit in spans)
+        self.assertGreater(len(spans), 0)
+        self.assertLess(in_use, 0.2 * len(spans))
+
+
 class BaselineTest(base.TestCase):
     """Compares randomly drawn deployments with a floor and an oracle."""
 
--- a/tools/emulator/day.py
+++ b/tools/emulator/day.py
@@ -153,6 +153,11 @@
             )
         )
 
+    def find_span(self, id: str) -> float:
+        """Return the seconds that a job took; infinite if it did not end."""
+        ended_at = self._ended_at.get(id, math.inf)
+        return ended_at - self._arrivals_by_id[id].at
+
     def _note_elapsed(self, seconds: float) -> None:
         """Account for the leader's time; a hook for subclasses."""
 
