--- a/tools/soaking/trial.py
+++ b/tools/soaking/trial.py
@@ -32,8 +32,9 @@
 _MAX_EVACUATION_SECONDS = 5.0
 _CRASH_EVENTS = {'worker-crashed', 'crash-counted', 'crash-at-once'}
 _POLL_SECONDS = 0.2
-# Four instances work on it for some twenty seconds.
-_CROWD_SIZE = 60
+# Jobs of a crowd for each instance, which has twenty seconds to do them, or
+# less than half of the time to drain.
+_CROWD_PER_INSTANCE = 15
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,7 +113,7 @@
                     group.start_soon(
                         self._callers.crowd,
                         random.Random(self._plan.seed + 6),
-                        _CROWD_SIZE,
+                        _CROWD_PER_INSTANCE * self._plan.instances,
                     )
                 await self._inject_all()
                 self._callers.submitting = False
