Let an outage of the store neither lower the rate nor refresh a forecast

Found by reading the change: while a commit waits for the store, the leader's rounds stand still. The next measurement then counted the whole outage as time in which the service did little, and entries took the leader's repeated reply for a new measurement. Either would have jobs rejected right after an outage.

A longer interval is left out of the rate, and a reply with the same number does not make a forecast younger. Both tests failed before.

--- a/src/persimmonsail/jobs/backlogmeter.py
+++ b/src/persimmonsail/jobs/backlogmeter.py
@@ -26,6 +26,9 @@
 
 # Minimum interval between two measurements.
 _INTERVAL_SECONDS = 0.5
+# A leader whose rounds wait for the store places nothing; a longer interval
+# therefore says nothing about what the service does.
+_MAX_INTERVAL_SECONDS = 1.5
 # The rate is smoothed over this time, about two tasks of a heavy job.
 _TIME_CONSTANT_SECONDS = 8.0
 # Arrivals are smoothed over a longer time: a burst of some seconds says little
@@ -101,7 +104,8 @@
         has_waiting = bool(self._waiting)
         # A service with waiting tasks at both ends of the interval was
         # saturated all the while.
-        if self._is_saturated and has_waiting:
+        regular = elapsed <= _MAX_INTERVAL_SECONDS
+        if self._is_saturated and has_waiting and regular:
             self._measured_seconds += elapsed
             self._rate.note(self._measured_seconds, self._done_core_ms)
         if has_waiting != self._is_saturated:
--- a/src/persimmonsail/jobs/forecasts.py
+++ b/src/persimmonsail/jobs/forecasts.py
@@ -115,6 +115,10 @@
             return
         current = self._copy
         number = (reply.epoch, reply.version)
+        if current and number == (current.epoch, current.version):
+            # A leader that waits for the store measures nothing; its forecast
+            # gets older.
+            return
         if current and number < (current.epoch, current.version):
             logs.write_event(
                 'forecast-outdated',
--- a/tests/jobs/test_backlogmeter.py
+++ b/tests/jobs/test_backlogmeter.py
@@ -59,6 +59,14 @@
         ahead = forecast.find_ahead(order.Urgency(0, 0, 1.0))
         self.assertEqual(20 * WORK, ahead)
 
+    def test_an_outage_of_the_store_does_not_lower_the_rate(self):
+        """Guards against rejections after seconds without any starts."""
+        self.measure()
+        job = self.submit(tasks=30)
+        self.measure()
+        before = self.saturate(job).rate
+        self.assertAlmostEqual(before, self.measure(8.0).rate)
+
     def test_there_is_no_forecast_before_the_rate_is_known(self):
         """Guards against rejections in the first seconds of a burst."""
         job = self.submit(tasks=30)
--- a/tests/jobs/test_forecasts.py
+++ b/tests/jobs/test_forecasts.py
@@ -83,6 +83,12 @@
         self.update(HOPELESS_CORE_MS, version=4)
         self.assertTrue(self.is_admitted())
 
+    def test_a_measurement_gets_older_with_each_reply(self):
+        """Guards against a leader that goes on to send its last forecast."""
+        self.update(HOPELESS_CORE_MS, age=forecasts.MAX_AGE_SECONDS + 0.1)
+        self.update(HOPELESS_CORE_MS)
+        self.assertTrue(self.is_admitted())
+
     def test_a_new_leader_without_a_measurement_admits(self):
         """Guards against rejections after a takeover by old figures."""
         self.update(HOPELESS_CORE_MS)
