--- a/src/persimmonsail/jobs/backlog.py
+++ b/src/persimmonsail/jobs/backlog.py
@@ -53,7 +53,7 @@
     saturated_seconds : float
         For how long it has been saturated.
     levels : tuple of Level
-        The backlog; no order.
+        The backlog, in no particular order.
     correction : float
         The share of their forecast time that ended jobs took; at most 1.
     """
--- a/src/persimmonsail/jobs/forecasts.py
+++ b/src/persimmonsail/jobs/forecasts.py
@@ -16,6 +16,7 @@
 from persimmonsail.jobs import admission
 from persimmonsail.jobs import backlog
 from persimmonsail.jobs import clock
+from persimmonsail.jobs import counts
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import queues
 from persimmonsail.jobs import specification as specification_module
@@ -30,11 +31,9 @@
 MAX_AGE_SECONDS = 3.0
 _POLL_SECONDS = 1.0
 
-CallLeader = t.Callable[[str, t.Any], t.Awaitable[t.Any]]
-
 
 @dataclasses.dataclass(frozen=True)
-class Copy:
+class LeaderForecasts:
     """The forecasts of a leader.
 
     Attributes
@@ -72,14 +71,14 @@
 
     def __init__(
         self,
-        call_leader: CallLeader,
+        call_leader: counts.CallLeader,
         get_local_leader: t.Callable[[], 'leader_module.Leader | None'],
         generator: random.Random,
     ) -> None:
         self._call_leader = call_leader
         self._get_local_leader = get_local_leader
         self._retry_times = admission.RetryTimes(generator)
-        self._copy: Copy | None = None
+        self._copy: LeaderForecasts | None = None
 
     async def run(self) -> None:
         """Update the forecasts until cancelled."""
@@ -128,7 +127,7 @@
                 newest_version=current.version,
             )
             return
-        self._copy = Copy(
+        self._copy = LeaderForecasts(
             reply.epoch,
             reply.version,
             requested_at,
--- a/src/persimmonsail/jobs/lookup.py
+++ b/src/persimmonsail/jobs/lookup.py
@@ -7,6 +7,7 @@
 
 from persimmonsail import exceptions
 from persimmonsail.jobs import clock
+from persimmonsail.jobs import counts
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import outcomes
 from persimmonsail.jobs import record
@@ -21,8 +22,6 @@
 # answer requests that it received before.
 _READ_RETRY_SECONDS = 0.3
 
-CallLeader = t.Callable[[str, t.Any], t.Awaitable[t.Any]]
-
 
 class Lookup:
     """Finds the states of jobs.
@@ -41,7 +40,7 @@
     def __init__(
         self,
         store: store_module.TransactionalStore,
-        call_leader: CallLeader,
+        call_leader: counts.CallLeader,
         get_local_leader: t.Callable[[], 'leader_module.Leader | None'],
     ) -> None:
         self._store = store
