review: case 1, done tasks run again after a store outage

Tried: 1,200 short tasks on two runners, the store silent for 4.5 s just before they end. Seen: each runner has 600 ends and lists 500; 98 done tasks are started again, and the ends of their first runs acknowledged after that (TWICE).

--- /dev/null
+++ b/review/reviewkit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the cases of this review; standard library only."""
