--- a/review/reviewkit/deployment.py
+++ b/review/reviewkit/deployment.py
@@ -96,6 +96,7 @@
         self.entries: list[Machine] = []
         self.sidecars: list[Machine] = []
         self.workers: list[worker_module.Worker] = []
+        self.gangs = worker_module.Gangs()
         self._net = f'127.{random.randrange(20, 250)}'
         self._hosts = 0
         self._tasks: list[asyncio.Task[None]] = []
@@ -158,18 +159,19 @@
         """Start a runner and its sidecar."""
         number = len(self.sidecars) + 1
         machine = Machine('sidecar', f'side-{number}', self._pick_ip())
+        self.sidecars.append(machine)
         worker = worker_module.Worker(
             f'w{number}',
             SERVICE,
             self.note,
             self.record.read_time,
+            gangs=self.gangs,
             **options,
         )
         machine.worker = worker
         await worker.start(machine.ip)
         worker.control = machine.front
         self.workers.append(worker)
-        self.sidecars.append(machine)
         self._spawn(worker.run())
         await self.start(machine)
         return machine
--- a/review/reviewkit/worker.py
+++ b/review/reviewkit/worker.py
@@ -13,6 +13,9 @@
 _BEAT_SECONDS = 1.1
 _HOLD_MAX_MS = 6000
 _ENDS_LISTED = 500
+_GANG_WAIT_SECONDS = 3.0
+# How long members of a gang on other workers take to see its end.
+_BROKEN_SECONDS = 0.05
 
 
 @dataclasses.dataclass
@@ -40,6 +43,8 @@
         the worker's lease between the two.
     lapsed_after : bool
         Whether the lease lapsed after its end and before it was noted.
+    doomed : bool
+        Whether it fails at once.
     """
 
     worker: str
@@ -53,6 +58,52 @@
     end_number: int = 0
     noted: bool = False
     lapsed_after: bool = False
+    doomed: bool = False
+
+
+class Gangs:
+    """What the members of gangs know of each other, over all workers.
+
+    Attributes
+    ----------
+    sizes : dict of str to int
+        The number of members of each gang, by job, occurrence and step.
+    """
+
+    def __init__(self) -> None:
+        self.sizes: dict[str, int] = {}
+        self._members: dict[tuple[str, int], list[tuple[Worker, Run]]] = {}
+
+    def find_size(self, run: Run) -> int:
+        """Return the size of a run's gang; 0 if it is in none."""
+        return self.sizes.get(run.task.rpartition('.')[0], 0)
+
+    def join(self, worker: 'Worker', run: Run, seconds: float) -> None:
+        """Add a member; all work from when the last one is there."""
+        members = self._list(run)
+        members.append((worker, run))
+        if len(members) == self.find_size(run):
+            for _, member in members:
+                member.finishes_at = time.monotonic() + seconds
+
+    def break_up(self, run: Run) -> None:
+        """End the other members after one has ended without success."""
+        for worker, member in self._list(run):
+            if member is not run and not member.ended:
+                asyncio.get_running_loop().call_later(
+                    _BROKEN_SECONDS, worker.end_member, member, 'broken'
+                )
+
+    def complete(self, run: Run) -> None:
+        """End all members as done, or as broken if one has gone."""
+        members = self._list(run)
+        gone = any(member.ended for _, member in members)
+        for worker, member in members:
+            worker.end_member(member, 'broken' if gone else 'done')
+
+    def _list(self, run: Run) -> list[tuple['Worker', Run]]:
+        key = (run.task.rpartition('.')[0], run.number)
+        return self._members.setdefault(key, [])
 
 
 class Worker:
@@ -70,11 +121,19 @@
         Its capacity, in thousandths of a core and MB.
     labels : sequence of str
         Its kind and its rack.
+    gangs : Gangs, optional
+        The gangs of all workers.
 
     Attributes
     ----------
-    unhealthy : bool
-        Whether it answers all calls with 503 and does nothing.
+    refuses : collection of str
+        The calls that it answers with 503, doing nothing.
+    hangs : bool
+        Whether its calls get no answer and do nothing.
+    fails : bool
+        Whether all that it starts fails.
+    gone : bool
+        Whether it has ended for good.
     """
 
     def __init__(
@@ -86,7 +145,9 @@
         cpu: int = 64000,
         memory: int = 256000,
         labels: t.Sequence[str] = ('a', 'r1-1'),
+        gangs: Gangs | None = None,
     ) -> None:
+        self._gangs = gangs or Gangs()
         self.name = name
         self._service = service
         self._note = note
@@ -95,7 +156,10 @@
         self._labels = list(labels)
         self.id = f'i-{random.randrange(16**8):08x}'
         self.born = 0
-        self.unhealthy = False
+        self.refuses: t.Collection[str] = ()
+        self.hangs = False
+        self.fails = False
+        self.gone = False
         self.control = ''
         self.state = 'ready'
         self.runs: list[Run] = []
@@ -134,11 +198,21 @@
         self._server.close()
 
     def crash(self) -> None:
-        """End, with all that runs; connections are reset."""
+        """End, with all that runs, and start again; channels are reset."""
         self._note(f'worker {self.name} crashes')
         self._server.reset_connections()
         self.boot()
 
+    def leave_for_good(self) -> None:
+        """End, with all that runs, and never come back."""
+        self._note(f'worker {self.name} is lost for good')
+        self.gone = True
+        for run in list(self._running.values()):
+            run.ended = self._read_time()
+            run.how = 'crashed'
+        self._running.clear()
+        self._server.close()
+
     async def run(self) -> None:
         """Work, and check in at the machine's own daemon."""
         beat = asyncio.create_task(self._beat())
@@ -155,6 +229,8 @@
         return round((time.monotonic() + self._clock_offset) * 1000)
 
     def _work(self) -> None:
+        if self.gone:
+            return
         if self._until_ms and self.clock_ms > self._until_ms:
             self._until_ms = 0
             for run in list(self._running.values()):
@@ -164,8 +240,29 @@
             self._note(f'worker {self.name} lease lapses')
         now = time.monotonic()
         for run in list(self._running.values()):
-            if run.finishes_at is not None and run.finishes_at <= now:
-                self._end(run, 'done')
+            if run.ended:
+                continue
+            if run.doomed:
+                self._end(run, 'failed')
+                self._gangs.break_up(run)
+            elif run.finishes_at is not None:
+                if run.finishes_at <= now:
+                    self._complete(run)
+            elif self._gangs.find_size(run):
+                if self._read_time() - run.began > _GANG_WAIT_SECONDS:
+                    self._end(run, 'alone')
+                    self._gangs.break_up(run)
+
+    def _complete(self, run: Run) -> None:
+        if self._gangs.find_size(run):
+            self._gangs.complete(run)
+        else:
+            self._end(run, 'done')
+
+    def end_member(self, run: Run, how: str) -> None:
+        """End a member of a gang unless it has ended."""
+        if not run.ended:
+            self._end(run, how)
 
     def _end(self, run: Run, how: str) -> None:
         del self._running[run.task]
@@ -185,7 +282,7 @@
     async def _beat(self) -> None:
         await asyncio.sleep(random.uniform(0, _BEAT_SECONDS))
         while True:
-            if self.control:
+            if self.control and not self.gone:
                 self._sequence += 1
                 await self.check_in()
             await asyncio.sleep(_BEAT_SECONDS)
@@ -224,7 +321,9 @@
         return reply
 
     async def _answer(self, request: web.Request) -> web.Reply | None:
-        if self.unhealthy:
+        if self.gone or self.hangs:
+            return None
+        if request.path.removeprefix('/v1/') in self.refuses:
             return self._reply(503)
         if request.headers.get('expected-instance', self.id) != self.id:
             return self._reply(421)
@@ -283,13 +382,17 @@
             return self._reply(409, reason='late')
         self._extend(body['untilMs'])
         work = json.loads(body['spec'])
-        finishes_at = None
-        if work.get('ms') is not None:
-            finishes_at = time.monotonic() + work['ms'] / 1000
         now = self._read_time()
-        run = Run(self.name, self.born, task, number, now, finishes_at)
+        run = Run(self.name, self.born, task, number, now, None)
+        run.doomed = self.fails
         self._running[task] = run
         self.runs.append(run)
+        if work.get('ms') is not None:
+            seconds = work['ms'] / 1000
+            if self._gangs.find_size(run):
+                self._gangs.join(self, run, seconds)
+            else:
+                run.finishes_at = time.monotonic() + seconds
         self._note(f'worker {self.name} begin {task} run={number}')
         return self._reply(200)
 
