review: case 2, a task is never started again

Tried: one of 11 runners answers all calls with 503 for 6 s, its sidecar is killed and restarted meanwhile, and the runner is lost for good. The gang becomes case 3.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A worker fails all that it starts; a gang must not lose its job."""
+"""A runner fails and is lost while its sidecar restarts; its job goes on."""
 
 import asyncio
 import json
@@ -10,12 +10,16 @@
 
 _INSTANCES = 11
 _RACK = 3
-_MEMBERS = 33
-_TASK_MS = 2000
-_FAILING_SECONDS = 6.5
-_MAX_ATTEMPTS = 3
+_ALL_CALLS = ('run-start', 'run-stop', 'hold', 'pace')
+# The runner refuses all calls for this long, and is lost then.
+_SICK_SECONDS = 6.0
+_KILLED_AFTER_SECONDS = 2.0
+_DOWN_SECONDS = 0.66
+_FINISH_SECONDS = 14.0
+_IDLE_SECONDS = 3.0
+_MAX_WATCHED_SECONDS = 30.0
 _JOB = '5c0e7a21d94b36f8'
-_END_SECONDS = 30.0
+_TASK_MS = 10000
 
 
 async def _play(record: deployment.Record, trouble: bool) -> int:
@@ -28,45 +32,62 @@
             await running.add_instance(labels=labels)
         await running.wait_ready()
         await asyncio.sleep(4.0)
-        running.gangs.sizes[f'{_JOB}.0.0'] = _MEMBERS
-        worker = running.workers[0]
-        if trouble:
-            worker.fails = True
-            record.note(f'worker {worker.name} fails all that it starts')
-        healing = asyncio.create_task(_heal(running, trouble))
         step = {
-            'count': _MEMBERS,
-            'cpu': 2000,
+            'count': _INSTANCES,
+            'cpu': 1000,
             'memMb': 1000,
             'estimateMs': _TASK_MS,
-            'gang': True,
+            'maxPerServer': 1,
         }
         spec = json.dumps({'ms': _TASK_MS})
         await running.submit(_JOB, {'spec': spec, 'phases': [step]})
-        state = await running.wait_state(
-            _JOB, ('complete', 'failed'), _END_SECONDS
-        )
-        await healing
-        failed = [run for run in running.runs if run.how == 'failed']
-        numbers = {run.number for run in failed}
-        broken = state == 'failed' and len(numbers) < _MAX_ATTEMPTS
+        await asyncio.sleep(2.0)
+        if trouble:
+            await _disturb(running)
+        # No traffic from here on, and no disruption.
+        await asyncio.sleep(_FINISH_SECONDS)
+        idle, state = await _watch(running)
+        done = {run.task for run in running.runs if run.how == 'done'}
         result = (
-            f'the job is {state}; runs of its gang that failed:'
-            f' {len(numbers)}, members that ended so: {len(failed)},'
-            f' maxAttempts: {_MAX_ATTEMPTS}'
+            f'the job is {state}; {len(done)} of {_INSTANCES} tasks are done;'
+            f' nothing of it ran in the last {idle:.1f} s'
         )
+        broken = state not in ('complete', 'failed') and idle > _IDLE_SECONDS
         if broken:
-            record.note('LOST shown as failed without cause')
+            record.note('LOST nothing runs though a task has its turn')
         record.note(result)
         print(result)
         return 1 if broken else 0
 
 
-async def _heal(running: deployment.Deployment, trouble: bool) -> None:
-    await asyncio.sleep(_FAILING_SECONDS)
-    if trouble:
-        running.workers[0].fails = False
-        running.note('the worker is sound again')
+async def _disturb(running: deployment.Deployment) -> None:
+    machine = running.sidecars[0]
+    worker = running.workers[0]
+    worker.refuses = _ALL_CALLS
+    running.note(f'worker {worker.name} answers all calls with 503')
+    await asyncio.sleep(_KILLED_AFTER_SECONDS)
+    await running.kill(machine)
+    await asyncio.sleep(_DOWN_SECONDS)
+    await running.start(machine)
+    await asyncio.sleep(_SICK_SECONDS - _KILLED_AFTER_SECONDS - _DOWN_SECONDS)
+    worker.leave_for_good()
+
+
+async def _watch(running: deployment.Deployment) -> tuple[float, str]:
+    """Return for how long nothing of the job has run, and its state."""
+    read_time = running.record.read_time
+    ends_at = read_time() + _MAX_WATCHED_SECONDS
+    idle_since = read_time()
+    state = ''
+    while read_time() < ends_at:
+        reply = await running.call(running.entries[0], 'GET', _JOB)
+        state = reply.body.get('state', state)
+        if state in ('complete', 'failed'):
+            break
+        if any(not run.ended for run in running.runs):
+            idle_since = read_time()
+        await asyncio.sleep(0.5)
+    return read_time() - idle_since, state
 
 
 def main() -> int:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A worker refuses all starts; the jobs that wait must still be counted."""
+"""A worker fails all that it starts; a gang must not lose its job."""
 
 import asyncio
 import json
@@ -10,88 +10,15 @@
 
 _INSTANCES = 11
 _RACK = 3
-_REFUSING_SECONDS = 6.5
-_JOBS = 10
-# ``visible_ms`` and 2 s.
-_COUNTED_SECONDS = 5.0
-_ASK_SECONDS = 0.25
-_LOAD = '00000000000000ff'
+_MEMBERS = 33
+_TASK_MS = 2000
+_FAILING_SECONDS = 6.5
+_MAX_ATTEMPTS = 3
+_JOB = '5c0e7a21d94b36f8'
 _END_SECONDS = 30.0
 
 
-def _make_job(
-    count: int, cpu: int, ms: int, **fields: object
-) -> dict[str, object]:
-    step = {'count': count, 'cpu': cpu, 'memMb': 1000, 'estimateMs': ms}
-    return {'spec': json.dumps({'ms': ms}), 'phases': [{**step, **fields}]}
-
-
-class _Case:
-    """One play.
-
-    Parameters
-    ----------
-    record : deployment.Record
-        Gets a line for each event.
-    running : deployment.Deployment
-        The deployment.
-    """
-
-    def __init__(
-        self, record: deployment.Record, running: deployment.Deployment
-    ) -> None:
-        self._record = record
-        self._running = running
-        self._accepted: dict[str, float] = {}
-        self.worst = ''
-
-    async def play(self, trouble: bool) -> None:
-        """Submit the jobs, and ask for the count of those that wait."""
-        running = self._running
-        # Each worker but one has work: the one without looks the emptiest.
-        load = _make_job(_INSTANCES - 1, 30000, 40000, maxPerServer=1)
-        await running.submit(_LOAD, load)
-        await asyncio.sleep(2.0)
-        used = {run.worker for run in running.runs}
-        sick = next(one for one in running.workers if one.name not in used)
-        if trouble:
-            sick.refuses = ('run-start',)
-            self._record.note(f'worker {sick.name} answers starts with 503')
-        began = self._record.read_time()
-        for number in range(_JOBS):
-            id = f'5c0e7a21d94b36{number:02x}'
-            await running.submit(id, _make_job(2, 1000, 1500))
-            self._accepted[id] = self._record.read_time()
-        while self._record.read_time() < began + _REFUSING_SECONDS:
-            for machine in running.entries:
-                await self._ask(machine)
-            await asyncio.sleep(_ASK_SECONDS)
-        sick.refuses = ()
-        self._record.note(f'worker {sick.name} is sound again')
-        for id in self._accepted:
-            await running.wait_state(id, ('complete', 'failed'), _END_SECONDS)
-
-    async def _ask(self, machine: deployment.Machine) -> None:
-        # Before the call: what begins meanwhile may be counted or not.
-        asked_at = self._record.read_time()
-        reply = await self._running.call(machine, 'GET')
-        begun = {run.task.partition('.')[0] for run in self._running.runs}
-        waiting = [
-            id
-            for id, at in self._accepted.items()
-            if id not in begun and asked_at - at > _COUNTED_SECONDS
-        ]
-        count = reply.body.get('pendingCount')
-        if reply.status == 200 and 2 * count < len(waiting):
-            self.worst = (
-                f'{machine.name} gives pendingCount {count}; {len(waiting)}'
-                f' jobs that were accepted over {_COUNTED_SECONDS} s before'
-                ' have not begun'
-            )
-            self._record.note(f'MIXED {self.worst}')
-
-
-async def _run(record: deployment.Record, trouble: bool) -> int:
+async def _play(record: deployment.Record, trouble: bool) -> int:
     async with deployment.Deployment(record) as running:
         running.configure()
         for _ in range(2):
@@ -101,12 +28,45 @@
             await running.add_instance(labels=labels)
         await running.wait_ready()
         await asyncio.sleep(4.0)
-        case = _Case(record, running)
-        await case.play(trouble)
-        result = case.worst or 'each count was right'
+        running.gangs.sizes[f'{_JOB}.0.0'] = _MEMBERS
+        worker = running.workers[0]
+        if trouble:
+            worker.fails = True
+            record.note(f'worker {worker.name} fails all that it starts')
+        healing = asyncio.create_task(_heal(running, trouble))
+        step = {
+            'count': _MEMBERS,
+            'cpu': 2000,
+            'memMb': 1000,
+            'estimateMs': _TASK_MS,
+            'gang': True,
+        }
+        spec = json.dumps({'ms': _TASK_MS})
+        await running.submit(_JOB, {'spec': spec, 'phases': [step]})
+        state = await running.wait_state(
+            _JOB, ('complete', 'failed'), _END_SECONDS
+        )
+        await healing
+        failed = [run for run in running.runs if run.how == 'failed']
+        numbers = {run.number for run in failed}
+        broken = state == 'failed' and len(numbers) < _MAX_ATTEMPTS
+        result = (
+            f'the job is {state}; runs of its gang that failed:'
+            f' {len(numbers)}, members that ended so: {len(failed)},'
+            f' maxAttempts: {_MAX_ATTEMPTS}'
+        )
+        if broken:
+            record.note('LOST shown as failed without cause')
         record.note(result)
         print(result)
-        return 1 if case.worst else 0
+        return 1 if broken else 0
+
+
+async def _heal(running: deployment.Deployment, trouble: bool) -> None:
+    await asyncio.sleep(_FAILING_SECONDS)
+    if trouble:
+        running.workers[0].fails = False
+        running.note('the worker is sound again')
 
 
 def main() -> int:
@@ -115,7 +75,7 @@
     record = deployment.Record(path)
     try:
         trouble = os.environ.get('TROUBLE', '1') != '0'
-        return asyncio.run(_run(record, trouble))
+        return asyncio.run(_play(record, trouble))
     except deployment.Unusable as error:
         record.note(f'the case could not run: {error}')
         print(error)
