--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,9 +10,8 @@
 
 _INSTANCES = 11
 _RACK = 3
-_ALL_CALLS = ('run-start', 'run-stop', 'hold', 'pace')
-# The runner refuses all calls for this long, and is lost then.
-_SICK_SECONDS = 6.0
+# The runner answers no call for this long, and is lost then.
+_SICK_SECONDS = 5.4
 _KILLED_AFTER_SECONDS = 2.0
 _DOWN_SECONDS = 0.66
 _FINISH_SECONDS = 14.0
@@ -63,8 +62,8 @@
 async def _disturb(running: deployment.Deployment) -> None:
     machine = running.sidecars[0]
     worker = running.workers[0]
-    worker.refuses = _ALL_CALLS
-    running.note(f'worker {worker.name} answers all calls with 503')
+    worker.hangs = True
+    running.note(f'worker {worker.name} answers no call, and checks in')
     await asyncio.sleep(_KILLED_AFTER_SECONDS)
     await running.kill(machine)
     await asyncio.sleep(_DOWN_SECONDS)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,9 +8,9 @@
 
 from reviewkit import deployment
 
-_INSTANCES = 11
+_INSTANCES = 12
 _RACK = 3
-_MEMBERS = 33
+_MEMBERS = 36
 _TASK_MS = 2000
 _FAILING_SECONDS = 6.5
 _MAX_ATTEMPTS = 3
