--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,9 +9,11 @@
 from reviewkit import deployment
 from reviewkit import worker as worker_module
 
-_TASKS = 1200
+_TASKS = 1800
 _TASK_MS = 9000
-_OUTAGE_SECONDS = 4.5
+# Tasks take up to this much longer, so that they don't end at once.
+_SPREAD_MS = 2500
+_OUTAGE_SECONDS = 4.2
 _JOB = '5c0e7a21d94b36f8'
 _START_SECONDS = 30.0
 _END_SECONDS = 40.0
@@ -28,11 +30,11 @@
         await asyncio.sleep(3.0)
         step = {
             'count': _TASKS,
-            'cpu': 100,
+            'cpu': 50,
             'memMb': 200,
             'estimateMs': _TASK_MS,
         }
-        spec = json.dumps({'ms': _TASK_MS})
+        spec = json.dumps({'ms': _TASK_MS, 'spread': _SPREAD_MS})
         await running.submit(_JOB, {'spec': spec, 'phases': [step]})
         await _wait_begun(running)
         if trouble:
--- a/review/reviewkit/worker.py
+++ b/review/reviewkit/worker.py
@@ -14,6 +14,8 @@
 _HOLD_MAX_MS = 6000
 _ENDS_LISTED = 500
 _GANG_WAIT_SECONDS = 3.0
+# Spreads the tasks of a job evenly, whatever their number.
+_SPREAD_STEP = 0.6180339887
 # How long members of a gang on other workers take to see its end.
 _BROKEN_SECONDS = 0.05
 
@@ -388,7 +390,7 @@
         self._running[task] = run
         self.runs.append(run)
         if work.get('ms') is not None:
-            seconds = work['ms'] / 1000
+            seconds = (work['ms'] + _spread(task, work)) / 1000
             if self._gangs.find_size(run):
                 self._gangs.join(self, run, seconds)
             else:
@@ -450,6 +452,12 @@
             )
 
 
+def _spread(task: str, work: dict[str, t.Any]) -> float:
+    """Return by how many ms a task takes longer than others of its job."""
+    index = int(task.rpartition('.')[2])
+    return work.get('spread', 0) * (index * _SPREAD_STEP % 1)
+
+
 def find_doubled(runs: t.Iterable[Run]) -> list[tuple[Run, Run]]:
     """Return the pairs of runs that break TWICE.
 
