Log when all leases of a silent agent have lapsed

The sidecar now writes leases-lapsed, with whether its agent has ever answered it, for how long it has been silent and how long ago the last lease ran out.

Restarted agents in simulation can be silent and leave for good.

--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -151,6 +151,7 @@
         self._clock_read_at = 0.0
         self._snapshot_ms = 0
         self._ignores_snapshots = False
+        self._has_lapsed = False
         # The number of the next end to be read; 0 while it is not known.
         self._next_end = 0
 
@@ -274,6 +275,20 @@
         bound = self.granted_until + LAPSE_MARGIN_SECONDS
         return unanswered_seconds > UNREACHABLE_SECONDS and now > bound
 
+    def check_lapse(self, now: float) -> bool:
+        """Return whether all runs have ended; log when that changes."""
+        lapsed = self.is_lapsed(now)
+        if lapsed and not self._has_lapsed:
+            logs.write_warning(
+                'leases-lapsed',
+                boot=self.boot,
+                polled=self.polled,
+                silent_seconds=now - self.answered_at,
+                overdue_seconds=now - self.granted_until,
+            )
+        self._has_lapsed = lapsed
+        return lapsed
+
     def apply_snapshot(
         self, snapshot: worker_module.Snapshot, now: float
     ) -> bool:
--- a/src/persimmonsail/jobs/incarnationreport.py
+++ b/src/persimmonsail/jobs/incarnationreport.py
@@ -17,7 +17,7 @@
     heartbeat = incarnation.heartbeat
     report.boot, report.born_ms = boots.split(incarnation.boot)
     report.silent_seconds = now - incarnation.answered_at
-    report.lapsed = incarnation.is_lapsed(now)
+    report.lapsed = incarnation.check_lapse(now)
     report.looked = incarnation.polled
     report.deferred = now < incarnation.usable_at
     report.service = heartbeat.service
--- a/tests/restartplay.py
+++ b/tests/restartplay.py
@@ -56,6 +56,8 @@
         self.id = f'i-{name}'
         self.starts: list[dict[str, t.Any]] = []
         self.down = False
+        # Calls are neither executed nor answered; heartbeats are sent.
+        self.silent = False
         # Number of next calls that are executed late, and their delay.
         self.late_calls = 0
         self.late_seconds = 1.0
@@ -84,6 +86,11 @@
         self._ended: list[worker.EndedRow] = []
         self._last_end = 0
 
+    def leave_for_good(self) -> None:
+        """End with all that is running, and never start again."""
+        self.restart(self.born_ms + 1, 1)
+        self.down = True
+
     def make_heartbeat(self) -> worker.Heartbeat:
         """Return the next heartbeat of the present start."""
         self._sequence += 1
@@ -125,6 +132,9 @@
         """Execute a call, or leave it unanswered."""
         if self.down:
             raise exceptions.WorkerNotReached('down')
+        if self.silent:
+            await anyio.sleep(_TIMEOUT_SECONDS)
+            raise exceptions.WorkerUnavailable('no answer')
         if boot != self.boot:
             await anyio.sleep(_CALL_SECONDS)
             raise exceptions.WorkerBootChanged(self.boot)
