Wait for leases that an earlier process of a sidecar granted

Callers saw a task run in two places at once: its sidecar had restarted and taken the leases of its agent for lapsed while the agent ran on.

Cause: a sidecar reports its agent's leases as lapsed after 1 s without an answer and the end of the last lease that it granted. What the process before it granted was unknown, and counted as nothing.

Ruled out: a drift of clocks, which LAPSE_MARGIN_SECONDS covers; the bound was the moment of the first heartbeat.

Why this works: a lease is granted up to a reading of the sidecar's own clock plus its length, so one of an earlier process ends at the latest a lease after the start of the present one. That is now the least bound for every boot.

--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -73,6 +73,8 @@
         self, worker: worker_module.Worker, lease_seconds: float
     ) -> None:
         self._lease_seconds = lease_seconds
+        # No lease granted by an earlier process of this sidecar lasts longer.
+        self._earlier_leases_until = clock.read() + lease_seconds
         self._period_seconds = leases.choose_period(
             lease_seconds, _MAX_PERIOD_SECONDS
         )
@@ -132,7 +134,7 @@
         if not self._is_restart(heartbeat.boot):
             self._late_calls = None
         incarnation = incarnation_module.Incarnation(
-            heartbeat, now, self._late_calls
+            heartbeat, now, self._late_calls, self._earlier_leases_until
         )
         self._incarnation = incarnation
         late_starts = incarnation.late_calls.list_starts(now)
--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -97,7 +97,8 @@
     failed_at : float
         When the first call after that failed; 0 if none has.
     granted_until : float
-        Upper bound of the leases granted, by answered or unanswered orders.
+        Upper bound of the leases granted, by answered or unanswered orders
+        of this sidecar process or an earlier one.
     extended_until : float
         Time up to which an answered poll has extended the leases; 0 before
         the first one.
@@ -115,6 +116,7 @@
         heartbeat: worker_module.Heartbeat,
         now: float,
         earlier_calls: latecalls.LateCalls | None = None,
+        earlier_leases_until: float = 0.0,
     ) -> None:
         self.heartbeat = heartbeat
         self.late_calls = latecalls.LateCalls()
@@ -134,7 +136,7 @@
         self.answered_at = now
         self.alive_at = now
         self.failed_at = 0.0
-        self.granted_until = now
+        self.granted_until = max(now, earlier_leases_until)
         self.extended_until = 0.0
         self.discarded_end = 0
         # Send time of each start that was, or may have been, executed and
--- a/tests/jobs/test_agent.py
+++ b/tests/jobs/test_agent.py
@@ -105,6 +105,17 @@
         self.agent.note_boot_ended('first')
         self.assertEqual('', self.boot)
 
+    def test_leases_of_an_earlier_process_have_not_lapsed(self):
+        """A task runs in two places after its sidecar has restarted."""
+        started_at = clock.read()
+        sidecar_agent = agent.Agent(None, 6.0)
+        for boot in ('first', 'second'):
+            sidecar_agent.note_heartbeat(make_heartbeat(boot))
+            incarnation = sidecar_agent._incarnation
+            self.assertFalse(incarnation.is_lapsed(started_at + 6.0))
+            self.assertTrue(incarnation.is_lapsed(clock.read() + 7.0))
+            sidecar_agent.note_boot_ended(boot)
+
     async def test_a_delayed_order_is_not_executed(self):
         """A resumed sidecar starts a task seconds after its cancel."""
         self.agent.note_heartbeat(make_heartbeat('first'))
--- a/tests/restartplay.py
+++ b/tests/restartplay.py
@@ -58,6 +58,7 @@
         self.down = False
         # Calls are neither executed nor answered; heartbeats are sent.
         self.silent = False
+        self.silent_after_poll = False
         # Number of next calls that are executed late, and their delay.
         self.late_calls = 0
         self.late_seconds = 1.0
@@ -250,6 +251,7 @@
             if row.number <= acknowledged:
                 self._find_start(row)['acknowledged'] = True
         self._ended = [r for r in self._ended if r.number > acknowledged]
+        self.silent = self.silent or self.silent_after_poll
         running = [
             worker.RunningRow(task, run.start['run'], percent=100.0)
             for task, run in self._runs.items()
--- /dev/null
+++ b/tests/test_silent_agents.py
@@ -0,0 +1,49 @@
+"""Agents that answer nothing while their sidecars restart, in virtual time."""
+
+from standins import platform_deployment
+from tests import base
+from tests import restartplay
+
+ID = '00000000000000aa'
+# Longer than a lease with its margin, and a heartbeat.
+LAPSE_SECONDS = 6.0
+
+
+class SilentAgentsTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.site = restartplay.Site()
+        self.addCleanup(self.site.close)
+
+    def find_address(self):
+        """Return where the only task is running."""
+        (start,) = [s for s in self.site.list_starts() if not s['ended']]
+        return next(
+            address
+            for address, agent in self.site.agents.items()
+            if agent.boot == start['boot']
+        )
+
+    def run_task(self, payload):
+        """Start a task; return its agent and its sidecar's address."""
+        self.site.submit(ID, payload, 1, long_running=payload == 'lasts')
+        self.site.run_for(1.0)
+        address = self.find_address()
+        return self.site.agents[address], address
+
+    def test_a_restarted_sidecar_knows_no_earlier_lease(self):
+        """A task runs in two places: its agent answers once and no more."""
+        agent, address = self.run_task('lasts')
+        agent.silent_after_poll = True
+        self.site.restart_sidecar(address)
+        # The leader attaches and is cut off before it allows any lease.
+        self.site.run_for(0.3)
+        self.site.cut.add(address)
+        while not agent.silent:
+            self.site.run_for(0.02)
+        self.site.run_for(1.1)
+        self.site.cut.discard(address)
+        self.site.run_for(LAPSE_SECONDS)
+        starts = self.site.list_starts()
+        self.assertEqual(2, len(starts))
+        self.assertEqual([], platform_deployment.find_overlaps(starts))
