Give up runs whose leases have lapsed before a first list of them

Its agent had answered nothing, its sidecar was killed and restarted meanwhile, and the agent was gone for good before it answered again.

Cause: Reader.read returned at a report without a list of runs, before it read that all leases have lapsed. Without a list no run may be taken for absent, but what has no lease has ended. Fleet.abandon_unreachable doesn't cover it: the sidecar is attached and knows a boot of its agent, by its heartbeats.

Evidence: leases-lapsed polled=no is written, run-lost isn't.

Why this works: since a restarted sidecar waits for the leases of its earlier process, a lapse is certain with or without a list; ends in the same report are still read before it.

Before: test_a_task_outlives_its_agent_and_its_sidecar, test_a_task_outlives_ a_leader_as_well and test_a_silent_agent_runs_on_until_its_lease_ends failed.

--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -115,9 +115,8 @@
         self._handle_boot(instance, report, reaction)
         if observations.note_description(instance, report, now):
             reaction.replan = True
-        if not report.looked:
-            return reaction
-        instance.has_reported = True
+        if report.looked:
+            instance.has_reported = True
         # Before anything that abandons runs: an end that a sidecar has read
         # is certain, whatever has happened to its worker's agent since.
         for ended in report.ended:
@@ -126,11 +125,14 @@
                 reaction.replan = True
         if report.lapsed:
             # The worker's agent may be permanently gone while its sidecar
-            # stays up; nothing else would reveal that.
+            # stays up, also before it was polled; nothing else would reveal
+            # that.
             if instance.runs:
                 self.abandon_runs(instance, 'lapsed')
                 reaction.replan = True
             return reaction
+        if not report.looked:
+            return reaction
         self._resolve_earlier_boots(instance, report, pending, reaction)
         for row in report.running:
             run = self._handle_running(instance, row, now)
--- a/tests/test_silent_agents.py
+++ b/tests/test_silent_agents.py
@@ -31,6 +31,39 @@
         address = self.find_address()
         return self.site.agents[address], address
 
+    def restart_sidecar_of_silent_agent(self, payload):
+        agent, address = self.run_task(payload)
+        agent.silent = True
+        self.site.run_for(1.5)
+        self.site.restart_sidecar(address)
+        self.site.run_for(1.0)
+        return agent
+
+    def test_a_task_outlives_its_agent_and_its_sidecar(self):
+        """A task is never started again: no list of its runs ever comes."""
+        agent = self.restart_sidecar_of_silent_agent('30')
+        agent.leave_for_good()
+        self.site.run_for(LAPSE_SECONDS)
+        self.assertNotEqual(agent, self.site.agents[self.find_address()])
+        self.site.run_for(31.0)
+        self.assertEqual(set(), self.site.list_unfinished())
+
+    def test_a_task_outlives_a_leader_as_well(self):
+        """A task is never started again by the next leader either."""
+        agent = self.restart_sidecar_of_silent_agent('lasts')
+        agent.leave_for_good()
+        self.site.change_leader()
+        self.site.run_for(LAPSE_SECONDS)
+        self.assertNotEqual(agent, self.site.agents[self.find_address()])
+
+    def test_a_silent_agent_runs_on_until_its_lease_ends(self):
+        """A task runs in two places: its first lease was not waited for."""
+        self.restart_sidecar_of_silent_agent('lasts')
+        self.site.run_for(LAPSE_SECONDS)
+        starts = self.site.list_starts()
+        self.assertEqual(2, len(starts))
+        self.assertEqual([], platform_deployment.find_overlaps(starts))
+
     def test_a_restarted_sidecar_knows_no_earlier_lease(self):
         """A task runs in two places: its agent answers once and no more."""
         agent, address = self.run_task('lasts')
