Log when an agent's list of ends may be truncated

The agent lists 500 ends at a time; the adapter now says where a list is as long as that, and the sidecar logs ends-truncated with how many were listed, up to which number. The stand-in for the agent lists 500 at a time as well.

--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -83,6 +83,8 @@
         started, and no start of them retried.
     polled : bool
         Whether any poll of the agent has succeeded.
+    truncated : bool
+        Whether ends may be missing from the latest snapshot.
     fenced_epoch : int
         The highest epoch that the agent has received in a poll.
     terminated : bool
@@ -130,6 +132,7 @@
         self.running: dict[RunId, worker_module.RunningRow] = {}
         self.ended: dict[int, worker_module.EndedRow] = {}
         self.polled = False
+        self.truncated = False
         self.fenced_epoch = 0
         self.terminated = False
         self.failing = False
@@ -328,6 +331,7 @@
             or ended.keys() != self.ended.keys()
         )
         self._check_end_numbers(snapshot)
+        self._note_truncation(snapshot)
         self.running = running
         self.ended = ended
         self.polled = True
@@ -349,6 +353,17 @@
             ended=len(snapshot.ended),
         )
 
+    def _note_truncation(self, snapshot: worker_module.Snapshot) -> None:
+        if snapshot.truncated and not self.truncated:
+            logs.write_event(
+                'ends-truncated',
+                boot=self.boot,
+                listed=len(snapshot.ended),
+                last=max(row.number for row in snapshot.ended),
+                acknowledged=self.acknowledged,
+            )
+        self.truncated = snapshot.truncated
+
     def _check_end_numbers(self, snapshot: worker_module.Snapshot) -> None:
         """Report ends that the agent has discarded before they were read."""
         numbers = [row.number for row in snapshot.ended]
--- a/src/persimmonsail/jobs/worker.py
+++ b/src/persimmonsail/jobs/worker.py
@@ -61,11 +61,24 @@
 
 @dataclasses.dataclass(frozen=True)
 class Snapshot:
-    """A snapshot of the agent; ``clock_ms`` is its monotonic clock."""
+    """A snapshot of the agent.
+
+    Attributes
+    ----------
+    clock_ms : int
+        The agent's monotonic clock.
+    running : tuple of RunningRow
+        All runs that are running.
+    ended : tuple of EndedRow
+        Ended runs that are not discarded, the earliest first.
+    truncated : bool
+        Whether later ends may be missing from ``ended``.
+    """
 
     clock_ms: int
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    truncated: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/persimmonsail/platform/runner.py
+++ b/src/persimmonsail/platform/runner.py
@@ -16,6 +16,8 @@
 _MILLISECONDS = 1000
 # The agent refuses longer waits.
 _MAX_WAIT_SECONDS = 2.0
+# The agent lists this many ends at a time.
+_MAX_ENDS_LISTED = 500
 _BOOT_HEADER = 'Expected-Instance'
 _UNHEALTHY_STATUSES = (
     http.HTTPStatus.TOO_MANY_REQUESTS,
@@ -47,6 +49,7 @@
             self.clock_ms,
             tuple(_parse_running(row) for row in self.running),
             tuple(worker.EndedRow(*row) for row in self.finished),
+            truncated=len(self.finished) >= _MAX_ENDS_LISTED,
         )
 
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -32,6 +32,7 @@
 from standins import serving
 
 _UPDATE_SECONDS = 0.02
+_MAX_ENDS_LISTED = 500
 _HEARTBEAT_SECONDS = 0.2
 # Range of the clock at a start.
 _MIN_CLOCK_MS = 1_000
@@ -373,7 +374,7 @@
             {
                 **self._describe_start(),
                 'running': running,
-                'finished': self._ended,
+                'finished': self._ended[:_MAX_ENDS_LISTED],
             }
         )
 
--- a/tests/jobs/test_incarnation.py
+++ b/tests/jobs/test_incarnation.py
@@ -22,11 +22,10 @@
         super().setUp()
         self.incarnation = incarnation.Incarnation(BOOT, 10.0)
 
-    def apply_snapshot(self, clock_ms, *running, ended=()):
+    def apply_snapshot(self, clock_ms, *running, ended=(), truncated=False):
         rows = tuple(worker.RunningRow(task, run) for task, run in running)
-        return self.incarnation.apply_snapshot(
-            worker.Snapshot(clock_ms, rows, tuple(ended)), 10.0
-        )
+        snapshot = worker.Snapshot(clock_ms, rows, tuple(ended), truncated)
+        return self.incarnation.apply_snapshot(snapshot, 10.0)
 
     def test_a_reordered_snapshot_changes_nothing(self):
         """A newly started run is reported as absent.
@@ -64,6 +63,23 @@
         (call,) = written.call_args_list
         self.assertEqual((5, 6), (call.kwargs['first'], call.kwargs['last']))
 
+    def test_the_first_truncated_list_in_a_row_is_logged(self):
+        """Done tasks run again, and no log says that ends were missing."""
+        rows = [
+            worker.EndedRow(number, *KEY, 'done') for number in range(1, 4)
+        ]
+        with mock.patch.object(incarnation.logs, 'write_event') as written:
+            self.apply_snapshot(1000, ended=rows[:2], truncated=True)
+            self.apply_snapshot(1010, ended=rows[:2], truncated=True)
+            self.apply_snapshot(1020, ended=rows[2:])
+        self.assertEqual(
+            [('ends-truncated', 2)],
+            [
+                (call.args[0], call.kwargs['last'])
+                for call in written.call_args_list
+            ],
+        )
+
     def test_an_earlier_snapshot_does_not_remove_a_started_run(self):
         """A run is stopped as soon as it has started.
 
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -101,6 +101,21 @@
                 ),
             )
 
+    async def test_a_full_list_of_ends_may_be_truncated(self):
+        """Done tasks run again: an agent lists 500 ends at a time."""
+        async with self.serve() as (server, client):
+            boot = self.find_boot(server)
+            server._ended = [
+                [number, ORDER.task, number, 'done', '']
+                for number in range(1, 502)
+            ]
+            snapshot = await client.poll(boot, EPOCH, 0)
+            self.assertEqual(500, len(snapshot.ended))
+            self.assertTrue(snapshot.truncated)
+            snapshot = await client.poll(boot, EPOCH, 500)
+            self.assertEqual(1, len(snapshot.ended))
+            self.assertFalse(snapshot.truncated)
+
     async def test_an_agent_that_reports_no_birth_is_known_by_its_id(self):
         async with self.serve(sends_born=False) as (server, client):
             await client.start(server.boot, EPOCH, ORDER)
