Take no run for absent while ends are missing from a list

Cause: an agent lists 500 ends at a time, and a list of 500 was taken for all ends. A run that neither runs nor is listed counted as absent: the leader ordered its stop, the agent answered, and the sidecar, finding no end, reported that it had never started.

Evidence: ends-truncated listed=500 last=500 in both sidecars just before the stops, no ends-unread; the end of such a run is read as number 502 once 500 was acknowledged, after its task was placed again. Ruled out: ends discarded unread; ends passed over by the leader.

Why this works: the adapter marks a list of that length as truncated. By such a list no run is taken for absent: the leader orders no stop for it, and a stop that was ordered for another cause is settled only by the run's end or by a complete list. Nothing new starts on an instance before a complete first list. A run that was seen and is listed no more is not held against its task when its agent crashes.

Tried and left out: a test with real processes and 900 tasks on one instance; its tasks start too slowly beside load, or don't move and make the instance seem stalled.

--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -330,8 +330,12 @@
             or running.keys() != self.running.keys()
             or ended.keys() != self.ended.keys()
         )
+        changed = changed or snapshot.truncated != self.truncated
         self._check_end_numbers(snapshot)
         self._note_truncation(snapshot)
+        for key in self.running.keys() - running.keys():
+            # It has ended, also if its end is not listed yet.
+            self._forget_start(key)
         self.running = running
         self.ended = ended
         self.polled = True
@@ -408,6 +412,13 @@
         """Return whether an end of a run awaits acknowledgement."""
         return any((r.task, r.run) == key for r in self.ended.values())
 
+    def is_outcome_known(self, key: RunId) -> bool:
+        """Return whether a run that is not running has ended, or never ran.
+
+        While ends are missing from the snapshot, its end may be one of them.
+        """
+        return not self.truncated or self.has_ended(key)
+
     def fits_capacity(self) -> bool:
         """Return whether all runs and pending orders fit the capacity."""
         return specification.Size().fits(self.measure_free())
--- a/src/persimmonsail/jobs/incarnationreport.py
+++ b/src/persimmonsail/jobs/incarnationreport.py
@@ -19,6 +19,7 @@
     report.silent_seconds = now - incarnation.answered_at
     report.lapsed = incarnation.check_lapse(now)
     report.looked = incarnation.polled
+    report.truncated = incarnation.truncated
     report.deferred = now < incarnation.usable_at
     report.service = heartbeat.service
     report.rack = heartbeat.rack
--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -137,7 +137,7 @@
     attached : bool
         Whether this leader has a link to it.
     has_reported : bool
-        Whether its sidecar has reported its running and ended runs over
+        Whether its sidecar has reported all running and ended runs over
         that link. Before that it gets nothing new, since the work that it
         would get may be among the ends in the first report.
     leases_until : float
--- a/src/persimmonsail/jobs/orders.py
+++ b/src/persimmonsail/jobs/orders.py
@@ -287,6 +287,7 @@
             if key not in incarnation.running:
                 break
             await anyio.sleep(_RETRY_SECONDS)
+        await self._wait_outcome(incarnation, key)
         incarnation.pending.pop(key, None)
         logs.write_event('stopped-run', task=task, run=run)
         if not incarnation.has_ended(key):
@@ -294,6 +295,22 @@
             self._on_barred(task, run, 'absent')
         self._on_change()
 
+    async def _wait_outcome(
+        self,
+        incarnation: incarnation_module.Incarnation,
+        key: incarnation_module.RunId,
+    ) -> None:
+        """Wait until the end of a stopped run is listed, or ruled out."""
+        waits = False
+        while not incarnation.terminated:
+            if incarnation.is_outcome_known(key):
+                return
+            if not waits:
+                logs.write_event('stop-unsettled', task=key[0], run=key[1])
+            waits = True
+            # The agent is polled anyway, whenever ends are acknowledged.
+            await anyio.sleep(_RETRY_SECONDS)
+
     async def set_speed_limit(
         self, incarnation: incarnation_module.Incarnation, pace: fleet_pb2.Pace
     ) -> None:
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -115,7 +115,7 @@
         self._handle_boot(instance, report, reaction)
         if observations.note_description(instance, report, now):
             reaction.replan = True
-        if report.looked:
+        if report.looked and not report.truncated:
             instance.has_reported = True
         # Before anything that abandons runs: an end that a sidecar has read
         # is certain, whatever has happened to its worker's agent since.
@@ -394,8 +394,11 @@
 
         A start whose answer was lost may be executed seconds later; only
         an answered stop rules that out, so that the task can be placed
-        again.
+        again. While ends are missing from a report, a run that is not
+        listed has probably ended.
         """
+        if report.truncated:
+            return
         running = {(row.task, row.run) for row in report.running}
         for key, run in instance.runs.items():
             if key not in running | pending and run.order <= report.seen:
--- a/tests/jobs/test_incarnation.py
+++ b/tests/jobs/test_incarnation.py
@@ -18,6 +18,8 @@
 
 
 class IncarnationTest(base.TestCase):
+    OTHER_ENDS = (worker.EndedRow(1, 'b.0.0.0', 1, 'done'),)
+
     def setUp(self):
         super().setUp()
         self.incarnation = incarnation.Incarnation(BOOT, 10.0)
@@ -80,6 +82,13 @@
             ],
         )
 
+    def test_a_run_with_an_unlisted_end_crashed_no_agent(self):
+        """A task is suspected of a crash that came after its end."""
+        self.incarnation.note_start_sent(KEY, 10.0)
+        self.apply_snapshot(1000, KEY)
+        self.apply_snapshot(2000, truncated=True, ended=self.OTHER_ENDS)
+        self.assertEqual((), self.incarnation.describe_crash(20.0).runs)
+
     def test_an_earlier_snapshot_does_not_remove_a_started_run(self):
         """A run is stopped as soon as it has started.
 
--- a/tests/restartplay.py
+++ b/tests/restartplay.py
@@ -59,6 +59,7 @@
         # Calls are neither executed nor answered; heartbeats are sent.
         self.silent = False
         self.silent_after_poll = False
+        self.max_ends_listed = 500
         # Number of next calls that are executed late, and their delay.
         self.late_calls = 0
         self.late_seconds = 1.0
@@ -263,8 +264,12 @@
             worker.RunningRow(task, run.start['run'], percent=100.0)
             for task, run in self._runs.items()
         ]
+        listed = self._ended[: self.max_ends_listed]
         return worker.Snapshot(
-            self._read_clock(), tuple(running), tuple(self._ended)
+            self._read_clock(),
+            tuple(running),
+            tuple(listed),
+            truncated=len(listed) == self.max_ends_listed,
         )
 
     def _find_start(self, row: worker.EndedRow) -> dict[str, t.Any]:
@@ -473,6 +478,12 @@
             seconds, lambda: self.sidecars[address].note_departure(agent_id)
         )
 
+    def stop_all(self) -> None:
+        """Have the leader stop every placed task, to be started anew."""
+        for job in self._board.jobs.values():
+            for task in job.list_placed():
+                self._fleet.stop_task(task)
+
     def change_leader(self) -> None:
         """Replace the leader by one that knows only what is stored."""
         self.epoch += 1
@@ -495,6 +506,7 @@
         fleet = fleet_module.Fleet(
             term, _LEASE_SECONDS, reader, lambda reaction: None
         )
+        self._fleet = fleet
         snapshot = fleetsnapshot.FleetSnapshot()
         async with anyio.create_task_group() as group:
             fleet.open(group)
--- a/tests/test_stateful_restarts.py
+++ b/tests/test_stateful_restarts.py
@@ -102,6 +102,12 @@
         agent.restart(agent.born_ms + 7, 1_000)
         self.site.call_later(seconds, lambda: setattr(agent, 'down', False))
 
+    @hypothesis.stateful.rule(
+        index=INSTANCES, count=st.sampled_from([1, 3, 500])
+    )
+    def limit_lists(self, index, count):
+        self.agent(index).max_ends_listed = count
+
     @hypothesis.stateful.rule(index=INSTANCES, seconds=SILENCES)
     def silence_agent(self, index, seconds):
         agent = self.agent(index)
