Count a run in which several members of a gang fail as one attempt

Cause: the failures of a gang are summed over its members, so that it isn't restarted without limit where another member fails each time. Members share the number of a run; a run in which several fail is one attempt.

Why this works: each task's last failed run is stored with its progress, and a member's failure counts only if no other member has failed in the same run. All ends of a run come before the next one is placed, so the last one is enough; the ends of one run may be read by two leaders. Fields at their default are left out of the stored progress, where an earlier version has the same defaults, so that it doesn't grow.

--- a/src/persimmonsail/jobs/board.py
+++ b/src/persimmonsail/jobs/board.py
@@ -212,14 +212,23 @@
         if task.step.gang:
             self.broken_gang_tasks.append(task)
         if end is End.FAILED:
-            state.failures += 1
-            task.avoid.add(state.instance)
-            exhausted = _count_failures(task) >= max_attempts
-            if exhausted and not task.step.long_running:
-                reason = f'{task.name} has failed {max_attempts} times'
-                self._fail(task.job, reason)
+            self._note_failure(task, max_attempts)
         return True
 
+    def _note_failure(self, task: job_module.Task, max_attempts: int) -> None:
+        """Count a failed run; fail the job after the last attempt."""
+        state = task.state
+        task.avoid.add(state.instance)
+        members = _list_gang_or_self(task)
+        # Members of a gang that fail in the same run are one attempt.
+        if all(member.state.failed_run != state.run for member in members):
+            state.failures += 1
+        state.failed_run = state.run
+        failures = sum(member.state.failures for member in members)
+        if failures >= max_attempts and not task.step.long_running:
+            name = task.step_name if task.step.gang else task.name
+            self._fail(task.job, f'{name} has failed {max_attempts} times')
+
     def update_crashes(
         self, task: job_module.Task, crashes: record.Crashes
     ) -> None:
@@ -321,8 +330,3 @@
 def _list_gang_or_self(task: job_module.Task) -> list[job_module.Task]:
     """Return the tasks that share a task's end: itself, or its gang."""
     return task.job.list_gang(task) if task.step.gang else [task]
-
-
-def _count_failures(task: job_module.Task) -> int:
-    """Return how often a task, or its complete gang, has failed."""
-    return sum(member.state.failures for member in _list_gang_or_self(task))
--- a/src/persimmonsail/jobs/record.py
+++ b/src/persimmonsail/jobs/record.py
@@ -146,7 +146,10 @@
         Where that run is placed: the instance's address, and the
         incarnation of its worker's agent.
     failures : int
-        Number of failed runs.
+        Number of failed runs. A run of a gang counts once, for the member
+        whose failure was noted first.
+    failed_run : int
+        The last run that failed; 0 for none.
     checkpoint : str
         The newest reported checkpoint; empty for none.
     earlier_done : bool
@@ -164,6 +167,7 @@
     checkpoint: str = ''
     earlier_done: bool = False
     crashes: Crashes = Crashes()
+    failed_run: int = 0
 
 
 class _Row(t.NamedTuple):
@@ -190,6 +194,9 @@
     # By task key, when the boot of a placed task was born, in ms since the
     # epoch. Missing if its agent has not reported it.
     born_ms: dict[str, int] = {}
+    # By task key, the last run that failed. Missing in progress written by
+    # an earlier version.
+    failed_runs: dict[str, int] = {}
 
 
 class StoredSubmission(pydantic.BaseModel):
@@ -289,6 +296,11 @@
             for key, task in tasks.items()
             if task.crashes != Crashes()
         }
+        failed_runs = {
+            str(key): task.failed_run
+            for key, task in tasks.items()
+            if task.failed_run
+        }
         return _StoredProgress(
             phase=self.phase,
             ended_ms=self.ended_ms,
@@ -296,7 +308,8 @@
             crashes=crashes,
             reason=self.reason,
             born_ms=born_ms,
-        ).model_dump_json()
+            failed_runs=failed_runs,
+        ).model_dump_json(exclude_defaults=True)
 
 
 def decode_progress(text: str) -> Progress:
@@ -312,7 +325,8 @@
     for name, *state in stored.tasks:
         key = TaskKey(*(int(part) for part in name.split('.')))
         crashes = stored.crashes.get(name, Crashes())
-        task = TaskRecord(*state, crashes=crashes)
+        failed_run = stored.failed_runs.get(name, 0)
+        task = TaskRecord(*state, crashes=crashes, failed_run=failed_run)
         task.boot = boots.join(task.boot, stored.born_ms.get(name, 0))
         tasks[key] = task
     return Progress(stored.phase, stored.ended_ms, stored.reason, tasks)
--- a/tests/jobs/test_board.py
+++ b/tests/jobs/test_board.py
@@ -356,3 +356,31 @@
             self.board.place(task, 'a', 'boot', 5)
         self.end(gang[2], 'failed')
         self.assertIs(record.JobPhase.FAILED, job.phase)
+
+    def test_members_that_fail_in_one_run_are_one_attempt(self):
+        """Guards against giving up a gang after one run of several."""
+        job, gang = self.place_gang()
+        for task in gang:
+            self.end(task, 'failed')
+        self.assertFalse(job.phase.is_final)
+        for task in gang:
+            self.board.place(task, 'a', 'boot', 5)
+        self.end(gang[1], 'failed')
+        self.assertIs(record.JobPhase.FAILED, job.phase)
+
+    def test_a_new_leader_counts_no_run_of_a_gang_again(self):
+        """Guards against giving up a gang whose leader changed in a run."""
+        job, gang = self.place_gang()
+        self.end(gang[0], 'failed')
+        progress = record.decode_progress(job.progress.encode())
+        job = job_module.Job(job.id, job.queue, 0, job.specification, progress)
+        self.board = board.Board()
+        self.board.add(job)
+        gang = job.list_gang(job.tasks[gang[0].key])
+        for task in gang[1:]:
+            self.end(task, 'failed')
+        self.assertFalse(job.phase.is_final)
+        for task in gang:
+            self.board.place(task, 'a', 'boot', 5)
+        self.end(gang[2], 'failed')
+        self.assertIs(record.JobPhase.FAILED, job.phase)
