Refuse a report without a state, as a drain must not end by it

What callers would see: a task starts on an instance that is drained, and ends with it.

State, sequence, capacity and labels are required now; a report without one gets 400 and heartbeat-unreadable, and the reports before it hold.

Before: test_a_report_without_a_state_ends_no_drain failed (accepted); after: test_heartbeats passes.

--- a/src/persimmonsail/platform/heartbeats.py
+++ b/src/persimmonsail/platform/heartbeats.py
@@ -30,8 +30,8 @@
 
 class _Capacity(pydantic.BaseModel):
     # Thousandths of a core.
-    cpu: _Amount = 0
-    memory_mib: _Amount = pydantic.Field(default=0, alias='memMb')
+    cpu: _Amount
+    memory_mib: _Amount = pydantic.Field(alias='memMb')
     accelerators: _Amount = pydantic.Field(default=0, alias='gpu')
 
 
@@ -43,14 +43,16 @@
     # When the agent started; older agents omit it.
     born_ms: _Time = pydantic.Field(default=0, alias='born')
     # Increases with each report of a boot; the clock may not.
-    sequence: _Amount = pydantic.Field(default=0, alias='seq')
-    state: t.Literal['ready', 'draining'] = 'ready'
+    sequence: _Amount = pydantic.Field(alias='seq')
+    # Required like all that decides what runs there: a draining agent must
+    # not become ready by a report that omits it.
+    state: t.Literal['ready', 'draining']
     # Only while draining: the minimum time that remains.
     remaining_ms: _Amount = pydantic.Field(default=0, alias='remainingMs')
-    capacity: _Capacity = _Capacity()
+    capacity: _Capacity
     clock_ms: int = pydantic.Field(default=0, alias='clockMs')
     # The kind of the instance, then its rack.
-    labels: tuple[str, ...] = ()
+    labels: tuple[str, ...]
 
     def to_heartbeat(self, agent_id: str) -> worker.Heartbeat:
         return worker.Heartbeat(
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -82,6 +82,13 @@
             [heartbeat.boot for heartbeat in self.agent.received],
         )
 
+    async def test_a_report_without_a_state_ends_no_drain(self):
+        """A task starts on an instance that is drained."""
+        for missing in ('state', 'seq', 'capacity', 'labels'):
+            report = {k: v for k, v in GOOD.items() if k != missing}
+            self.assertEqual(400, await self.put(json.dumps(report).encode()))
+        self.assertEqual([], self.agent.received)
+
     async def test_a_malformed_report_is_refused_and_others_are_accepted(self):
         self.assertEqual(200, await self.put(json.dumps(GOOD).encode()))
         for body in MALFORMED:
