Take ids with capital hexadecimal digits

Callers with such an id got 404, as if the queue didn't exist. Ids stay as they are written.

Before: test_an_id_may_have_capital_digits failed (no submission was accepted); after: it passes.

--- a/src/persimmonsail/platform/front.py
+++ b/src/persimmonsail/platform/front.py
@@ -18,7 +18,7 @@
 from persimmonsail.platform import http
 from persimmonsail.platform import submissions
 
-_JOB_ID = re.compile(r'[0-9a-f]{16}')
+_JOB_ID = re.compile(r'[0-9A-Fa-f]{16}')
 _MILLISECONDS = 1000
 # For callers that send no deadline.
 _DEFAULT_WAIT_MS = 3000
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -44,6 +44,18 @@
             answer = await running.call('entry-2', 'GET', 'f' * 16)
             self.assertEqual(410, answer.status_code)
 
+    async def test_an_id_may_have_capital_digits(self):
+        """A submission is refused with 404 although its queue exists."""
+        async with self.deploy() as running:
+            await running.start_entry('entry-1')
+            await running.start_instance('side-1')
+            body = deployed.make_body(2)
+            for id in ('00000000000000AF', '00000000000000aF'):
+                await running.submit('entry-1', id, body)
+                await running.wait_state('entry-1', id, 'complete')
+            starts = await running.list_starts()
+            self.assertEqual(4, len({start['task'] for start in starts}))
+
     async def test_a_caller_reads_why_a_body_is_refused(self):
         """An upload of 10 MB ends in a reset connection.
 
