Take no claim for a start in what callers are told

Cause: a job became active with the first claim of an instance for a task, and a refused start took nothing back. It becomes active now when a run is reported as running or has ended other than as never started. That is stored with the next checkpoints, so a new leader reads the same, and no write is made only for it.

--- a/src/persimmonsail/jobs/board.py
+++ b/src/persimmonsail/jobs/board.py
@@ -49,7 +49,7 @@
         self.changed: set[str] = set()
         self.broken_gang_tasks: list[job_module.Task] = []
         self.superseded_tasks: list[job_module.Task] = []
-        # Jobs with uncommitted checkpoints.
+        # Jobs with uncommitted checkpoints, or an uncommitted first start.
         self._uncommitted: set[str] = set()
         # Tasks suspected of crashing agents, by name.
         self.crash_suspects: dict[str, job_module.Task] = {}
@@ -132,12 +132,15 @@
             Maximum number of jobs.
         """
         ranked = sorted(
-            self._uncommitted,
-            key=lambda id: self.jobs[id].uncommitted_work,
-            reverse=True,
+            self._uncommitted, key=self._rank_uncommitted, reverse=True
         )
         self.changed.update(ranked[:max_jobs])
 
+    def _rank_uncommitted(self, id: str) -> tuple[bool, int]:
+        """Rank first starts before checkpoints: those come only once."""
+        job = self.jobs[id]
+        return job.phase is not job.committed_phase, job.uncommitted_work
+
     def place(
         self,
         task: job_module.Task,
@@ -167,10 +170,18 @@
         state.boot = boot
         state.crashes = state.crashes._replace(apart=isolated)
         task.job.note_placed(task)
-        task.job.progress.phase = record.JobPhase.ACTIVE
         self.changed.add(task.job.id)
         return state.run
 
+    def note_started(self, job: job_module.Job) -> None:
+        """Record that a task of a job has started.
+
+        A claim is no start: its order may be refused.
+        """
+        if job.phase is record.JobPhase.QUEUED:
+            job.progress.phase = record.JobPhase.ACTIVE
+            self._uncommitted.add(job.id)
+
     def note_end(
         self,
         task: job_module.Task,
@@ -198,6 +209,8 @@
         if state.phase is not record.TaskPhase.PLACED or state.run != run:
             return False
         self.changed.add(task.job.id)
+        if end is not End.NOT_STARTED:
+            self.note_started(task.job)
         if checkpoint:
             state.checkpoint = checkpoint
         if state.earlier_done:
@@ -278,6 +291,7 @@
         if ended or not was_claimed or task.step.long_running:
             return False
         self.changed.add(task.job.id)
+        self.note_started(task.job)
         members = _list_gang_or_self(task)
         placed = [member for member in members if member.is_placed]
         for member in placed:
@@ -301,7 +315,7 @@
                 self._finish(job, record.JobPhase.COMPLETE)
 
     def count_pending(self, queue: str) -> int:
-        """Return how many jobs of a queue have not had a task placed."""
+        """Return how many jobs of a queue have no started task."""
         return sum(
             job.queue == queue and job.phase is record.JobPhase.QUEUED
             for job in self.jobs.values()
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -330,6 +330,8 @@
         if run is None:
             run = observations.adopt(instance, row, task, now)
         observations.note_progress(run, row, now)
+        if task is not None:
+            self._board.note_started(task.job)
         if not observations.is_wanted(task, run, instance):
             return run
         task.refusals = 0
--- a/tests/jobs/test_board.py
+++ b/tests/jobs/test_board.py
@@ -231,8 +231,26 @@
         job = self.add()
         self.assertEqual(1, self.board.count_pending(job.queue))
         (task,) = job.waiting.values()
+        for _ in range(3):
+            self.board.place(task, 'a', 'boot')
+            self.assertEqual(1, self.board.count_pending(job.queue))
+            self.end(task, 'not-started')
+            self.assertIs(record.JobPhase.QUEUED, job.phase)
         self.board.place(task, 'a', 'boot')
+        self.board.note_started(job)
         self.assertEqual(0, self.board.count_pending(job.queue))
+        self.board.changed.clear()
+        self.board.queue_uncommitted(1)
+        self.assertEqual({job.id}, self.board.changed)
+
+    def test_refused_starts_leave_a_job_pending(self):
+        """Guards against jobs that wait and are counted as started."""
+        job = self.add(cases.make_step(2))
+        for task in list(job.waiting.values()):
+            self.board.place(task, 'a', 'boot')
+            self.end(task, 'not-started')
+        progress = record.decode_progress(job.progress.encode())
+        self.assertIs(record.JobPhase.QUEUED, progress.phase)
 
     def test_progress_is_read_back_as_it_was_written(self):
         job = self.add(
