Give an instance that refuses starts no new work for a while

Callers saw quick jobs wait for over 5 s beside ten sound workers, because one answered each start with 503: a refused task was placed again 0.1 s later, and the refusing instance, on which nothing runs, looked the best each time.

Cause: a refusal said nothing about the instance. It gets nothing new now for 0.25 s, doubled with each further refusal up to 2 s, and an accepted start ends that. Starts under way together count once.

--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -150,7 +150,10 @@
     has_agent : bool
         Whether its sidecar knows a worker's agent.
     suspect_until : float
-        Time up to which it gets no work because its runs have failed.
+        Time up to which it gets no work because its runs have failed, or
+        its agent has refused starts.
+    refusals : int
+        How often its agent has refused starts since it last accepted one.
     isolated_run : Run, optional
         The last run that was isolated here.
     reserved_for : str
@@ -187,6 +190,7 @@
     answered_at: float = 0.0
     has_agent: bool = True
     suspect_until: float = 0.0
+    refusals: int = 0
     runs: dict[RunId, Run] = dataclasses.field(default_factory=dict)
     isolated_run: Run | None = None
     reserved_for: str = ''
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -28,6 +28,8 @@
 
 # An agent's reason for refusing a start with an invalid permit.
 _PERMIT_REFUSED = 'ticket'
+# Its reason for refusing whatever it is ordered to start.
+_AGENT_UNHEALTHY = 'unhealthy'
 
 # A queue's slowdown is smoothed over about its last twenty runs. It is
 # limited because beyond this value no task would be expected on time.
@@ -329,6 +331,8 @@
         run = instance.runs.get((row.task, row.run))
         if run is None:
             run = observations.adopt(instance, row, task, now)
+        if not run.observed_at:
+            instancehealth.note_accepted_start(instance)
         observations.note_progress(run, row, now)
         if task is not None:
             self._board.note_started(task.job)
@@ -363,6 +367,8 @@
         now: float,
     ) -> None:
         instance.drop_run((barred.task, barred.run))
+        if barred.reason == _AGENT_UNHEALTHY:
+            instancehealth.note_refusal(instance, now)
         task = self._board.find_task(barred.task)
         if task is None:
             return
--- a/tests/jobs/test_reports.py
+++ b/tests/jobs/test_reports.py
@@ -124,6 +124,30 @@
         self.read(report)
         self.assertEqual({}, self.approvals.find_permits(step, NOW))
 
+    def refuse(self, task, now):
+        """Refuse a start as an unhealthy agent does."""
+        run = self.place(task)
+        report = self.report()
+        report.barred.add(task=run.task, run=run.number, reason='unhealthy')
+        self.read(report, now)
+
+    def test_an_instance_whose_agent_refuses_starts_gets_no_new_work(self):
+        """All jobs wait: the refusing instance looks the emptiest."""
+        now = NOW
+        for pause in (0.25, 0.5, 1.0, 2.0, 2.0):
+            # Starts that were under way together count once.
+            for task in self.tasks:
+                self.refuse(task, now)
+            self.assertFalse(
+                placement.is_usable(self.instance, now + 0.9 * pause)
+            )
+            now += pause
+            self.assertTrue(placement.is_usable(self.instance, now))
+        run = self.place(self.tasks[0])
+        self.read(self.report(run), now)
+        self.refuse(self.tasks[1], now)
+        self.assertTrue(placement.is_usable(self.instance, now + 0.25))
+
     def refuse_starts(self, count):
         """Refuse consecutive starts of a task; return the last backoff."""
         task = self.tasks[0]
