Count an agent's refusal of an outdated epoch as an answer

A sidecar that restarts while there is no leader polls without an epoch, and its agent refuses that.

An agent that refuses for the epoch is there; only silence is evidence of a lapse. A refusal as unhealthy (503) stays what it was: such an agent may refuse until its leases have ended.

--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -44,6 +44,8 @@
 _RETRY_SECONDS = 0.1
 # Number of ended boots and of crashes that are reported.
 _MAX_ENDED_BOOTS = 8
+# An agent's reason for refusing a leader that it has seen a later one of.
+_EPOCH_REFUSED = 'fence'
 # Number of the most recently started runs that a crash's log line names.
 _MAX_LOGGED_RUNS = 4
 
@@ -440,17 +442,14 @@
             await self._executor.poll(incarnation, extend, wait)
         except exceptions.WorkerBootChanged:
             self.note_boot_ended(incarnation.boot)
-        except (
-            exceptions.OrderRefused,
-            exceptions.WorkerUnavailable,
-        ) as error:
-            if not incarnation.failing:
-                logs.write_warning(
-                    'worker-lost', boot=incarnation.boot, error=error
-                )
-            incarnation.failing = True
-            if isinstance(error, exceptions.WorkerUnavailable):
-                incarnation.note_unanswered_call(clock.read())
+        except exceptions.OrderRefused as error:
+            if error.reason == _EPOCH_REFUSED:
+                # The agent is there, and obeys the next leader that attaches.
+                incarnation.note_answer(clock.read())
+            incarnation.note_failed_poll(error)
+        except exceptions.WorkerUnavailable as error:
+            incarnation.note_unanswered_call(clock.read())
+            incarnation.note_failed_poll(error)
         else:
             return True
         return False
--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -195,6 +195,12 @@
         """Record that a call got no answer."""
         self.failed_at = self.failed_at or now
 
+    def note_failed_poll(self, error: Exception) -> None:
+        """Record that a poll failed; log the first one in a row."""
+        if not self.failing:
+            logs.write_warning('worker-lost', boot=self.boot, error=error)
+        self.failing = True
+
     @property
     def undiscarded_end(self) -> int:
         """Ends up to this number are still to be discarded; 0 for none."""
--- a/tests/test_silent_agents.py
+++ b/tests/test_silent_agents.py
@@ -80,3 +80,17 @@
         starts = self.site.list_starts()
         self.assertEqual(2, len(starts))
         self.assertEqual([], platform_deployment.find_overlaps(starts))
+
+    def test_work_done_without_a_leader_is_not_done_again(self):
+        """Done tasks run again: polls without authority count as silence."""
+        _, address = self.run_task('1.5')
+        self.site.cut.update(self.site.agents)
+        self.site.store_silent = True
+        self.site.restart_sidecar(address)
+        self.site.run_for(LAPSE_SECONDS)
+        self.site.cut.clear()
+        self.site.store_silent = False
+        self.site.change_leader()
+        self.site.run_for(LAPSE_SECONDS)
+        self.assertEqual(set(), self.site.list_unfinished())
+        self.assertEqual(1, len(self.site.list_starts()))
