Let the soak lose agents whose sidecars restart, and refuse starts

Three faults of the review were met by no seed of the soak: no agent fell silent while its sidecar restarted and was gone then, none refused starts with its status good, and no job had a gang. A new series of faults (agents) and gangs among the jobs, drawn by generators of their own, so that the recorded seeds play as before. A job that is shown as failed needs as many failed runs as its queue has attempts; members of a gang share theirs.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -57,6 +57,8 @@
         running until their lease ends.
     fail : bool
         Every task fails immediately.
+    refuse : bool
+        Every start is refused as by an unhealthy agent.
     needs_ticket : bool
         A start must carry the advisor's permit, as in a queue that has an
         advisor.
@@ -80,6 +82,7 @@
     late_seconds: float = 1.0
     silent: bool = False
     fail: bool = False
+    refuse: bool = False
     needs_ticket: bool = False
     crash_seconds: float = 0.02
     down_seconds: float = 0.2
@@ -277,6 +280,8 @@
         body, refusal = await self._validate(request)
         if refusal is not None:
             return refusal
+        if self.faults.refuse:
+            return responses.JSONResponse({}, status_code=503)
         if self.faults.late_starts:
             self.faults.late_starts -= 1
             self._group.start_soon(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,7 @@
     'restart_with_late_calls',
 }
 EVACUATIONS = {'evacuate'}
+AGENTS = {'lose_worker', 'refuse_starts', 'restart_beside_silent_worker'}
 FAULTS = {
     'change_configuration',
     'crash_many',
@@ -94,6 +95,24 @@
         self.assertEqual(SILENCES, set(faults.SILENCES))
         self.assertEqual(RESTARTS, set(faults.RESTARTS))
         self.assertEqual(EVACUATIONS, set(faults.EVACUATIONS))
+        self.assertEqual(AGENTS, set(faults.AGENTS))
+
+    def test_a_job_given_up_too_early_is_detected(self):
+        failures = [
+            make_start(f'a.0.0.{task}', 1.0, 2.0, 'failed') | {'run': run}
+            for task, run in ((0, 1), (1, 1), (0, 2), (1, 3))
+        ]
+        job = callers.Job('a', long_running=False, states=['failed'])
+        self.assertEqual(
+            ['a: given up after 2 failed runs'],
+            trial._check_failed(job, failures),
+        )
+        job.gang = True
+        self.assertEqual([], trial._check_failed(job, failures))
+        self.assertEqual(
+            ['a: given up after 2 failed runs'],
+            trial._check_failed(job, failures[:3]),
+        )
 
     def test_late_start_after_a_cancel_is_detected(self):
         job = callers.Job('a', long_running=True, cancelled_at=10.0)
@@ -136,18 +155,28 @@
             restarts=False,
             evacuations=False,
             crowds=False,
+            agents=False,
         )
 
     async def test_short_run_with_restarting_agents(self):
         await self.run_seed(
-            seed=12, seconds=6.0, evacuations=False, crowds=False
+            seed=12,
+            seconds=6.0,
+            evacuations=False,
+            crowds=False,
+            agents=False,
         )
 
     async def test_short_run_with_evacuations(self):
-        await self.run_seed(seed=14, seconds=8.0, crowds=False)
+        await self.run_seed(seed=14, seconds=8.0, crowds=False, agents=False)
 
     async def test_short_run_with_a_crowd(self):
-        await self.run_seed(seed=15, seconds=9.0)
+        await self.run_seed(seed=15, seconds=9.0, agents=False)
+
+    async def test_short_run_with_lost_agents(self):
+        await self.run_seed(
+            seed=16, seconds=9.0, evacuations=False, crowds=False
+        )
 
     async def test_regression_seeds(self):
         for seed in REGRESSION_SEEDS:
@@ -158,11 +187,16 @@
                 restarts=False,
                 evacuations=False,
                 crowds=False,
+                agents=False,
             )
 
     async def test_regression_seeds_with_cancels(self):
         for seed in REGRESSION_SEEDS_WITH_CANCELS:
             plan = trial.Plan(
-                seed, restarts=False, evacuations=False, crowds=False
+                seed,
+                restarts=False,
+                evacuations=False,
+                crowds=False,
+                agents=False,
             )
             await self.run_plan(plan)
--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -15,6 +15,7 @@
 _POLL_SECONDS = 0.25
 _CALL_TIMEOUT_SECONDS = 4.0
 _CRASHING_SHARE = 0.06
+_GANG_SHARE = 0.2
 # Share of the jobs that end by themselves that is cancelled, and the time
 # from submission to cancellation.
 _CANCELLED_SHARE = 0.2
@@ -37,6 +38,8 @@
         Whether its tasks run until it is cancelled.
     crashes_agent : bool
         Whether its first task crashes each worker's agent that starts it.
+    gang : bool
+        Whether its tasks are a gang.
     accepted, unknown, cancelled : bool
         Answers received: the job is accepted, it may be, and its
         cancellation is accepted.
@@ -52,6 +55,7 @@
     id: str
     long_running: bool
     crashes_agent: bool = False
+    gang: bool = False
     accepted: bool = False
     unknown: bool = False
     cancelled: bool = False
@@ -88,11 +92,13 @@
         site: site_module.Site,
         rng: random.Random,
         cancel_rng: random.Random | None = None,
+        gang_rng: random.Random | None = None,
     ) -> None:
         self._site = site
         self._rng = rng
         # Separate, so that cancellations do not change a seed's submissions.
         self._cancel_rng = cancel_rng
+        self._gang_rng = gang_rng
         self.jobs: list[Job] = []
         self._group: anyio.abc.TaskGroup
         # Cleared by the trial to stop further submissions.
@@ -107,7 +113,10 @@
                 number += 1
                 long_running = self._rng.random() < 0.15
                 crashes_agent = self._rng.random() < _CRASHING_SHARE
-                job = Job(f'{number:016x}', long_running, crashes_agent)
+                gang = not (long_running or crashes_agent) and (
+                    self._draw_gang()
+                )
+                job = Job(f'{number:016x}', long_running, crashes_agent, gang)
                 self.jobs.append(job)
                 group.start_soon(self._follow, job)
                 if not long_running and self._draw_cancel():
@@ -159,10 +168,19 @@
             )
         counts = [self._rng.randrange(1, 4) for _ in range(2)]
         payload = str(self._rng.randrange(30, 900))
+        if job.gang:
+            return platform_deployment.make_body(
+                1 + sum(counts), payload=payload, gang=True
+            )
         return platform_deployment.make_body(
             *counts, payload=crash_directive + payload
         )
 
+    def _draw_gang(self) -> bool:
+        if self._gang_rng is None:
+            return False
+        return self._gang_rng.random() < _GANG_SHARE
+
     def _draw_cancel(self) -> bool:
         if self._cancel_rng is None:
             return False
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -38,6 +38,8 @@
 RESTARTS: dict[str, tuple[_TargetKind, Fault]] = {}
 # Drawn separately as well; not faults, but what operators do during them.
 EVACUATIONS: dict[str, tuple[_TargetKind, Fault]] = {}
+# Drawn separately as well.
+AGENTS: dict[str, tuple[_TargetKind, Fault]] = {}
 
 
 def register(
@@ -316,6 +318,44 @@
     await site.set_faults(site.runners[name], restart=True)
 
 
+@register('instance', AGENTS)
+async def refuse_starts(
+    site: site_module.Site, rng: random.Random, name: str
+) -> None:
+    """Have a worker's agent refuse all starts while its status is good."""
+    await site.set_faults(site.runners[name], refuse=True)
+    await _sleep(rng, _LONG_SECONDS)
+    await site.set_faults(site.runners[name])
+
+
+@register('instance', AGENTS)
+async def restart_beside_silent_worker(
+    site: site_module.Site, rng: random.Random, name: str
+) -> None:
+    """Restart a sidecar while its worker's agent answers nothing."""
+    await site.set_faults(site.runners[name], silent=True)
+    await _sleep(rng, _SHORT_SECONDS)
+    await kill(site, rng, name)
+    await _sleep(rng, _LONG_SECONDS)
+    await site.set_faults(site.runners[name])
+
+
+@register('instance', AGENTS)
+async def lose_worker(
+    site: site_module.Site, rng: random.Random, name: str
+) -> None:
+    """Restart a sidecar beside its silent agent, which is lost then.
+
+    Nothing of it is heard until another fault of the instance, or the end
+    of all faults, starts it anew.
+    """
+    await site.set_faults(site.runners[name], silent=True)
+    await _sleep(rng, _SHORT_SECONDS)
+    await kill(site, rng, name)
+    await _sleep(rng, _SHORT_SECONDS)
+    await site.set_faults(site.runners[name], silent=True, restart=True)
+
+
 @register('zone', EVACUATIONS)
 async def evacuate(
     site: site_module.Site, rng: random.Random, name: str
--- a/tools/soaking/trial.py
+++ b/tools/soaking/trial.py
@@ -28,10 +28,12 @@
 _SILENCE_INTERVAL_SECONDS = (1.0, 3.0)
 _RESTART_INTERVAL_SECONDS = (0.5, 3.0)
 _EVACUATION_INTERVAL_SECONDS = (0.5, 3.0)
+_AGENT_INTERVAL_SECONDS = (1.0, 4.0)
 # No task may start in a zone later than this after its evacuation.
 _MAX_EVACUATION_SECONDS = 5.0
 _CRASH_EVENTS = {'worker-crashed', 'crash-counted', 'crash-at-once'}
 _POLL_SECONDS = 0.2
+_MAX_ATTEMPTS = platform_deployment.CONFIGURATION['routes'][0]['maxAttempts']
 # Jobs of a crowd for each instance, which has twenty seconds to do them, or
 # less than half of the time to drain.
 _CROWD_PER_INSTANCE = 15
@@ -47,7 +49,9 @@
     ``restarts`` adds agents that restart under their ids, once or repeatedly,
     and execute calls that were sent to the start before. ``evacuations`` adds
     zones that operators evacuate. ``crowds`` adds a crowd of callers, and
-    entries that reject jobs by the leader's forecast.
+    entries that reject jobs by the leader's forecast. ``agents`` adds agents
+    that refuse starts, or are silent or lost while their sidecars restart,
+    and jobs whose tasks are a gang.
     """
 
     seed: int
@@ -58,6 +62,7 @@
     restarts: bool = True
     evacuations: bool = True
     crowds: bool = True
+    agents: bool = True
 
 
 @dataclasses.dataclass
@@ -98,6 +103,7 @@
             self._site,
             random.Random(plan.seed + 1),
             random.Random(plan.seed + 3) if plan.cancels else None,
+            random.Random(plan.seed + 7) if plan.agents else None,
         )
         self._report = Report(plan.seed)
         self._schedule: list[str] = []
@@ -162,6 +168,14 @@
                     random.Random(self._plan.seed + 5),
                     busy,
                 )
+            if self._plan.agents:
+                group.start_soon(
+                    self._inject,
+                    faults.AGENTS,
+                    _AGENT_INTERVAL_SECONDS,
+                    random.Random(self._plan.seed + 8),
+                    busy,
+                )
         await faults.clear_faults(self._site)
         self._faults_cleared_at = time.time()
 
@@ -233,6 +247,7 @@
                 )
             report.violations += self._check_crashing(job, starts)
             report.violations += _check_cancelled(job, starts)
+            report.violations += _check_failed(job, starts)
             refused = not job.accepted and not job.unknown
             if refused and job.id in started:
                 report.violations.append(f'{job.id}: ran although refused')
@@ -311,6 +326,27 @@
                     yield event, line
 
 
+def _check_failed(
+    job: callers_module.Job, starts: list[dict[str, t.Any]]
+) -> list[str]:
+    """Return the violations by a job that was given up for its failures.
+
+    The members of a gang share their runs, each of which is one attempt.
+    """
+    if job.crashes_agent or job.states[-1:] != ['failed']:
+        return []
+    failed_runs: dict[str, set[int]] = {}
+    for start in starts:
+        task = start['task']
+        if task.partition('.')[0] == job.id and start['how'] == 'failed':
+            unit = task.rpartition('.')[0] if job.gang else task
+            failed_runs.setdefault(unit, set()).add(start['run'])
+    most = max((len(runs) for runs in failed_runs.values()), default=0)
+    if most >= _MAX_ATTEMPTS:
+        return []
+    return [f'{job.id}: given up after {most} failed runs']
+
+
 def _check_cancelled(
     job: callers_module.Job, starts: list[dict[str, t.Any]]
 ) -> list[str]:
