Bar starts without an answer at later boots whatever their age

Cause: starts without an answer are barred at the agent's next boot, but were forgotten 10 s after they were sent. The time until which a start may begin is on the agent's clock, which a boot starts anew, so no age rules it out.

Why this works: a sidecar keeps such starts over all boots of the agent's id and bars each at every later boot before the boot gets work. Only those of the last 10 s hold their tasks back, as before.

--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -44,7 +44,7 @@
 _RETRY_SECONDS = 0.1
 # Number of ended boots and of crashes that are reported.
 _MAX_ENDED_BOOTS = 8
-# An agent's reason for refusing a leader that it has seen a later one of.
+# An agent's reason for refusing calls of an outdated epoch.
 _EPOCH_REFUSED = 'fence'
 # Number of the most recently started runs that a crash's log line names.
 _MAX_LOGGED_RUNS = 4
@@ -139,7 +139,7 @@
             heartbeat, now, self._late_calls, self._earlier_leases_until
         )
         self._incarnation = incarnation
-        late_starts = incarnation.late_calls.list_starts(now)
+        late_starts = incarnation.late_calls.list_all_starts(now)
         logs.write_event(
             'worker-boot',
             boot=heartbeat.boot,
@@ -148,7 +148,7 @@
             late_starts=len(late_starts),
             deferred_seconds=max(incarnation.usable_at - now, 0.0),
         )
-        self._bar_late_starts(incarnation, late_starts)
+        self._bar_late_starts(incarnation, late_starts, now)
         self._renewal_requested.set()
 
     def _is_restart(self, boot: str) -> bool:
@@ -162,15 +162,17 @@
     def _bar_late_starts(
         self,
         incarnation: incarnation_module.Incarnation,
-        keys: t.Iterable[incarnation_module.RunId],
+        starts: t.Mapping[incarnation_module.RunId, float],
+        now: float,
     ) -> None:
         """Bar starts that were sent to the agent's earlier boots.
 
-        Until that is answered the runs stay pending, so that their tasks
-        are not placed again meanwhile.
+        Until that is answered the runs that are expected to be started stay
+        pending, so that their tasks are not placed again meanwhile.
         """
-        for key in keys:
-            incarnation.pending[key] = specification.Size()
+        for key, expected_until in starts.items():
+            if expected_until > now:
+                incarnation.pending[key] = specification.Size()
             incarnation.stopping.add(key)
             self._group.start_soon(self._executor.stop, incarnation, key)
 
--- a/src/persimmonsail/jobs/orders.py
+++ b/src/persimmonsail/jobs/orders.py
@@ -301,14 +301,14 @@
         key: incarnation_module.RunId,
     ) -> None:
         """Wait until the end of a stopped run is listed, or ruled out."""
-        waits = False
-        while not incarnation.terminated:
-            if incarnation.is_outcome_known(key):
-                return
-            if not waits:
-                logs.write_event('stop-unsettled', task=key[0], run=key[1])
-            waits = True
-            # The agent is polled anyway, whenever ends are acknowledged.
+        if incarnation.is_outcome_known(key):
+            return
+        task, run = key
+        logs.write_event('stop-unsettled', task=task, run=run)
+        # The agent is polled anyway, whenever ends are acknowledged.
+        while not (
+            incarnation.terminated or incarnation.is_outcome_known(key)
+        ):
             await anyio.sleep(_RETRY_SECONDS)
 
     async def set_speed_limit(
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -127,8 +127,8 @@
                 reaction.replan = True
         if report.lapsed:
             # The worker's agent may be permanently gone while its sidecar
-            # stays up, also before it was polled; nothing else would reveal
-            # that.
+            # stays up, even before the first poll; nothing else would
+            # reveal that.
             if instance.runs:
                 self.abandon_runs(instance, 'lapsed')
                 reaction.replan = True
--- a/tests/jobs/test_latecalls.py
+++ b/tests/jobs/test_latecalls.py
@@ -47,6 +47,26 @@
             self.assertEqual({KEY: UNTIL}, self.calls.list_starts(NOW))
             self.assertEqual(UNTIL, self.calls.find_discards_end(NOW))
 
+    def test_later_boots_bar_starts_of_any_age(self):
+        """A done task runs again: its start was executed after 10 s."""
+        error = exceptions.WorkerUnavailable('late')
+        self.raise_in(self.calls.send_start(KEY), error)
+        later = latecalls.LateCalls()
+        later.inherit(self.calls, UNTIL)
+        self.assertEqual({}, later.list_starts(UNTIL))
+        self.assertEqual({KEY: UNTIL}, later.list_all_starts(UNTIL))
+
+    def test_overdue_starts_take_no_unbounded_memory(self):
+        error = exceptions.WorkerUnavailable('late')
+        for number in range(1500):
+            self.raise_in(self.calls.send_start((KEY[0], number)), error)
+        self.assertEqual(1500, len(self.calls.list_all_starts(NOW)))
+        with mock.patch.object(latecalls.clock, 'read', lambda: UNTIL):
+            self.raise_in(self.calls.send_start(KEY), error)
+        starts = self.calls.list_all_starts(UNTIL)
+        self.assertEqual(1001, len(starts))
+        self.assertIn((KEY[0], 1499), starts)
+
     def test_later_boots_inherit_what_is_not_over(self):
         error = exceptions.WorkerUnavailable('late')
         self.raise_in(self.calls.send_start(KEY), error)
