--- a/src/persimmonsail/jobs/orders.py
+++ b/src/persimmonsail/jobs/orders.py
@@ -305,11 +305,11 @@
             return
         task, run = key
         logs.write_event('stop-unsettled', task=task, run=run)
-        # The agent is polled anyway, whenever ends are acknowledged.
-        while not (
-            incarnation.terminated or incarnation.is_outcome_known(key)
-        ):
+        while not incarnation.terminated:
+            # The agent is polled anyway, whenever ends are acknowledged.
             await anyio.sleep(_RETRY_SECONDS)
+            if incarnation.is_outcome_known(key):
+                return
 
     async def set_speed_limit(
         self, incarnation: incarnation_module.Incarnation, pace: fleet_pb2.Pace
