--- a/tests/restartplay.py
+++ b/tests/restartplay.py
@@ -30,6 +30,7 @@
 from persimmonsail.jobs import specification
 from persimmonsail.jobs import worker
 from standins.virtual import loops
+from tests import base
 from tests.jobs import cases
 
 _LEASE_SECONDS = 3.0
@@ -340,6 +341,26 @@
             await anyio.sleep(_UPDATE_SECONDS)
 
 
+class SiteTestCase(base.TestCase):
+    """Plays on a site of this many instances."""
+
+    INSTANCES = 3
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.site = Site(self.INSTANCES)
+        self.addCleanup(self.site.close)
+
+    def find_address(self) -> str:
+        """Return where the only task is running."""
+        (start,) = [s for s in self.site.list_starts() if not s['ended']]
+        return next(
+            address
+            for address, agent in self.site.agents.items()
+            if agent.boot == start['boot']
+        )
+
+
 class Site:
     """Instances, their sidecars and one leader at a time."""
 
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -1,17 +1,16 @@
 """Starts that are executed long after they were sent, in virtual time."""
 
 from standins import platform_deployment
-from tests import base
 from tests import restartplay
 
 ID = '00000000000000aa'
 
 
-class LateStartsTest(base.TestCase):
+class LateStartsTest(restartplay.SiteTestCase):
+    INSTANCES = 1
+
     def setUp(self):
         super().setUp()
-        self.site = restartplay.Site(1)
-        self.addCleanup(self.site.close)
         (self.agent,) = self.site.agents.values()
 
     def execute_late(self, seconds, restart_seconds):
--- a/tests/test_removed_instances.py
+++ b/tests/test_removed_instances.py
@@ -1,6 +1,5 @@
 """Instances that are removed for good, in virtual time."""
 
-from tests import base
 from tests import restartplay
 
 ID = '00000000000000aa'
@@ -8,20 +7,16 @@
 AWAY_SECONDS = 9.0
 
 
-class RemovedInstancesTest(base.TestCase):
+class RemovedInstancesTest(restartplay.SiteTestCase):
     def setUp(self):
         super().setUp()
-        self.site = restartplay.Site()
-        self.addCleanup(self.site.close)
         self.site.submit(ID, 'lasts', 1, long_running=True)
         self.site.run_for(1.0)
 
     def remove_instance(self):
-        (start,) = self.site.list_starts()
-        for address, agent in self.site.agents.items():
-            if agent.boot == start['boot']:
-                agent.leave_for_good()
-                self.site.cut.add(address)
+        address = self.find_address()
+        self.site.agents[address].leave_for_good()
+        self.site.cut.add(address)
 
     def assert_runs_again(self):
         self.site.run_for(AWAY_SECONDS)
--- a/tests/test_silent_agents.py
+++ b/tests/test_silent_agents.py
@@ -1,7 +1,6 @@
 """Agents that answer nothing while their sidecars restart, in virtual time."""
 
 from standins import platform_deployment
-from tests import base
 from tests import restartplay
 
 ID = '00000000000000aa'
@@ -9,21 +8,7 @@
 LAPSE_SECONDS = 6.0
 
 
-class SilentAgentsTest(base.TestCase):
-    def setUp(self):
-        super().setUp()
-        self.site = restartplay.Site()
-        self.addCleanup(self.site.close)
-
-    def find_address(self):
-        """Return where the only task is running."""
-        (start,) = [s for s in self.site.list_starts() if not s['ended']]
-        return next(
-            address
-            for address, agent in self.site.agents.items()
-            if agent.boot == start['boot']
-        )
-
+class SilentAgentsTest(restartplay.SiteTestCase):
     def run_task(self, payload):
         """Start a task; return its agent and its sidecar's address."""
         self.site.submit(ID, payload, 1, long_running=payload == 'lasts')
--- a/tests/test_unlisted_ends.py
+++ b/tests/test_unlisted_ends.py
@@ -2,7 +2,6 @@
 
 from persimmonsail.jobs import specification
 from standins import platform_deployment
-from tests import base
 from tests import restartplay
 
 ID = '00000000000000aa'
@@ -11,11 +10,9 @@
 SMALL = specification.Size(100, 10)
 
 
-class UnlistedEndsTest(base.TestCase):
+class UnlistedEndsTest(restartplay.SiteTestCase):
     def setUp(self):
         super().setUp()
-        self.site = restartplay.Site()
-        self.addCleanup(self.site.close)
         for agent in self.site.agents.values():
             agent.max_ends_listed = MAX_LISTED
 
--- a/tools/soaking/trial.py
+++ b/tools/soaking/trial.py
@@ -135,47 +135,38 @@
     async def _inject_all(self) -> None:
         """Inject the series of faults, which overlap by their durations."""
         busy: set[str] = set()
-        silence_rng = random.Random(self._plan.seed + 2)
+        plan = self._plan
+        all_series = (
+            (True, faults.FAULTS, _FAULT_INTERVAL_SECONDS, self._rng),
+            (
+                plan.cancels,
+                faults.SILENCES,
+                _SILENCE_INTERVAL_SECONDS,
+                random.Random(plan.seed + 2),
+            ),
+            (
+                plan.restarts,
+                faults.RESTARTS,
+                _RESTART_INTERVAL_SECONDS,
+                random.Random(plan.seed + 4),
+            ),
+            (
+                plan.evacuations,
+                faults.EVACUATIONS,
+                _EVACUATION_INTERVAL_SECONDS,
+                random.Random(plan.seed + 5),
+            ),
+            (
+                plan.agents,
+                faults.AGENTS,
+                _AGENT_INTERVAL_SECONDS,
+                random.Random(plan.seed + 8),
+            ),
+        )
         async with anyio.create_task_group() as group:
-            group.start_soon(
-                self._inject,
-                faults.FAULTS,
-                _FAULT_INTERVAL_SECONDS,
-                self._rng,
-                busy,
-            )
-            if self._plan.cancels:
-                group.start_soon(
-                    self._inject,
-                    faults.SILENCES,
-                    _SILENCE_INTERVAL_SECONDS,
-                    silence_rng,
-                    busy,
-                )
-            if self._plan.restarts:
-                group.start_soon(
-                    self._inject,
-                    faults.RESTARTS,
-                    _RESTART_INTERVAL_SECONDS,
-                    random.Random(self._plan.seed + 4),
-                    busy,
-                )
-            if self._plan.evacuations:
-                group.start_soon(
-                    self._inject,
-                    faults.EVACUATIONS,
-                    _EVACUATION_INTERVAL_SECONDS,
-                    random.Random(self._plan.seed + 5),
-                    busy,
-                )
-            if self._plan.agents:
-                group.start_soon(
-                    self._inject,
-                    faults.AGENTS,
-                    _AGENT_INTERVAL_SECONDS,
-                    random.Random(self._plan.seed + 8),
-                    busy,
-                )
+            for enabled, series, interval, rng in all_series:
+                if enabled:
+                    group.start_soon(self._inject, series, interval, rng, busy)
         await faults.clear_faults(self._site)
         self._faults_cleared_at = time.time()
 
