--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -318,6 +318,15 @@
     await site.set_faults(site.runners[name], restart=True)
 
 
+async def _silence_and_kill(
+    site: site_module.Site, rng: random.Random, name: str
+) -> None:
+    """Silence a worker's agent; kill its sidecar, which starts again."""
+    await site.set_faults(site.runners[name], silent=True)
+    await _sleep(rng, _SHORT_SECONDS)
+    await kill(site, rng, name)
+
+
 @register('instance', AGENTS)
 async def refuse_starts(
     site: site_module.Site, rng: random.Random, name: str
@@ -333,9 +342,7 @@
     site: site_module.Site, rng: random.Random, name: str
 ) -> None:
     """Restart a sidecar while its worker's agent answers nothing."""
-    await site.set_faults(site.runners[name], silent=True)
-    await _sleep(rng, _SHORT_SECONDS)
-    await kill(site, rng, name)
+    await _silence_and_kill(site, rng, name)
     await _sleep(rng, _LONG_SECONDS)
     await site.set_faults(site.runners[name])
 
@@ -349,9 +356,7 @@
     Nothing of it is heard until another fault of the instance, or the end
     of all faults, starts it anew.
     """
-    await site.set_faults(site.runners[name], silent=True)
-    await _sleep(rng, _SHORT_SECONDS)
-    await kill(site, rng, name)
+    await _silence_and_kill(site, rng, name)
     await _sleep(rng, _SHORT_SECONDS)
     await site.set_faults(site.runners[name], silent=True, restart=True)
 
