--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -287,7 +287,7 @@
         return unanswered_seconds > UNREACHABLE_SECONDS and now > bound
 
     def check_lapse(self, now: float) -> bool:
-        """Return whether all runs have ended; log when that changes."""
+        """Return whether all leases have lapsed; log the first time."""
         lapsed = self.is_lapsed(now)
         if lapsed and not self._has_lapsed:
             logs.write_warning(
--- a/src/persimmonsail/jobs/reports.py
+++ b/src/persimmonsail/jobs/reports.py
@@ -403,7 +403,7 @@
         A start whose answer was lost may be executed seconds later; only
         an answered stop rules that out, so that the task can be placed
         again. While ends are missing from a report, a run that is not
-        listed has probably ended.
+        listed may have ended.
         """
         if report.truncated:
             return
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -94,6 +94,19 @@
     await _set_proxy(site, name, 'pass')
 
 
+async def _impair_worker(
+    site: site_module.Site,
+    rng: random.Random,
+    name: str,
+    bounds: tuple[float, float],
+    **impairments: t.Any,
+) -> None:
+    """Set the faults of a worker's agent for a random time."""
+    await site.set_faults(site.runners[name], **impairments)
+    await _sleep(rng, bounds)
+    await site.set_faults(site.runners[name])
+
+
 @register('process')
 async def kill(site: site_module.Site, rng: random.Random, name: str) -> None:
     """Kill a process and restart it."""
@@ -257,9 +270,7 @@
     site: site_module.Site, rng: random.Random, name: str
 ) -> None:
     """Make all tasks that a worker starts fail for a short time."""
-    await site.set_faults(site.runners[name], fail=True)
-    await _sleep(rng, _SHORT_SECONDS)
-    await site.set_faults(site.runners[name])
+    await _impair_worker(site, rng, name, _SHORT_SECONDS, fail=True)
 
 
 @register('store', SILENCES)
@@ -277,9 +288,7 @@
     site: site_module.Site, rng: random.Random, name: str
 ) -> None:
     """Silence a worker's agent while commands are in flight."""
-    await site.set_faults(site.runners[name], silent=True)
-    await _sleep(rng, _LONG_SECONDS)
-    await site.set_faults(site.runners[name])
+    await _impair_worker(site, rng, name, _LONG_SECONDS, silent=True)
 
 
 @register('instance', RESTARTS)
@@ -332,9 +341,7 @@
     site: site_module.Site, rng: random.Random, name: str
 ) -> None:
     """Have a worker's agent refuse all starts while its status is good."""
-    await site.set_faults(site.runners[name], refuse=True)
-    await _sleep(rng, _LONG_SECONDS)
-    await site.set_faults(site.runners[name])
+    await _impair_worker(site, rng, name, _LONG_SECONDS, refuse=True)
 
 
 @register('instance', AGENTS)
