--- a/review/smallsite/deployment.py
+++ b/review/smallsite/deployment.py
@@ -15,6 +15,7 @@
 import time
 import typing as t
 
+from smallsite import advisor as advisor_module
 from smallsite import runner as runner_module
 from smallsite import store as store_module
 from smallsite import wire
@@ -72,6 +73,8 @@
         self._began_at = time.monotonic()
         self._background: set[asyncio.Task] = set()
         self._store_address = ''
+        self._advisor: advisor_module.Advisor | None = None
+        self._advisor_address = ''
 
     async def __aenter__(self) -> 'Deployment':
         self._directory = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
@@ -91,6 +94,8 @@
         for one in self.runners.values():
             await one.crash()
         await self.store.server.close()
+        if self._advisor is not None:
+            await self._advisor.server.close()
         self._record.close()
         shutil.rmtree(self._directory, ignore_errors=True)
 
@@ -106,17 +111,29 @@
         task = asyncio.create_task(work)
         self._background.add(task)
 
+    async def start_advisor(self, valid_ms: int) -> None:
+        """Start an advisor, and let the queue's policy require it."""
+        one = advisor_module.Advisor(50, 5, valid_ms, self.note)
+        port = _find_port('127.0.0.1')
+        await one.server.open('127.0.0.1', port)
+        self._advisor = one
+        self._advisor_address = f'127.0.0.1:{port}'
+        self.write_config(2)
+
     def add_route(self, version: int, name: str, prefix: str) -> None:
         """Write a version of the operator's config with one more route."""
         self.write_config(version, {**_ROUTE, 'name': name, 'prefix': prefix})
 
     def write_config(self, version: int, *routes: t.Any) -> None:
         """Write a version of the operator's config."""
+        route: dict[str, t.Any] = dict(_ROUTE)
+        if self._advisor is not None:
+            route['advisor'] = self._advisor.policy
         self.store.write(
             'op/config',
             {
                 'version': version,
-                'routes': [_ROUTE, *routes],
+                'routes': [route, *routes],
                 'services': [{'name': SERVICE}],
                 'limits': {'maxBodyBytes': 262144, 'idleTimeoutMs': 15000},
             },
@@ -136,6 +153,8 @@
             f'[jobs]\nreadiness = {ready}\nadmission = forecast\n'
             'processors = 2\nprocessor-share = 0.537\n'
         )
+        if self._advisor_address:
+            text += f'advisor = {self._advisor_address}\n'
         self.fronts[name] = front
         self._add_process(name, 'entry', text)
         self.launch(name)
@@ -153,6 +172,21 @@
         labels: t.Sequence[str] = ('a', 'r1-1'),
     ) -> runner_module.Runner:
         """Start a sidecar, and a runner that checks in there."""
+        one = self.add_side(name, capacity, labels)
+        await one.start()
+        async with self._limit('sidecar not ready'):
+            while await one.beat() is None:  # noqa: ASYNC110
+                await asyncio.sleep(_POLL_SECONDS)
+        self.spawn(one.run())
+        return one
+
+    def add_side(
+        self,
+        name: str,
+        capacity: runner_module.Size,
+        labels: t.Sequence[str] = ('a', 'r1-1'),
+    ) -> runner_module.Runner:
+        """Launch a sidecar; return its runner, which is not started."""
         host = _choose_host(len(self.processes))
         worker, beats, control = (
             f'{host}:{port}' for port in _find_ports(host, 3)
@@ -170,13 +204,13 @@
             name, worker, beats, capacity, labels, self.note
         )
         self.runners[name] = one
-        await one.start()
-        async with self._limit('sidecar not ready'):
-            while await one.beat() is None:  # noqa: ASYNC110
-                await asyncio.sleep(_POLL_SECONDS)
-        self.spawn(one.run())
         return one
 
+    def has_ended(self, name: str) -> bool:
+        """Return whether a process has ended and is not started again."""
+        handle = self.processes[name].handle
+        return handle is not None and handle.poll() is not None
+
     def launch(self, name: str) -> None:
         """Start a process with the command of the deploy file."""
         process = self.processes[name]
--- a/review/smallsite/runner.py
+++ b/review/smallsite/runner.py
@@ -92,12 +92,18 @@
         self.remaining_ms = 0
         self.service = 'planner'
         self.sequence = 0
+        # Whether a start has to carry the advisor's ticket.
+        self.needs_ticket = False
         # Called with each run that has begun.
         self.on_start: t.Callable[[Run], None] = lambda run: None
         self._beats_to = beats_to
         self._labels = list(labels)
         self._note = note
         self._server = wire.Server(self._handle)
+        # Without it, as on the smaller installations, each start has an id
+        # of its own.
+        self.sends_born = True
+        self._starts = 0
         self._born_ms = 0
         self._reset()
 
@@ -116,6 +122,9 @@
     async def start(self) -> None:
         """Begin a new life, which knows nothing of earlier ones."""
         self._reset()
+        self._starts += 1
+        if not self.sends_born:
+            self.id = f'i-{self.name}-{self._starts}'
         host, port = self.address.rsplit(':', 1)
         await self._server.open(host, int(port))
         self.is_up = True
@@ -179,10 +188,13 @@
             },
             'labels': self._labels,
             'clockMs': self._read_clock_ms(),
-            'born': self._born_ms,
             'seq': self.sequence,
+            **self._describe_birth(),
         }
 
+    def _describe_birth(self) -> dict[str, int]:
+        return {'born': self._born_ms} if self.sends_born else {}
+
     async def send_beat(
         self, body: t.Mapping[str, t.Any]
     ) -> wire.Answer | None:
@@ -218,6 +230,10 @@
         task, number = body['task'], body['run']
         if body['untilMs'] <= self._read_clock_ms():
             return self._refuse('late')
+        if self.needs_ticket:
+            phase = task.rpartition('.')[0]
+            if body.get('ticket') != f'{phase}-{self.id}':
+                return self._refuse('ticket')
         self._extend(body['untilMs'])
         current = self._active.get(task)
         if current is not None and current.number == number:
@@ -260,7 +276,7 @@
         ]
         return self._answer(
             {
-                'born': self._born_ms,
+                **self._describe_birth(),
                 'running': running,
                 'finished': self._ends[:_MAX_ENDS],
             }
