--- a/review/smallsite/runner.py
+++ b/review/smallsite/runner.py
@@ -209,7 +209,7 @@
 
     async def _handle(self, request: wire.Request) -> wire.Answer:
         if self.is_dark:
-            await asyncio.Event().wait()
+            await self._server.never.wait()
         if request.headers.get('expected-instance') != self.id:
             return wire.Answer(421)
         body = request.body
--- a/review/smallsite/wire.py
+++ b/review/smallsite/wire.py
@@ -46,6 +46,8 @@
         self._handler = handler
         self._writers: set[asyncio.StreamWriter] = set()
         self._silent: set[asyncio.StreamWriter] = set()
+        # Never set: what waits for it gets no answer.
+        self.never = asyncio.Event()
         self._server: asyncio.Server | None = None
 
     async def open(self, host: str, port: int) -> None:
@@ -78,7 +80,7 @@
                 if writer not in self._silent:
                     answer = await self._handler(request)
                 if writer in self._silent:
-                    await asyncio.Event().wait()
+                    await self.never.wait()
                 writer.write(_format_answer(answer))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, ValueError):
