A suspect of an advised queue asks for a permit

Callers saw a job stay active for good: one of its tasks was never started again after its agent had crashed, although all instances were empty.

Cause: placing an ordinary task that finds no instance requests the advisor's permits; placing a suspect returned without it and set back the wait after which a suspect takes the ordinary path. Permits of before the crash serve the first suspect; the second outwaits them. On related paths, an instance reserved for a suspect counted as unusable when its permit had to be renewed, and questions of tasks of one step replaced each other.

Told apart by the new line suspect-waits, which names the obstacle (turn, instance, witness). Ruled out: refused permits, a new leader, an advisor that is away.

--- a/src/persimmonsail/jobs/advice.py
+++ b/src/persimmonsail/jobs/advice.py
@@ -81,10 +81,14 @@
         if not candidates:
             return
         candidates.sort(key=lambda i: i.free.millicores, reverse=True)
-        boots = tuple(
-            instance.boot for instance in candidates[:MAX_INSTANCES_ASKED]
+        # Other tasks of the step may need other instances: each suspect has
+        # its own.
+        asked = self._questions.get(step)
+        boots = dict.fromkeys(asked.boots if asked is not None else ())
+        boots.update(dict.fromkeys(one.boot for one in candidates))
+        self._questions[step] = advisor_module.Question(
+            step, tuple(boots)[:MAX_INSTANCES_ASKED]
         )
-        self._questions[step] = advisor_module.Question(step, boots)
         self._changed.set()
 
     async def wait_question(self) -> advisor_module.Question:
--- a/src/persimmonsail/jobs/job.py
+++ b/src/persimmonsail/jobs/job.py
@@ -29,6 +29,8 @@
     isolation_wait_since : float
         Since when it waits for an instance where it is isolated from other
         suspects; 0 if it doesn't wait.
+    trial_obstacle : str
+        What last prevented its isolated start; empty for nothing.
     refusals : int
         Number of consecutive refused starts.
     """
@@ -40,6 +42,7 @@
     avoid: set[str] = dataclasses.field(default_factory=set)
     not_before: float = 0.0
     isolation_wait_since: float = 0.0
+    trial_obstacle: str = ''
     refusals: int = 0
 
     @property
--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -240,13 +240,19 @@
 
 
 def list_usable(
-    fleet: t.Iterable[instances.Instance], service: str, now: float
+    fleet: t.Iterable[instances.Instance],
+    service: str,
+    now: float,
+    suspect: str = '',
 ) -> list[instances.Instance]:
-    """Return the instances of a service that accept new work."""
+    """Return the instances of a service that accept new work.
+
+    One that is reserved for ``suspect`` is among them.
+    """
     return [
         instance
         for instance in fleet
-        if instance.service == service and is_usable(instance, now)
+        if instance.service == service and is_usable(instance, now, suspect)
     ]
 
 
@@ -259,7 +265,7 @@
     """Return the instances of a service that can start a task now."""
     return [
         instance
-        for instance in list_usable(fleet, service, now)
+        for instance in list_usable(fleet, service, now, task.name)
         if has_capacity(task, instance)
     ]
 
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -230,6 +230,7 @@
         for claim in claims:
             row = self._snapshot.find_row(claim.instance)
             claim.task.isolation_wait_since = 0.0
+            claim.task.trial_obstacle = ''
             _commit(self._board, claim, self._snapshot.unused[row])
 
     def _place_isolated(
@@ -243,13 +244,14 @@
         if cleared is not None:
             allowed = numpy.array([one is cleared for one in fleet])
         elif not self._may_reserve(usable, queue.service):
-            _restart_wait(task)
-            return []
+            return self._defer_trial(task, suspects.Obstacle.NO_TURN)
         placer = self._make_placer(task, queue, allowed)
         instance = placer.choose_isolated(task)
-        if instance is None or not placement.has_witness(fleet, instance):
-            _restart_wait(task)
-            return []
+        if instance is None:
+            self._handle_unplaced([task], task, queue)
+            return self._defer_trial(task, suspects.Obstacle.NO_INSTANCE)
+        if not placement.has_witness(fleet, instance):
+            return self._defer_trial(task, suspects.Obstacle.NO_WITNESS)
         # Later placements of this round go elsewhere.
         usable[self._snapshot.find_row(instance)] = False
         self._placer_step = None
@@ -261,6 +263,14 @@
         self._commit_all([claim])
         return [claim]
 
+    def _defer_trial(
+        self, task: job_module.Task, obstacle: suspects.Obstacle
+    ) -> list[placer_module.Claim]:
+        """Leave a suspect waiting; its wait for a trial starts again."""
+        suspects.note_obstacle(task, obstacle)
+        task.isolation_wait_since = 0.0
+        return []
+
     def _may_reserve(self, usable: numpy.ndarray, service: str) -> bool:
         reserved = sum(
             one.service == service and one.is_reserved(self._now)
@@ -312,11 +322,6 @@
             self._reserved_services.add(service)
 
 
-def _restart_wait(task: job_module.Task) -> None:
-    """Restart a suspect's waiting time while it cannot be tried."""
-    task.isolation_wait_since = 0.0
-
-
 def _commit(
     board: board_module.Board,
     claim: placer_module.Claim,
--- a/src/persimmonsail/jobs/suspects.py
+++ b/src/persimmonsail/jobs/suspects.py
@@ -9,6 +9,8 @@
 time in which its crashes occurred clears its task.
 """
 
+import enum
+
 from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import job as job_module
@@ -59,6 +61,30 @@
 _START_DELAY_SECONDS = 0.3
 
 
+class Obstacle(enum.StrEnum):
+    """Why a suspect can't be started in isolation now."""
+
+    # Other suspects have all instances that may be reserved.
+    NO_TURN = 'no-turn'
+    # None has capacity, or the advisor has approved none.
+    NO_INSTANCE = 'no-instance'
+    NO_WITNESS = 'no-witness'
+
+
+def note_obstacle(task: job_module.Task, obstacle: Obstacle) -> None:
+    """Record what prevents a suspect's start; log each change."""
+    if task.trial_obstacle == obstacle:
+        return
+    task.trial_obstacle = obstacle
+    logs.write_event(
+        'suspect-waits',
+        task=task.name,
+        run=task.state.run,
+        crashes=task.state.crashes.total,
+        obstacle=obstacle,
+    )
+
+
 def is_exhausted(task: job_module.Task) -> bool:
     """Return whether a task has crashed too many agents to be retried."""
     crashes = task.state.crashes
--- a/tests/jobs/test_advice.py
+++ b/tests/jobs/test_advice.py
@@ -5,6 +5,7 @@
 from persimmonsail.jobs import advisor
 from persimmonsail.jobs import board as board_module
 from persimmonsail.jobs import fleetsnapshot
+from persimmonsail.jobs import record
 from tests import base
 from tests.jobs import cases
 
@@ -14,7 +15,9 @@
 VALID_SECONDS = 3.0
 
 
-class AdviceTest(base.TestCase):
+class AdviceCase(base.TestCase):
+    """A job of a queue with an advisor, on four instances."""
+
     def setUp(self):
         super().setUp()
         self.approvals = advice.Approvals()
@@ -48,6 +51,8 @@
             question, advisor.Answer(permits, VALID_SECONDS), now
         )
 
+
+class AdviceTest(AdviceCase):
     async def test_tasks_start_with_tickets_on_approved_instances(self):
         """Every start on a queue with an advisor is rejected.
 
@@ -153,6 +158,56 @@
         self.assertEqual(2, advisor.asked)
 
 
+class SuspectAdviceTest(AdviceCase):
+    """A task of an advised queue that may have crashed its agent."""
+
+    def setUp(self):
+        super().setUp()
+        self.suspect, self.other, *rest = self.job.tasks.values()
+        self.board.update_crashes(
+            self.suspect, record.Crashes(count=1, longest_ms=300)
+        )
+        for task in (self.other, *rest):
+            task.not_before = NOW + 60.0
+
+    async def test_a_suspect_without_a_permit_asks_for_one(self):
+        """A suspect waits without end: nobody asks the advisor for it."""
+        self.assertEqual([], self.plan())
+        question = await self.wait_question_briefly()
+        self.assertEqual(self.step, question.step)
+        self.answer(question, 'b1')
+        (claim,) = self.plan()
+        self.assertEqual('t-b1', claim.permit)
+
+    async def test_a_permit_for_a_reserved_instance_is_asked_for_again(self):
+        """A suspect loses its instance, as the permit expires meanwhile."""
+        self.plan()
+        question = await self.wait_question_briefly()
+        self.answer(question, 'b1', now=NOW + 1.5 - VALID_SECONDS)
+        busy = self.fleet[1]
+        other = '00000000000000bb.0.0.0'
+        cases.add_run(busy, cases.make_step(), other, observed_at=NOW - 0.2)
+        self.assertEqual([], self.plan())
+        self.assertTrue(busy.is_reserved_for(self.suspect.name, NOW))
+        later = NOW + 1.2
+        self.assertEqual([], self.plan(later))
+        question = await self.wait_question_briefly()
+        self.assertIn('b1', question.boots)
+        self.answer(question, 'b1', now=later)
+        (claim,) = self.plan(later)
+        self.assertIs(busy, claim.instance)
+
+    async def test_tasks_of_a_step_ask_for_all_their_instances(self):
+        """A suspect's question is replaced by that of a task beside it."""
+        reserved = self.fleet[1]
+        reserved.reserved_for = self.suspect.name
+        reserved.reserved_until = NOW + 60.0
+        self.other.not_before = 0.0
+        self.assertEqual([], self.plan())
+        question = await self.wait_question_briefly()
+        self.assertEqual({'b0', 'b1', 'b2', 'b3'}, set(question.boots))
+
+
 class BusyAdvisor(advisor.Advisor):
     """Rejects the first question."""
 
