A leader without the store needs a majority of the entries

Callers saw tasks that last away for 14.8 to 15.5 s after their machine was removed at the moment at which the leader was killed; 9 s are allowed.

Cause: a leader extends leases for 8 s without the store, and a successor waited for these 8 s and a lease in any case, as it can't see whether its predecessor has ended. Now a leader that the store has not confirmed for 1.2 s needs a majority of the entries, each of which confirms only the latest term that it knows of. A successor tells its term to so many of them that the others are no majority, and then waits 1.2 s and a lease. The entries that count are stored in the term's own writes; leaders of earlier versions are told apart and waited for as before.

Ruled out by the log: an election that takes seconds, and a wait that is set again (`leading` 0.5 s after the loss, `run-lost` 14.3 s later).

--- a/src/persimmonsail/jobs/election.py
+++ b/src/persimmonsail/jobs/election.py
@@ -17,7 +17,9 @@
 
 from persimmonsail import exceptions
 from persimmonsail.jobs import ledger
+from persimmonsail.jobs import mandate
 from persimmonsail.jobs import record
+from persimmonsail.jobs import terms as terms_module
 from persimmonsail import logs
 from persimmonsail import store as store_module
 
@@ -44,7 +46,7 @@
 _MIN_PAUSE_SECONDS = 0.2
 
 IsAlive = t.Callable[[str], t.Awaitable[bool]]
-Lead = t.Callable[[ledger.Ledger], t.Awaitable[None]]
+Lead = t.Callable[[ledger.Ledger, mandate.Mandate], t.Awaitable[None]]
 _Step = t.Callable[[ledger.Ledger], t.Awaitable[None]]
 
 
@@ -62,6 +64,11 @@
         if certainly none does.
     lead : callable
         Leads until it is cancelled or deposed.
+    terms : persimmonsail.jobs.terms.Terms
+        What this entry knows of terms.
+    ask : callable
+        Tells this entry's term to the entry at an address; returns its
+        answer.
     cores : float, optional
         CPU limit of this entry's process; unknown if omitted.
     """
@@ -72,6 +79,8 @@
         name: str,
         is_alive: IsAlive,
         lead: Lead,
+        terms: terms_module.Terms,
+        ask: mandate.Ask,
         cores: float | None = None,
     ) -> None:
         # Whether this entry defers to larger ones.
@@ -81,6 +90,8 @@
         self._name = name
         self._is_alive = is_alive
         self._lead = lead
+        self._terms = terms
+        self._ask = ask
         self._random = random.Random(name)
         self._id = ''
         # The addresses of this entry and of the leader.
@@ -101,6 +112,7 @@
         # the page's revision returns the changes from now on.
         page = await self._store.scan(record.LEADER)
         item = _find_leader(page)
+        self._terms.note_stored(item.revision if item else page.revision)
         if item is None:
             await self._campaign(page.revision, 0)
             return
@@ -147,6 +159,7 @@
             return
         logs.write_event('leading', epoch=term.epoch)
         self.leader = self.address
+        self._terms.note_stored(term.epoch)
         try:
             await self._serve_term(ledger.Ledger(self._store, term))
         finally:
@@ -173,6 +186,9 @@
         return not observed.changes
 
     async def _serve_term(self, term_ledger: ledger.Ledger) -> None:
+        term_mandate = mandate.Mandate(
+            term_ledger, self.address, self._terms, self._ask
+        )
         try:
             async with anyio.create_task_group() as group:
                 # Run concurrently: in sequence, a leader with a slow event
@@ -184,7 +200,8 @@
                 group.start_soon(
                     self._run_periodically, self._confirm, term_ledger
                 )
-                await self._lead(term_ledger)
+                group.start_soon(term_mandate.run)
+                await self._lead(term_ledger, term_mandate)
                 group.cancel_scope.cancel()
         except* exceptions.Deposed as errors:
             logs.write_warning(
@@ -213,20 +230,43 @@
             logs.write_event('resigned', epoch=term.epoch)
 
     async def _acquire_term(self, key_revision: int) -> ledger.Term | None:
-        lease = await self._store.grant_lease(LEASE_SECONDS)
+        items: dict[str, store_module.Item | None] = {}
+
+        async def read(key: str) -> None:
+            items[key] = await self._store.get(key)
+
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(read, record.HEAD)
+                group.start_soon(read, record.ELECTORATE)
+                lease = await self._store.grant_lease(LEASE_SECONDS)
+        except ExceptionGroup as errors:
+            raise _find_cause(errors) from errors
         id = uuid.uuid4().hex
         leader = ledger.LeaderItem(
             id=id, name=self._name, address=self.address
         )
-        head = ledger.Head(leader=id, writes=0)
+        electorate = ledger.inherit_electorate(
+            id, items[record.HEAD], items[record.ELECTORATE]
+        )
+        head_write = store_module.Write(
+            record.HEAD, ledger.Head(leader=id, writes=0).model_dump_json()
+        )
         writes = [
             store_module.Write(record.LEADER, leader.model_dump_json(), lease),
-            store_module.Write(record.HEAD, head.model_dump_json()),
+            head_write,
+            store_module.Write(
+                record.ELECTORATE, electorate.model_dump_json()
+            ),
         ]
+        # The electorate is inherited from the head's leader, so neither may
+        # have changed since they were read.
+        conditions = {
+            key: item.revision if item else 0 for key, item in items.items()
+        }
+        conditions[record.LEADER] = key_revision
         try:
-            epoch = await self._store.commit(
-                {record.LEADER: key_revision}, writes
-            )
+            epoch = await self._store.commit(conditions, writes)
         except exceptions.TransactionConflict:
             logs.write_event('election-lost')
             return None
@@ -236,10 +276,13 @@
             # The commit may still have taken effect.
             logs.write_event('election-unknown', error=error)
             item = await self._store.get(record.HEAD)
-            if item is None or item.value != writes[1].value:
+            if item is None or item.value != head_write.value:
                 return None
             epoch = item.revision
-        return ledger.Term(id, epoch, lease)
+        entries = electorate.entries
+        return ledger.Term(
+            id, epoch, lease, None if entries is None else frozenset(entries)
+        )
 
     async def _run_periodically(
         self, step: _Step, term_ledger: ledger.Ledger
--- a/src/persimmonsail/jobs/fleet.py
+++ b/src/persimmonsail/jobs/fleet.py
@@ -10,18 +10,14 @@
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import job as job_module
-from persimmonsail.jobs import ledger as ledger_module
 from persimmonsail.jobs import link as link_module
+from persimmonsail.jobs import mandate as mandate_module
 from persimmonsail.jobs import placer
 from persimmonsail.jobs import reports
 from persimmonsail.jobs import suspects
 from persimmonsail import logs
 from persimmonsail import metrics
 
-# A leader that can't reach the store continues to renew leases for this long;
-# no observed outage is longer. A successor waits this time before it starts
-# work elsewhere that an unreachable instance may still run.
-LEADERSHIP_GRACE_SECONDS = 8.0
 # Callers are promised that no task of a job begins later than 3 s after its
 # cancel was acknowledged, despite any delay in between. A start is therefore
 # executed within this time after its job was last known not to be cancelled,
@@ -38,8 +34,9 @@
 
     Parameters
     ----------
-    ledger : persimmonsail.jobs.ledger.Ledger
-        This term's writes, and when leadership was last confirmed.
+    mandate : persimmonsail.jobs.mandate.Mandate
+        Whether this leader may extend leases, and until when earlier ones
+        may have.
     lease_seconds : float
         How long runs continue after the leader's last message.
     reader : persimmonsail.jobs.reports.Reader
@@ -50,12 +47,12 @@
 
     def __init__(
         self,
-        ledger: ledger_module.Ledger,
+        mandate: mandate_module.Mandate,
         lease_seconds: float,
         reader: reports.Reader,
         on_reaction: t.Callable[[reports.Reaction], None],
     ) -> None:
-        self._ledger = ledger
+        self._mandate = mandate
         self._lease_seconds = lease_seconds
         self._lease_bound_seconds = (
             lease_seconds * (1 + _CLOCK_DRIFT) + _LAPSE_MARGIN_SECONDS
@@ -78,7 +75,7 @@
             self.instances[address] = instance
             link = link_module.InstanceLink(
                 instance,
-                self._ledger.term.epoch,
+                self._mandate.epoch,
                 self._lease_seconds,
                 self._get_lease_bound,
                 self._handle_attached,
@@ -91,14 +88,12 @@
     def adopt_claim(self, task: job_module.Task) -> None:
         """Adopt a run that an earlier leader has placed.
 
-        That leader may have allowed leases until it noticed that it was
+        That leader may have extended leases until it noticed that it was
         replaced, and they remain valid after that.
         """
         now = clock.read()
         instance = self.get(task.state.instance)
-        instance.leases_until = (
-            now + LEADERSHIP_GRACE_SECONDS + self._lease_bound_seconds
-        )
+        instance.inherits_leases = True
         run = instances.Run(
             task=task.name,
             number=task.state.run,
@@ -227,18 +222,22 @@
         """Abandon runs of instances whose leases have all expired."""
         now = clock.read()
         for instance in self.instances.values():
-            if instance.runs and now > instance.leases_until:
+            if instance.runs and now > self._find_leases_end(instance):
                 if not instance.attached or not instance.has_agent:
                     self._reader.abandon_runs(instance, 'unreachable')
         self._stop_unneeded()
 
-    def _get_lease_bound(self) -> float:
-        unconfirmed_seconds = clock.read() - self._ledger.confirmed_at
-        return (
-            self._lease_bound_seconds
-            if unconfirmed_seconds < LEADERSHIP_GRACE_SECONDS
-            else 0.0
+    def _find_leases_end(self, instance: instances.Instance) -> float:
+        """Return the time until which runs there may hold leases."""
+        if not instance.inherits_leases:
+            return instance.leases_until
+        inherited_until = (
+            self._mandate.predecessors_until + self._lease_bound_seconds
         )
+        return max(instance.leases_until, inherited_until)
+
+    def _get_lease_bound(self) -> float:
+        return self._lease_bound_seconds if self._mandate.is_valid() else 0.0
 
     def _handle_attached(self, instance: instances.Instance) -> None:
         instance.attached = True
@@ -262,6 +261,7 @@
             # The worker's agent no longer obeys earlier leaders, so only
             # leases allowed by this leader count.
             instance.leases_until = now + self._lease_bound_seconds
+            instance.inherits_leases = False
         reaction = self._reader.read(instance, report, now)
         for run in reaction.stops:
             self._order_stop(instance, run)
--- a/src/persimmonsail/jobs/fleet_grpc.py
+++ b/src/persimmonsail/jobs/fleet_grpc.py
@@ -62,6 +62,10 @@
     async def Cancel(self, stream: 'grpclib.server.Stream[persimmonsail.jobs.fleet_pb2.CancelQuery, persimmonsail.jobs.fleet_pb2.OutcomeReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ConfirmTerm(self, stream: 'grpclib.server.Stream[persimmonsail.jobs.fleet_pb2.TermQuery, persimmonsail.jobs.fleet_pb2.TermReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/persimmonsail.jobs.Leader/FindJob': grpclib.const.Handler(
@@ -94,6 +98,12 @@
                 persimmonsail.jobs.fleet_pb2.CancelQuery,
                 persimmonsail.jobs.fleet_pb2.OutcomeReply,
             ),
+            '/persimmonsail.jobs.Leader/ConfirmTerm': grpclib.const.Handler(
+                self.ConfirmTerm,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonsail.jobs.fleet_pb2.TermQuery,
+                persimmonsail.jobs.fleet_pb2.TermReply,
+            ),
         }
 
 
@@ -130,3 +140,9 @@
             persimmonsail.jobs.fleet_pb2.CancelQuery,
             persimmonsail.jobs.fleet_pb2.OutcomeReply,
         )
+        self.ConfirmTerm = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonsail.jobs.Leader/ConfirmTerm',
+            persimmonsail.jobs.fleet_pb2.TermQuery,
+            persimmonsail.jobs.fleet_pb2.TermReply,
+        )
--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -141,8 +141,10 @@
         that link. Before that it gets nothing new, since the work that it
         would get may be among the ends in the first report.
     leases_until : float
-        Time up to which its runs may hold leases, allowed by any leader;
-        they may be started elsewhere only after it.
+        Time up to which its runs may hold leases that this leader has
+        allowed.
+    inherits_leases : bool
+        Whether they may hold leases that earlier leaders have allowed.
     silent_seconds : float
         For how long its worker's agent has not answered its sidecar.
     answered_at : float
@@ -186,6 +188,7 @@
     attached: bool = False
     has_reported: bool = False
     leases_until: float = 0.0
+    inherits_leases: bool = False
     silent_seconds: float = 0.0
     answered_at: float = 0.0
     has_agent: bool = True
--- a/src/persimmonsail/jobs/leader.py
+++ b/src/persimmonsail/jobs/leader.py
@@ -29,6 +29,7 @@
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import learnedstate
 from persimmonsail.jobs import ledger as ledger_module
+from persimmonsail.jobs import mandate as mandate_module
 from persimmonsail.jobs import placer
 from persimmonsail.jobs import queues
 from persimmonsail.jobs import record
@@ -58,6 +59,8 @@
         Holds jobs and progress.
     ledger : persimmonsail.jobs.ledger.Ledger
         This term's writes.
+    mandate : persimmonsail.jobs.mandate.Mandate
+        Whether this leader may extend leases.
     view : persimmonsail.jobs.queues.View
         The current queue configuration.
     lease_seconds : float
@@ -74,6 +77,7 @@
         self,
         store: store_module.TransactionalStore,
         ledger: ledger_module.Ledger,
+        mandate: mandate_module.Mandate,
         view: queues.View,
         lease_seconds: float,
         retention_seconds: float,
@@ -102,7 +106,7 @@
             lambda: self._fleet.instances.values(),
         )
         self._fleet = fleet_module.Fleet(
-            ledger, lease_seconds, self._reader, self._handle_reaction
+            mandate, lease_seconds, self._reader, self._handle_reaction
         )
         self._unsent_claims: list[placer.Claim] = []
         self._commits = commits.Commits(
--- a/src/persimmonsail/jobs/leaderservice.py
+++ b/src/persimmonsail/jobs/leaderservice.py
@@ -7,6 +7,7 @@
 from persimmonsail.jobs import fleet_pb2
 from persimmonsail.jobs import forecasts
 from persimmonsail.jobs import intake as intake_module
+from persimmonsail.jobs import terms as terms_module
 
 if t.TYPE_CHECKING:
     from persimmonsail.jobs import leader as leader_module
@@ -19,9 +20,11 @@
         self,
         intake: intake_module.Intake,
         get_leader: t.Callable[[], 'leader_module.Leader | None'],
+        terms: terms_module.Terms,
     ) -> None:
         self._intake = intake
         self._get_leader = get_leader
+        self._terms = terms
 
     async def Submit(self, stream: t.Any) -> None:
         """Store a job for an entry that can't reach the store."""
@@ -75,3 +78,12 @@
         if leader is not None:
             reply = forecasts.describe(leader)
         await stream.send_message(reply)
+
+    async def ConfirmTerm(self, stream: t.Any) -> None:
+        """Return the latest term that this entry knows of."""
+        request = await stream.recv_message()
+        answer = self._terms.answer(request.epoch, request.follower)
+        reply = fleet_pb2.TermReply(
+            epoch=answer.epoch, informed=answer.informed
+        )
+        await stream.send_message(reply)
--- a/src/persimmonsail/jobs/ledger.py
+++ b/src/persimmonsail/jobs/ledger.py
@@ -40,6 +40,23 @@
     address: str
 
 
+class Electorate(pydantic.BaseModel):
+    """The entries that may confirm leaders up to the present one.
+
+    Attributes
+    ----------
+    leader : str
+        The term in which it was written. If the head names another one, that
+        leader is of a version that writes no electorate.
+    entries : list of str, optional
+        The entries' addresses; None if an earlier leader may extend leases
+        without being confirmed.
+    """
+
+    leader: str
+    entries: list[str] | None
+
+
 @dataclasses.dataclass(frozen=True)
 class Term:
     """One process's term as the leader.
@@ -52,11 +69,15 @@
         Rises with each term; workers reject orders of lower ones.
     lease : str
         The store lease that the leader key is attached to.
+    electorate : frozenset of str, optional
+        The entries that may confirm earlier leaders; None if those leaders
+        may extend leases without being confirmed.
     """
 
     id: str
     epoch: int
     lease: str
+    electorate: frozenset[str] | None = None
 
 
 class Ledger:
@@ -77,6 +98,8 @@
         self.term = term
         self._revision = term.epoch
         self._writes = 0
+        # Each write is conditional on the one before.
+        self._lock = anyio.Lock()
         # When this process was last confirmed to be the only leader.
         self.confirmed_at = clock.read()
 
@@ -115,6 +138,12 @@
         persimmonsail.exceptions.Deposed
             If another process leads now.
         """
+        async with self._lock:
+            return await self._commit(writes, absent)
+
+    async def _commit(
+        self, writes: t.Sequence[store_module.Write], absent: t.Sequence[str]
+    ) -> float:
         self._writes += 1
         head = Head(leader=self.term.id, writes=self._writes)
         rows = [
@@ -186,6 +215,40 @@
         self._revision = item.revision
 
 
+def inherit_electorate(
+    leader: str,
+    head: store_module.Item | None,
+    stored: store_module.Item | None,
+) -> Electorate:
+    """Return the electorate of a new term, before the leader changes it.
+
+    Parameters
+    ----------
+    leader : str
+        The new term's id.
+    head, stored : persimmonsail.store.Item, optional
+        The head and the electorate of the term before.
+    """
+    if head is None:
+        return Electorate(leader=leader, entries=[])
+    previous = _parse_electorate(stored) if stored is not None else None
+    present = _parse_head(head)
+    entries = None
+    if previous is not None and present is not None:
+        if previous.leader == present.leader:
+            entries = previous.entries
+    return Electorate(leader=leader, entries=entries)
+
+
+def _parse_electorate(item: store_module.Item) -> Electorate | None:
+    """Parse the electorate; return None if another writer changed it."""
+    try:
+        return Electorate.model_validate_json(item.value)
+    except pydantic.ValidationError as error:
+        logs.write_error('electorate-unreadable', error=error)
+        return None
+
+
 def _parse_head(item: store_module.Item) -> Head | None:
     """Parse the head; return None if another writer made it unreadable.
 
--- a/src/persimmonsail/jobs/record.py
+++ b/src/persimmonsail/jobs/record.py
@@ -22,6 +22,8 @@
 REJECTIONS = 'rejected/'
 LEADER = 'leader'
 HEAD = 'head'
+# The entries that may confirm the leader while the store is unavailable.
+ELECTORATE = 'electorate'
 LEARNED_STATE = 'knowledge'
 CAPACITIES = 'capacities'
 # Each report names all running tasks; a fleet of the size designed for runs
--- a/src/persimmonsail/platform/entry.py
+++ b/src/persimmonsail/platform/entry.py
@@ -23,7 +23,9 @@
 from persimmonsail.jobs import intake as intake_module
 from persimmonsail.jobs import leaderservice
 from persimmonsail.jobs import ledger as ledger_module
+from persimmonsail.jobs import mandate as mandate_module
 from persimmonsail.jobs import queues
+from persimmonsail.jobs import terms as terms_module
 from persimmonsail import links as links_module
 from persimmonsail import logs
 from persimmonsail import looplag
@@ -72,11 +74,14 @@
         )
         self._leader: leader_module.Leader | None = None
         self._stopping = False
+        self._terms = terms_module.Terms()
         self._candidate = election.Candidate(
             self._store,
             settings.process.name,
             self._is_alive,
             self._lead,
+            self._terms,
+            self._ask_term,
             settings.jobs.cores,
         )
         self._capacities = capacities.Capacities()
@@ -102,7 +107,9 @@
         control = addresses.format_address(sock)
         server = grpclib.server.Server(
             [
-                leaderservice.LeaderService(self._intake, self._get_leader),
+                leaderservice.LeaderService(
+                    self._intake, self._get_leader, self._terms
+                ),
                 health_service.Health(),
             ]
         )
@@ -199,12 +206,15 @@
             await self._candidate.run()
         candidacy_ended.set()
 
-    async def _lead(self, ledger: ledger_module.Ledger) -> None:
+    async def _lead(
+        self, ledger: ledger_module.Ledger, mandate: mandate_module.Mandate
+    ) -> None:
         jobs = self._settings.jobs
         leader = await anyio.to_thread.run_sync(_import_leader)
         self._leader = leader.Leader(
             self._store,
             ledger,
+            mandate,
             self._view,
             jobs.lease,
             jobs.retention,
@@ -218,12 +228,10 @@
 
     async def _is_alive(self, address: str) -> bool:
         try:
-            await self._links.call(
+            await self._call_entry(
                 address,
-                fleet_grpc.LeaderStub,
-                'FindJob',
-                fleet_pb2.JobQuery(),
-                _PING_TIMEOUT_SECONDS,
+                self._terms.epoch,
+                follower=self._candidate.address,
             )
         except exceptions.PeerAbsent:
             return False
@@ -231,3 +239,18 @@
             # Slow, frozen or partitioned: its lease in the store decides.
             logs.write_event('leader-unheard', error=error)
         return True
+
+    async def _ask_term(self, address: str, epoch: int) -> terms_module.Answer:
+        reply = await self._call_entry(address, epoch)
+        return terms_module.Answer(reply.epoch, reply.informed)
+
+    async def _call_entry(
+        self, address: str, epoch: int, follower: str = ''
+    ) -> fleet_pb2.TermReply:
+        return await self._links.call(
+            address,
+            fleet_grpc.LeaderStub,
+            'ConfirmTerm',
+            fleet_pb2.TermQuery(epoch=epoch, follower=follower),
+            _PING_TIMEOUT_SECONDS,
+        )
--- a/tests/jobs/cases.py
+++ b/tests/jobs/cases.py
@@ -7,9 +7,12 @@
 from persimmonsail.jobs import instances
 from persimmonsail.jobs import interference
 from persimmonsail.jobs import job as job_module
+from persimmonsail.jobs import ledger as ledger_module
+from persimmonsail.jobs import mandate
 from persimmonsail.jobs import queues
 from persimmonsail.jobs import scheduling
 from persimmonsail.jobs import specification
+from persimmonsail.jobs import terms
 
 ID = '00000000000000aa'
 QUEUE = queues.Queue(
@@ -85,6 +88,13 @@
     return report
 
 
+def make_mandate(
+    ledger: ledger_module.Ledger, address='entry'
+) -> mandate.Mandate:
+    """Return the mandate of a leader without other entries."""
+    return mandate.Mandate(ledger, address, terms.Terms(), None)
+
+
 def plan(
     board,
     snapshot,
--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -5,6 +5,7 @@
 from persimmonsail import exceptions
 from persimmonsail.jobs import election
 from persimmonsail.jobs import record
+from persimmonsail.jobs import terms
 from persimmonsail import logs
 from persimmonsail import store as store_module
 from tests import base
@@ -53,9 +54,10 @@
         return self.items.get(key)
 
     async def commit(self, conditions, writes, removals=()):
-        current = self.items.get(record.LEADER)
-        if conditions[record.LEADER] != (current.revision if current else 0):
-            raise exceptions.TransactionConflict({})
+        for key, revision in conditions.items():
+            current = self.items.get(key)
+            if revision != (current.revision if current else 0):
+                raise exceptions.TransactionConflict({})
         self.revision += 1
         for write in writes:
             self.items[write.key] = store_module.Item(
@@ -72,7 +74,7 @@
         self.elected = anyio.Event()
 
     def make_candidate(self, name, cores):
-        async def lead(ledger):
+        async def lead(ledger, mandate):
             self.leading.append(name)
             self.elected.set()
             await anyio.sleep_forever()
@@ -80,7 +82,12 @@
         async def is_alive(address):
             return address != 'dead'
 
-        candidate = election.Candidate(self.store, name, is_alive, lead, cores)
+        async def ask(address, epoch):
+            raise exceptions.PeerAbsent(address)
+
+        candidate = election.Candidate(
+            self.store, name, is_alive, lead, terms.Terms(), ask, cores
+        )
         candidate.address = name
         return candidate
 
@@ -165,7 +172,7 @@
         write that found the head moved ran in a task group of its own.
         """
 
-        async def lead(ledger):
+        async def lead(ledger, mandate):
             raise ExceptionGroup('', [exceptions.Deposed('head was moved')])
 
         candidate = self.make_candidate('entry', None)
--- a/tests/jobs/test_fleet.py
+++ b/tests/jobs/test_fleet.py
@@ -36,7 +36,10 @@
         )
         term = ledger.Term('term', 1, 'lease')
         self.fleet = fleet.Fleet(
-            ledger.Ledger(None, term), 5.8, self.reader, lambda reaction: None
+            cases.make_mandate(ledger.Ledger(None, term)),
+            5.8,
+            self.reader,
+            lambda reaction: None,
         )
 
     def attach(self, address):
--- a/tests/jobs/test_leader.py
+++ b/tests/jobs/test_leader.py
@@ -20,9 +20,11 @@
     def open_leader(self, store=None):
         """Return a leader that has no configuration yet."""
         term = ledger.Term('term', test_ledger.FakeStore().revision, 'lease')
+        term_ledger = ledger.Ledger(store, term)
         return leader_module.Leader(
             None,
-            ledger.Ledger(store, term),
+            term_ledger,
+            cases.make_mandate(term_ledger),
             queues.View(),
             5.8,
             150.0,
--- a/tests/restartplay.py
+++ b/tests/restartplay.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import typing as t
 from unittest import mock
 
@@ -25,21 +26,24 @@
 from persimmonsail.jobs import job as job_module
 from persimmonsail.jobs import ledger
 from persimmonsail.jobs import link
+from persimmonsail.jobs import mandate
 from persimmonsail.jobs import record
 from persimmonsail.jobs import reports
 from persimmonsail.jobs import specification
+from persimmonsail.jobs import terms
 from persimmonsail.jobs import worker
 from standins.virtual import loops
 from tests import base
 from tests.jobs import cases
 
-_LEASE_SECONDS = 3.0
+LEASE_SECONDS = 3.0
 _ROUND_SECONDS = 0.05
 _HEARTBEAT_SECONDS = 0.4
 _UPDATE_SECONDS = 0.01
 _CALL_SECONDS = 0.004
 _TIMEOUT_SECONDS = 0.6
 _MAX_ATTEMPTS = 50
+ENTRIES = ('entry-0', 'entry-1', 'entry-2')
 _MILLISECONDS = 1000
 
 
@@ -307,7 +311,7 @@
     async def _attach_once(self) -> None:
         instance = self._instance
         sidecar = self.site.sidecars.get(instance.address)
-        if sidecar is None or instance.address in self.site.cut:
+        if sidecar is None or self._is_cut():
             return
         to_sidecar = anyio.create_memory_object_stream(100)
         to_leader = anyio.create_memory_object_stream(100)
@@ -334,12 +338,33 @@
     async def _wait_cut(self, stream: _Stream) -> None:
         sidecar = self.site.sidecars.get(self._instance.address)
         while True:
-            if self._instance.address in self.site.cut:
+            if self._is_cut():
                 return
             if self.site.sidecars[self._instance.address] is not sidecar:
                 return
             await anyio.sleep(_UPDATE_SECONDS)
 
+    def _is_cut(self) -> bool:
+        address = self._instance.address
+        entry = self.site.entry_by_epoch[self._epoch]
+        return address in self.site.cut or self.site.is_cut(entry, address)
+
+
+class _SiteLedger(ledger.Ledger):
+    """A leader's writes of the electorate."""
+
+    def __init__(self, site: 'Site', entry: str, term: ledger.Term) -> None:
+        super().__init__(None, term)
+        self._site = site
+        self._entry = entry
+
+    async def _commit(self, writes, absent):
+        await self._site.wait_store(self._entry)
+        for write in writes:
+            stored = ledger.Electorate.model_validate_json(write.value)
+            self._site.electorate = frozenset(stored.entries)
+        return self._site.now
+
 
 class SiteTestCase(base.TestCase):
     """Plays on a site of this many instances."""
@@ -378,6 +403,11 @@
             )
         )
         self.cut: set[str] = set()
+        # Entries and instances that reach each other, and nothing else.
+        self.isolated: set[str] = set()
+        self.entry_by_epoch: dict[int, str] = {}
+        self.electorate: frozenset[str] | None = frozenset()
+        self._terms = {name: terms.Terms() for name in ENTRIES}
         self.store_silent = False
         self.epoch = 0
         self._jobs: dict[str, specification.Specification] = {}
@@ -469,7 +499,7 @@
 
     def restart_sidecar(self, address: str) -> None:
         """Start a sidecar that knows nothing."""
-        sidecar = agent_module.Agent(self.agents[address], _LEASE_SECONDS)
+        sidecar = agent_module.Agent(self.agents[address], LEASE_SECONDS)
         self.sidecars[address] = sidecar
         self._spawn(f'sidecar-{address}', sidecar.run())
 
@@ -505,15 +535,58 @@
             for task in job.list_placed():
                 self._fleet.stop_task(task)
 
+    def is_cut(self, first: str, second: str) -> bool:
+        """Return whether two of entries and instances can't communicate."""
+        return (first in self.isolated) != (second in self.isolated)
+
+    async def wait_store(self, entry: str) -> None:
+        """Wait until an entry reaches the store."""
+        while self.store_silent or entry in self.isolated:  # noqa: ASYNC110
+            await anyio.sleep(_ROUND_SECONDS)
+        await anyio.sleep(_CALL_SECONDS)
+
     def change_leader(self) -> None:
-        """Replace the leader by one that knows only what is stored."""
+        """Replace the leader by one that knows only what is stored.
+
+        One that is isolated lives on.
+        """
+        before = self.entry_by_epoch.get(self.epoch, '')
+        if before not in self.isolated and before:
+            self._tasks[f'leader-{self.epoch}'].cancel()
         self.epoch += 1
+        reachable = [name for name in ENTRIES if name not in self.isolated]
+        # An entry that leads again has restarted.
+        entry = next((n for n in reachable if n != before), reachable[0])
+        self._terms[entry] = terms.Terms()
+        self.entry_by_epoch[self.epoch] = entry
         self._board = board_module.Board()
         for id in self._jobs:
             self._board.add(self._make_job(id))
-        self._spawn('leader', self._run_leader(self._board, self.epoch))
+        self._spawn(
+            f'leader-{self.epoch}',
+            self._run_leader(self._board, self.epoch, entry),
+        )
 
-    async def _run_leader(self, board: board_module.Board, epoch: int) -> None:
+    async def _ask_term(
+        self, asking: str, address: str, epoch: int
+    ) -> terms.Answer:
+        await anyio.sleep(_CALL_SECONDS)
+        if self.is_cut(asking, address):
+            await anyio.sleep(_TIMEOUT_SECONDS)
+            raise exceptions.LinkLost(address)
+        return self._terms[address].answer(epoch)
+
+    def _follow(self, epoch: int, leader: str) -> None:
+        """Have the entries that reach the leader ask it for its term."""
+        for name, known in self._terms.items():
+            if name != leader and not self.is_cut(name, leader):
+                if not self.store_silent and name not in self.isolated:
+                    known.note_stored(self.epoch)
+                self._terms[leader].answer(known.epoch, name)
+
+    async def _run_leader(
+        self, board: board_module.Board, epoch: int, entry: str
+    ) -> None:
         model = interference.Model()
         reader = reports.Reader(
             board,
@@ -523,21 +596,35 @@
             advice.Approvals(),
             lambda: fleet.instances.values(),
         )
-        term = ledger.Ledger(None, ledger.Term('term', epoch, 'lease'))
+        term = _SiteLedger(
+            self,
+            entry,
+            ledger.Term(f'term-{epoch}', epoch, 'lease', self.electorate),
+        )
+        self._terms[entry].note_stored(epoch)
+        term_mandate = mandate.Mandate(
+            term,
+            entry,
+            self._terms[entry],
+            functools.partial(self._ask_term, entry),
+        )
         fleet = fleet_module.Fleet(
-            term, _LEASE_SECONDS, reader, lambda reaction: None
+            term_mandate, LEASE_SECONDS, reader, lambda reaction: None
         )
         self._fleet = fleet
         snapshot = fleetsnapshot.FleetSnapshot()
         async with anyio.create_task_group() as group:
             fleet.open(group)
+            group.start_soon(term_mandate.run)
             for address in self.agents:
                 fleet.get(address)
             for job in board.jobs.values():
                 for task in job.list_placed():
                     fleet.adopt_claim(task)
             while True:
-                term.confirmed_at = self.now
+                self._follow(epoch, entry)
+                if not self.store_silent and entry not in self.isolated:
+                    term.confirmed_at = self.now
                 fleet.abandon_unreachable()
                 claims = cases.plan(
                     board,
@@ -547,14 +634,17 @@
                     self.now,
                     model=model,
                 )
-                await self._commit(board, fleet)
+                await self._commit(board, fleet, entry)
                 for claim in claims:
                     fleet.start(claim, self.now)
                 fleet.acknowledge()
                 await anyio.sleep(_ROUND_SECONDS)
 
     async def _commit(
-        self, board: board_module.Board, fleet: fleet_module.Fleet
+        self,
+        board: board_module.Board,
+        fleet: fleet_module.Fleet,
+        entry: str,
     ) -> None:
         processed = [
             (instance, instance.boot, instance.processed_end)
@@ -562,9 +652,7 @@
         ]
         texts = {id: board.jobs[id].progress.encode() for id in board.changed}
         board.changed.clear()
-        while self.store_silent:  # noqa: ASYNC110
-            await anyio.sleep(_ROUND_SECONDS)
-        await anyio.sleep(_CALL_SECONDS)
+        await self.wait_store(entry)
         self._progress.update(texts)
         for instance, boot, number in processed:
             if instance.boot == boot:
