Masks of an empty fleet keep their type

Callers found no entry: each ended with a TypeError as soon as it led, until a side machine had registered, while a job with a label was stored.

Cause: masks made from a list; an empty one is an array of floats, which numpy can't combine with masks. Labels, spread limits and advisors reach it while the leader knows no instance. One function makes all masks now.

Before: SmallFleetTest over no instance fails.

--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -65,13 +65,13 @@
         self._step_name = step_name
         self._allowed = usable
         if step.label:
-            self._allowed = usable & [
+            self._allowed = usable & make_mask(
                 step.label in instance.labels for instance in snapshot.fleet
-            ]
+            )
         if boots is not None:
-            self._allowed = self._allowed & [
+            self._allowed = self._allowed & make_mask(
                 instance.boot in boots for instance in snapshot.fleet
-            ]
+            )
         self._fits = self._allowed & self._check_capacity(_ALL_ROWS)
         self._speeds = self._estimate_speeds(_ALL_ROWS)
 
@@ -101,7 +101,7 @@
         if self._step.best_effort_cpu:
             remaining &= self._speeds >= min_speed
         if rack is not None:
-            remaining &= [instance.rack == rack for instance in fleet]
+            remaining &= make_mask(instance.rack == rack for instance in fleet)
         if not remaining.any():
             return None
         if avoid:
@@ -157,10 +157,10 @@
         fits = (self._snapshot.free[rows] >= request).all(axis=1)
         limit = self._step.most_per_instance
         if limit:
-            fits &= [
+            fits &= make_mask(
                 instance.count_step(self._step_name) < limit
                 for instance in self._snapshot.fleet[rows]
-            ]
+            )
         return fits
 
     def _estimate_speeds(self, rows: slice) -> numpy.ndarray:
@@ -188,6 +188,14 @@
     return remaining & (score == score[remaining].min())
 
 
+def make_mask(flags: t.Iterable[bool]) -> numpy.ndarray:
+    """Return a mask of the fleet, of type bool also if there are no rows.
+
+    An empty list is an array of floats, to which masks can't be applied.
+    """
+    return numpy.array(list(flags), dtype=bool)
+
+
 def find_usable(
     fleet: t.Iterable[instances.Instance], service: str, now: float
 ) -> numpy.ndarray:
@@ -198,12 +206,9 @@
     numpy.ndarray
         A mask of the fleet; shape (instances,).
     """
-    return numpy.array(
-        [
-            instance.service == service and is_usable(instance, now)
-            for instance in fleet
-        ],
-        dtype=bool,
+    return make_mask(
+        instance.service == service and is_usable(instance, now)
+        for instance in fleet
     )
 
 
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -248,6 +248,66 @@
         self.assertLess(rounds * 0.025 + pauses, 0.8)
 
 
+class SmallFleetTest(base.TestCase):
+    """Every kind of step, while the leader knows no instance or one."""
+
+    STEPS = {
+        'plain': {},
+        'label': {'label': 'a'},
+        'spread': {'most_per_instance': 1},
+        'gang': {'gang': True},
+        'rack': {'gang': True, 'same_rack': True},
+        'data': {'data_rack': 'r1'},
+        'best-effort': {'image': 'build', 'best_effort_cpu': True},
+        'serving': {'image': 'shop', 'latency_target_ms': 10},
+    }
+
+    def plan(self, fleet, queue, crashes, **fields):
+        """Plan a job until its tasks are placed; return all claims."""
+        board = board_module.Board()
+        job = cases.make_job(cases.make_step(2, **fields))
+        board.add(job)
+        for task in job.tasks.values():
+            board.update_crashes(task, crashes)
+        snapshot = fleetsnapshot.FleetSnapshot()
+        approvals = advice.Approvals()
+        claims = []
+        for passed in range(5):
+            claims += cases.plan(
+                board,
+                snapshot,
+                fleet,
+                NOW + passed,
+                WALL + passed,
+                queue=queue,
+                approvals=approvals,
+            )
+        return claims
+
+    def test_steps_wait_while_no_instance_is_known(self):
+        """Each leader ends in turn while a job waits for the first one."""
+        for name, fields in self.STEPS.items():
+            for queue in (cases.QUEUE, cases.ADVISED):
+                for count in (0, 1):
+                    with self.subTest(name, advised=queue.advised):
+                        crashes = record.Crashes(count=count, longest_ms=10)
+                        claims = self.plan([], queue, crashes, **fields)
+                        self.assertEqual([], claims)
+
+    def test_steps_are_placed_on_the_only_instance(self):
+        for name, fields in self.STEPS.items():
+            for evacuated in (False, True):
+                with self.subTest(name, evacuated=evacuated):
+                    instance = cases.make_instance(
+                        rack='r1', labels=('a', 'r1'), evacuated=evacuated
+                    )
+                    claims = self.plan(
+                        [instance], cases.QUEUE, record.Crashes(), **fields
+                    )
+                    expected = 1 if name == 'spread' else 2
+                    self.assertEqual(0 if evacuated else expected, len(claims))
+
+
 class SuspectTest(base.TestCase):
     """A suspect runs where its crash can be attributed to it."""
 
