An error in the planning of one job stops no other job

Callers saw all queues without an entry, for one stored job: an error in its planning ended the leader, and each successor read the same job.

--- a/src/persimmonsail/auditing/explanation.py
+++ b/src/persimmonsail/auditing/explanation.py
@@ -207,6 +207,19 @@
         )
 
 
+@register
+def _find_failed_planning(case: Case) -> t.Iterator[Cause]:
+    """Find out whether the program can't plan the job."""
+    failed = case.select('job-set-aside')
+    planned = case.select('job-planned-again')
+    if failed and not (planned and planned[-1].time > failed[-1].time):
+        yield Cause(
+            f'set aside: planning it fails with {failed[-1].get("error")} at '
+            f'{failed[-1].get("place")}; each leader tries it again',
+            failed[-1],
+        )
+
+
 @register
 def _find_absent_leader(case: Case) -> t.Iterator[Cause]:
     """Find a period in which no leader observed the job."""
--- a/src/persimmonsail/jobs/backlogmeter.py
+++ b/src/persimmonsail/jobs/backlogmeter.py
@@ -22,6 +22,7 @@
 from persimmonsail.jobs import order
 from persimmonsail.jobs import queues
 from persimmonsail.jobs import record
+from persimmonsail.jobs import setaside
 from persimmonsail import logs
 
 # Minimum interval between two measurements.
@@ -216,34 +217,51 @@
         wall_ms: float,
     ) -> None:
         """Read what has arrived, waits and was done."""
-        remaining_by_job = {}
+        remaining_by_job: dict[str, float] = {}
         for job in board.jobs.values():
             queue = queues_by_name.get(job.queue)
             if queue is None or not backlog.has_forecast(job.specification):
                 continue
-            service = self._services.setdefault(queue.service, _Service())
-            remaining = job.remaining_core_ms
-            mean_work = self.mean_works[job.queue]
-            if self._is_new(job):
-                work = job.specification.work_core_ms
-                urgency = order.rate_new(work, queue, mean_work)
-                service.note_arrival(job, urgency, now)
-            else:
-                before = self._find_remaining(job, remaining)
-                service.note_done(max(before - remaining, 0.0))
-            if job.phase.is_final:
-                service.note_end(job)
+            if setaside.is_set_aside(job, now):
                 continue
-            remaining_by_job[job.id] = remaining
             slowdown = slowdowns.get(job.queue, 1.0)
-            for tasks in _list_placeable(job, now):
-                urgency = order.rate(
-                    tasks[0], queue, wall_ms, slowdown, mean_work
-                )
-                core_ms = len(tasks) * tasks[0].step.work_core_ms
-                service.note_waiting(urgency, core_ms)
+            try:
+                remaining = self._read_job(job, queue, slowdown, now, wall_ms)
+            except Exception as error:
+                setaside.set_aside(job, error, now)
+                continue
+            if not job.phase.is_final:
+                remaining_by_job[job.id] = remaining
         self._remaining = remaining_by_job
 
+    def _read_job(
+        self,
+        job: job_module.Job,
+        queue: queues.Queue,
+        slowdown: float,
+        now: float,
+        wall_ms: float,
+    ) -> float:
+        """Read one job; return its remaining work in core-milliseconds."""
+        service = self._services.setdefault(queue.service, _Service())
+        remaining = job.remaining_core_ms
+        mean_work = self.mean_works[job.queue]
+        if self._is_new(job):
+            work = job.specification.work_core_ms
+            urgency = order.rate_new(work, queue, mean_work)
+            service.note_arrival(job, urgency, now)
+        else:
+            before = self._find_remaining(job, remaining)
+            service.note_done(max(before - remaining, 0.0))
+        if job.phase.is_final:
+            service.note_end(job)
+            return remaining
+        for tasks in _list_placeable(job, now):
+            urgency = order.rate(tasks[0], queue, wall_ms, slowdown, mean_work)
+            core_ms = len(tasks) * tasks[0].step.work_core_ms
+            service.note_waiting(urgency, core_ms)
+        return remaining
+
     def _is_new(self, job: job_module.Job) -> bool:
         """Return whether a job has arrived since the last measurement."""
         if self._remaining is None or job.phase.is_final:
--- a/src/persimmonsail/jobs/job.py
+++ b/src/persimmonsail/jobs/job.py
@@ -110,6 +110,10 @@
         # of the leader's clock; 0 if unknown.
         self.placed_count = len(self.list_placed())
         self.idle_since = 0.0
+        # How often in a row planning it has failed for an error, and when it
+        # is tried again, in seconds of the leader's clock.
+        self.planning_failures = 0
+        self.plan_again_at = 0.0
         # The work in checkpoints since the last commit: the sum of the tasks'
         # millicores over all new checkpoints, which come at even intervals.
         self.uncommitted_work = 0
--- a/src/persimmonsail/jobs/placer.py
+++ b/src/persimmonsail/jobs/placer.py
@@ -11,7 +11,7 @@
 from persimmonsail.jobs import throttling
 
 # Above any order number, so no report can acknowledge it.
-_NOT_SENT = 1 << 62
+NOT_SENT = 1 << 62
 
 
 @dataclasses.dataclass(frozen=True)
@@ -129,7 +129,7 @@
             boot=instance.boot,
             step=task.step,
             queue=task.job.queue,
-            order=_NOT_SENT,
+            order=NOT_SENT,
             ordered_at=self._now,
             due_at=self._deadline,
             suspect=task.is_suspect,
--- a/src/persimmonsail/metrics.py
+++ b/src/persimmonsail/metrics.py
@@ -256,6 +256,11 @@
     "Crashes of workers' agents counted for a task.",
     ('queue',),
 )
+PLANNING_FAILURES = Counter(
+    'persimmonsail_planning_failures_total',
+    'Scheduling rounds in which a job could not be planned for an error.',
+    ('queue',),
+)
 LOOP_LAG_SECONDS = Duration(
     'persimmonsail_loop_lag_seconds',
     'How much later than asked for the event loop ran a timer.',
@@ -283,6 +288,7 @@
     CLAIMS_WITHDRAWN,
     JOBS_REJECTED,
     CRASHES_COUNTED,
+    PLANNING_FAILURES,
     LOOP_LAG_SECONDS,
     Gauge(
         'process_cpu_seconds_total',
--- a/tests/auditing/test_explanation.py
+++ b/tests/auditing/test_explanation.py
@@ -94,6 +94,15 @@
         self.assertIn('crashed 3 agents that started it, on 2 inst', text)
         self.assertEqual('job-given-up', event)
 
+    def test_a_job_that_cannot_be_planned_names_the_error(self):
+        """A job waits for good, as no line says why it is not planned."""
+        failed = {'job': JOB, 'error': 'ValueError()', 'place': 'order:7'}
+        line = (1, 'entry-1', 'job-set-aside', failed)
+        ((text, _),) = self.explain(line)
+        self.assertIn('fails with ValueError() at order:7', text)
+        again = (2, 'entry-2', 'job-planned-again', {'job': JOB})
+        self.assertEqual([], self.explain(line, again))
+
     def test_a_late_job_names_all_causes_of_its_delay(self):
         causes = self.explain(
             (0, 'entry-2', 'leading', {'epoch': 9}),
