--- a/src/persimmonsail/jobs/placement.py
+++ b/src/persimmonsail/jobs/placement.py
@@ -66,11 +66,11 @@
         self._allowed = usable
         if step.label:
             self._allowed = usable & make_mask(
-                step.label in instance.labels for instance in snapshot.fleet
+                [step.label in instance.labels for instance in snapshot.fleet]
             )
         if boots is not None:
             self._allowed = self._allowed & make_mask(
-                instance.boot in boots for instance in snapshot.fleet
+                [instance.boot in boots for instance in snapshot.fleet]
             )
         self._fits = self._allowed & self._check_capacity(_ALL_ROWS)
         self._speeds = self._estimate_speeds(_ALL_ROWS)
@@ -101,7 +101,7 @@
         if self._step.best_effort_cpu:
             remaining &= self._speeds >= min_speed
         if rack is not None:
-            remaining &= make_mask(instance.rack == rack for instance in fleet)
+            remaining &= make_mask([one.rack == rack for one in fleet])
         if not remaining.any():
             return None
         if avoid:
@@ -158,8 +158,10 @@
         limit = self._step.most_per_instance
         if limit:
             fits &= make_mask(
-                instance.count_step(self._step_name) < limit
-                for instance in self._snapshot.fleet[rows]
+                [
+                    instance.count_step(self._step_name) < limit
+                    for instance in self._snapshot.fleet[rows]
+                ]
             )
         return fits
 
@@ -188,12 +190,12 @@
     return remaining & (score == score[remaining].min())
 
 
-def make_mask(flags: t.Iterable[bool]) -> numpy.ndarray:
+def make_mask(flags: list[bool]) -> numpy.ndarray:
     """Return a mask of the fleet, of type bool also if there are no rows.
 
     An empty list is an array of floats, to which masks can't be applied.
     """
-    return numpy.array(list(flags), dtype=bool)
+    return numpy.array(flags, dtype=bool)
 
 
 def find_usable(
@@ -207,8 +209,10 @@
         A mask of the fleet; shape (instances,).
     """
     return make_mask(
-        instance.service == service and is_usable(instance, now)
-        for instance in fleet
+        [
+            instance.service == service and is_usable(instance, now)
+            for instance in fleet
+        ]
     )
 
 
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -285,7 +285,7 @@
         usable = self._find_usable(queue.service)
         allowed = usable
         if cleared is not None:
-            allowed = placement.make_mask(one is cleared for one in fleet)
+            allowed = placement.make_mask([one is cleared for one in fleet])
         elif not self._may_reserve(usable, queue.service):
             return self._defer_trial(task, suspects.Obstacle.NO_TURN)
         placer = self._make_placer(task, queue, allowed)
