--- a/src/persimmonsail/platform/roles.py
+++ b/src/persimmonsail/platform/roles.py
@@ -17,13 +17,16 @@
 }
 
 
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+
 async def run(settings: settings_module.Settings, role: str) -> None:
     """Run a role until SIGTERM, then stop gracefully."""
     module, name = _ROLES[role]
     role_class = getattr(importlib.import_module(module), name)
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
+    with anyio.open_signal_receiver(*_SIGNALS) as signals:
+        # Blocked by the script that the deploy file runs.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, _SIGNALS)
         logs.write_event('starting', role=role, zone=settings.process.zone)
         await role_class(settings).run(signals)
     logs.write_event('stopped')
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import dataclasses
+import os
 import pathlib
 import signal
 import subprocess
@@ -148,11 +149,19 @@
             path for path in self.log_files if path.stem not in self._stand_ins
         ]
 
-    async def start(self, name: str, command: t.Sequence[str]) -> Process:
+    async def start(
+        self,
+        name: str,
+        command: t.Sequence[str],
+        variables: t.Mapping[str, str] | None = None,
+    ) -> Process:
         """Start a process; it appends to the log of an earlier one."""
         log = self.directory / f'{name}.log'
         handle = await anyio.open_process(
-            list(command), stdout=subprocess.PIPE, stderr=subprocess.STDOUT
+            list(command),
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            env={**os.environ, **(variables or {})},
         )
         process = Process(name, handle, log)
         self.processes[name] = process
@@ -190,12 +199,19 @@
         self, role: str, name: str, sections: dict[str, dict[str, object]]
     ) -> Process:
         """Start a role of the program with these settings."""
-        path = self.directory / f'{name}.ini'
-        path.write_text(_format_ini(sections), encoding='utf-8')
+        path = self.write_settings(name, sections)
         process = await self.start(name, [*self._program, role, str(path)])
         await process.wait_event('listening')
         return process
 
+    def write_settings(
+        self, name: str, sections: dict[str, dict[str, object]]
+    ) -> pathlib.Path:
+        """Write a settings file; return its path."""
+        path = self.directory / f'{name}.ini'
+        path.write_text(_format_ini(sections), encoding='utf-8')
+        return path
+
     async def start_entry(
         self,
         name: str,
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import pathlib
+import sys
 import typing as t
 
 import anyio
@@ -40,6 +41,7 @@
 # and calls that fail on connections of the start before.
 _NOTICE_SECONDS = 1.0
 _ZONE = 'r-a'
+_DEPLOY_SCRIPT = 'deploy/persimmonsail.py'
 
 
 def make_body(*counts: int, payload: str = '50', **fields: t.Any) -> dict:
@@ -140,6 +142,22 @@
         self.api_hosts[name] = process.find('api-listening')[-1]['http']
         return process
 
+    async def start_deployed(self, role: str) -> deployment.Process:
+        """Start a role by the deploy file's script; return at once."""
+        sections = self._make_sections(role, readiness='127.0.0.1:0')
+        if role == 'sidecar':
+            runner = await self.running.start_stand_in('runner', 'runner')
+            sections = self._make_sections(
+                role, worker=runner, heartbeats='127.0.0.1:0'
+            )
+        path = self.running.write_settings(role, sections)
+        script = pathlib.Path(__file__).parent.parent / _DEPLOY_SCRIPT
+        return await self.running.start(
+            role,
+            [sys.executable, str(script), role],
+            {'PERSIMMONSAIL_BOOT': str(path)},
+        )
+
     async def start_instance(
         self, name: str, zone: str = _ZONE
     ) -> deployment.Process:
