Slow crashes are evidence, and a suspect's wait is bounded

Callers saw a task that ends its agent 6 s after each start begin again six and more times (five are allowed), and innocents of one crash wait without end: the last of twelve lasting tasks for 14 s, six jobs of a soak for 60 s.

Causes: a suspect was isolated for 4 s at most, so that a later crash was no evidence; runs of over 20 s were thought to be unrelated; and the wait after which a suspect starts without an instance of its own began anew whenever other suspects had all of them. From the third crash on a task is isolated until its next crash can be expected, and waits for its turn; with one or two crashes it waits 3 or 6 s, whatever other suspects do.

--- a/src/persimmonsail/jobs/crashes.py
+++ b/src/persimmonsail/jobs/crashes.py
@@ -31,7 +31,7 @@
 from persimmonsail import metrics
 
 # A run that lasted longer is not related to its agent's crash.
-_MAX_RUN_SECONDS = 20.0
+_MAX_RUN_SECONDS = 42.0
 # Up to this many recent runs can each be tried in isolation, and are unlikely
 # to be present by chance.
 _MAX_RECENT_RUNS = 4
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -309,9 +309,14 @@
     def _defer_trial(
         self, task: job_module.Task, obstacle: suspects.Obstacle
     ) -> list[placer_module.Claim]:
-        """Leave a suspect waiting; its wait for a trial starts again."""
+        """Leave a suspect waiting for its trial.
+
+        The wait of one that is probably the cause starts again. That of
+        others is bounded, whatever other suspects do.
+        """
         suspects.note_obstacle(task, obstacle)
-        task.isolation_wait_since = 0.0
+        if suspects.is_likely_cause(task):
+            task.isolation_wait_since = 0.0
         return []
 
     def _may_reserve(self, usable: numpy.ndarray, service: str) -> bool:
--- a/src/persimmonsail/jobs/suspects.py
+++ b/src/persimmonsail/jobs/suspects.py
@@ -39,9 +39,11 @@
 # Maximum share of a service's instances that is reserved for suspects.
 _MAX_RESERVED_SHARE = 0.25
 # How long a task waits for an instance of its own before it is started without
-# one, by the number of its crashes. At three or more it is probably the cause,
-# and a start beside others would give no evidence.
-_ISOLATION_TIMEOUT_SECONDS = {1: 3.0, 2: 10.0}
+# one, by the number of its crashes. A task that lasts may be away for 9 s.
+_ISOLATION_TIMEOUT_SECONDS = {1: 3.0, 2: 6.0}
+# A task with this many crashes is probably the cause, and a start beside
+# others would give no evidence. It waits longer, and for other such tasks.
+_LIKELY_CAUSE_CRASHES = 3
 _MAX_ISOLATION_TIMEOUT_SECONDS = 30.0
 # An instance qualifies for the trial of a suspect if no other run began there
 # for this long: a run that began just before might equally be the cause of a
@@ -51,9 +53,13 @@
 # work again.
 _MAX_RESERVATION_SECONDS = 2.0
 # How long no other run is started beside an isolated one: at least until a
-# crash would be noticed.
+# crash would be noticed. The maximum does not apply to tasks that are probably
+# the cause: the next crash has to be evidence, however late it occurs.
 _MIN_ISOLATION_SECONDS = 1.0
 _MAX_ISOLATION_SECONDS = 4.0
+# The next crash is expected within twice the longest time from a start to a
+# crash so far, and at most this much later than it.
+_MAX_EXCESS_SECONDS = 10.0
 # Simultaneous crashes are all reported within this time.
 _REPORT_WINDOW_SECONDS = 1.2
 # How long a task that had just begun waits for reports of other crashes at the
@@ -162,6 +168,11 @@
     return now - task.isolation_wait_since <= timeout
 
 
+def is_likely_cause(task: job_module.Task) -> bool:
+    """Return whether a task is probably the cause of its crashes."""
+    return task.state.crashes.total >= _LIKELY_CAUSE_CRASHES
+
+
 def _find_clear_seconds(task: job_module.Task) -> float:
     """Return how long a suspect has to run to be cleared."""
     return max(_MIN_CLEAR_SECONDS, _estimate_trial_seconds(task))
@@ -169,16 +180,17 @@
 
 def _find_isolation_seconds(task: job_module.Task) -> float:
     """Return how long no other run is started beside a suspect."""
-    max_run_seconds = max(
-        _MIN_ISOLATION_SECONDS, _estimate_trial_seconds(task)
-    )
-    return min(max_run_seconds, _MAX_ISOLATION_SECONDS)
+    seconds = max(_MIN_ISOLATION_SECONDS, _estimate_trial_seconds(task))
+    if is_likely_cause(task):
+        return seconds
+    return min(seconds, _MAX_ISOLATION_SECONDS)
 
 
 def _estimate_trial_seconds(task: job_module.Task) -> float:
     """Return the time within which a suspect's next crash is expected."""
     max_run_seconds = task.state.crashes.longest_ms / _MILLISECONDS
-    return 2 * max_run_seconds + RECENT_START_SECONDS
+    excess = min(max_run_seconds, _MAX_EXCESS_SECONDS)
+    return max_run_seconds + excess + RECENT_START_SECONDS
 
 
 def may_reserve(usable: int, reserved: int) -> bool:
--- a/tests/jobs/crashplay.py
+++ b/tests/jobs/crashplay.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import math
 import random
 
 from persimmonsail.decisions import quarantine
@@ -50,6 +51,8 @@
         Bounds of an order's delay to the sidecar, and on to the agent.
     arrival_seconds : float
         The time over which the jobs are submitted.
+    bad_arrival_seconds : float
+        The time over which the bad ones are; 0 for the same time.
     power_losses : tuple of float
         When all agents crash simultaneously.
     leader_changes : tuple of float
@@ -67,6 +70,7 @@
     work_seconds: float = 0.4
     delay_seconds: tuple[float, float] = (0.003, 0.02)
     arrival_seconds: float = 0.1
+    bad_arrival_seconds: float = 0.0
     power_losses: tuple[float, ...] = ()
     leader_changes: tuple[float, ...] = ()
     max_seconds: float = 120.0
@@ -240,7 +244,13 @@
         self._random.shuffle(ids)
         until = _START + scenario.arrival_seconds
         times = sorted(self._random.uniform(_START, until) for _ in ids)
-        self._arrivals = list(zip(times, ids, strict=True))
+        if scenario.bad_arrival_seconds:
+            until = _START + scenario.bad_arrival_seconds
+            times = [
+                self._random.uniform(_START, until) if id in bad else at
+                for at, id in zip(times, ids, strict=True)
+            ]
+        self._arrivals = sorted(zip(times, ids, strict=True))
         self._starts: collections.Counter[str] = collections.Counter()
         self._board = board_module.Board()
         self._start_leader(_START)
@@ -380,16 +390,18 @@
         begins_at = ordered_at + self._random.uniform(
             *self._scenario.delay_seconds
         )
+        ends_at = begins_at + self._scenario.work_seconds
         crashes_at = None
         if claim.task.job.id[0] == 'b':
             crash_delay = self._random.uniform(*self._scenario.crash_seconds)
             crashes_at = begins_at + crash_delay
+            ends_at = math.inf
         agent.order(
             _Run(
                 (claim.run.task, claim.run.number),
                 ordered_at,
                 begins_at,
-                begins_at + self._scenario.work_seconds,
+                ends_at,
                 crashes_at,
             )
         )
--- a/tests/jobs/test_crash_bounds.py
+++ b/tests/jobs/test_crash_bounds.py
@@ -99,3 +99,26 @@
         self.check(
             instances=6, bad=6, harmless=24, leader_changes=(0.5, 1.2, 2.0)
         )
+
+    def check_busy(self, bad, seconds, instances=3):
+        """Play bad tasks on a fleet that is never quiet."""
+        self.check(
+            instances=instances,
+            bad=bad,
+            harmless=round(20 * bad * seconds) + 400,
+            crash_seconds=(0.8 * seconds, seconds),
+            down_seconds=2.0,
+            work_seconds=0.5,
+            arrival_seconds=8 * bad * seconds + 100.0,
+            bad_arrival_seconds=1.0,
+            max_seconds=1500.0,
+        )
+
+    def test_slow_crashes_on_a_busy_fleet(self):
+        """A task crashes its agents without end: there is no evidence."""
+        for seconds in (0.3, 2.0, 6.0, 15.0, 40.0):
+            self.check_busy(1, seconds)
+
+    def test_several_slow_crashes_on_a_busy_fleet(self):
+        for seconds in (0.3, 2.0, 6.0):
+            self.check_busy(4, seconds)
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -394,3 +394,34 @@
         self.assertIs(self.task, claims[0].task)
         addresses = {claim.instance.address for claim in claims[1:]}
         self.assertNotIn(claims[0].instance.address, addresses)
+
+    def test_other_suspects_do_not_move_a_suspects_wait(self):
+        """An innocent waits without end, as others are always tried."""
+        self.fleet[0].reserved_for = '00000000000000bb.0.0.0'
+        self.fleet[0].reserved_until = NOW + 60.0
+        for passed in (0.0, 1.0, 2.0, 3.0):
+            self.assertEqual([], self.plan(NOW + passed))
+        (claim,) = self.plan(NOW + 3.1)
+        self.assertIs(self.task, claim.task)
+
+    def test_lasting_tasks_of_one_crash_run_again_in_time(self):
+        """The last of twelve tasks is away for 14 s, as each is tried alone.
+
+        They had just begun on one instance when its agent crashed.
+        """
+        self.fleet.append(
+            cases.make_instance('10.0.0.2:7000', boot='boot-2', cores=64)
+        )
+        job = cases.make_job(
+            cases.make_step(12, long_running=True), id='00000000000000ee'
+        )
+        self.board.add(job)
+        for task in job.tasks.values():
+            self.board.update_crashes(
+                task, record.Crashes(count=1, longest_ms=300)
+            )
+        for number in range(20):
+            now = NOW + 0.25 * number
+            for claim in self.plan(now):
+                claim.run.observed_at = now
+        self.assertEqual({}, job.waiting)
