A call without an answer ends all older idle connections

Callers got 404 for a new route for 4.5 to 4.8 s after the connections to the store had gone silent; 3 s are allowed. After a call without an answer only its own connection was closed, so that each of up to eight idle ones cost a time-out. All on which nothing came since the call was sent are closed now.

--- a/src/persimmonsail/httpclient.py
+++ b/src/persimmonsail/httpclient.py
@@ -130,6 +130,7 @@
         else:
             connection = await self._acquire(deadline)
         request = _encode(self._address, method, target, body, headers or {})
+        sent_at = time.monotonic()
         try:
             with deadline.enforce():
                 response = await connection.exchange(request, deadline)
@@ -137,6 +138,8 @@
             await connection.close()
             if peer:
                 await self._close_confirmed(peer)
+            if isinstance(error, TimeoutError):
+                await self._close_unheard(sent_at)
             raise exceptions.ServiceUnanswered(
                 deadline.describe(error)
             ) from error
@@ -180,6 +183,17 @@
         for connection in closing:
             await connection.close()
 
+    async def _close_unheard(self, since: float) -> None:
+        """Close the idle connections on which nothing came since a time.
+
+        Connections may all go silent at one moment, and each would cost a
+        timeout.
+        """
+        closing = [one for one in self._idle if one.last_used_at <= since]
+        self._idle = [one for one in self._idle if one.last_used_at > since]
+        for connection in closing:
+            await connection.close()
+
     async def _acquire(self, deadline: '_Deadline') -> '_Connection':
         while self._idle:
             connection = self._idle.pop()
@@ -291,6 +305,8 @@
     ----------
     peer : str
         The peer that it is confirmed to lead to; empty for none.
+    last_used_at : float
+        When its last response was complete, on the monotonic clock.
     """
 
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
@@ -300,7 +316,7 @@
         sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self._poll.register(sock.fileno(), select.POLLIN)
         self._state = h11.Connection(h11.CLIENT)
-        self._last_used_at = 0.0
+        self.last_used_at = 0.0
 
     async def exchange(
         self, request: _Request, deadline: _Deadline
@@ -335,7 +351,7 @@
 
     def prepare_next_call(self) -> bool:
         """Prepare for another call; return whether that is possible."""
-        self._last_used_at = time.monotonic()
+        self.last_used_at = time.monotonic()
         if self._state.states != {
             h11.CLIENT: h11.DONE,
             h11.SERVER: h11.DONE,
@@ -347,7 +363,7 @@
     @property
     def is_usable(self) -> bool:
         """Whether the service has probably not closed it yet."""
-        if time.monotonic() - self._last_used_at > _MAX_IDLE_SECONDS:
+        if time.monotonic() - self.last_used_at > _MAX_IDLE_SECONDS:
             return False
         # Between two calls, only the end of the stream is readable.
         return not self._poll.poll(0)
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -118,6 +118,31 @@
             with testtools.ExpectedException(exceptions.PeerUnconfirmed):
                 await client.call('GET', '/v1/three', peer='p')
 
+    async def test_an_unanswered_call_ends_all_older_connections(self):
+        """Each silent connection costs one timeout after the other.
+
+        All connections to a service went silent at one moment. Those on
+        which something came since the unanswered call are kept.
+        """
+        replies = [(0.1, OK)] * 3 + [(0.6, OK), OK, OK]
+        async with self.open(*replies, timeout=0.3) as (client, service):
+            async with anyio.create_task_group() as group:
+                for _ in range(3):
+                    group.start_soon(client.call, 'GET', '/')
+            self.assertEqual(3, service.connections)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.expect_timeout, client)
+                await anyio.sleep(0.1)
+                # On the second connection, after the first call was sent.
+                await client.call('GET', '/')
+            self.assertEqual(1, len(client._idle))
+            await client.call('GET', '/')
+            self.assertEqual(3, service.connections)
+
+    async def expect_timeout(self, client):
+        with testtools.ExpectedException(exceptions.ServiceUnanswered):
+            await client.call('GET', '/')
+
     async def test_an_answer_may_come_slowly_and_not_stop(self):
         """A long response over a slow link can never be read completely.
 
