Only what was seen to run counts as a start

Callers read `active`, and pendingCount left the job out, for a job whose start had been sent to an instance that had just gone silent: a run that is given up as lost counted as a start. Only a reported run or a listed end does now, and the stored phase follows.

Before: test_a_lost_start_leaves_a_job_pending fails. After: it passes.

--- a/src/persimmonsail/jobs/board.py
+++ b/src/persimmonsail/jobs/board.py
@@ -29,6 +29,11 @@
     NOT_STARTED = 'not-started'
 
 
+# Ends of runs that may never have started. A run that was seen running has
+# been noted as started before.
+_UNSEEN_ENDS = (End.LOST, End.NOT_STARTED)
+
+
 class Board:
     """The leader's jobs by id.
 
@@ -209,7 +214,7 @@
         if state.phase is not record.TaskPhase.PLACED or state.run != run:
             return False
         self.changed.add(task.job.id)
-        if end is not End.NOT_STARTED:
+        if end not in _UNSEEN_ENDS:
             self.note_started(task.job)
         if checkpoint:
             state.checkpoint = checkpoint
--- a/tests/jobs/test_board.py
+++ b/tests/jobs/test_board.py
@@ -252,6 +252,27 @@
         progress = record.decode_progress(job.progress.encode())
         self.assertIs(record.JobPhase.QUEUED, progress.phase)
 
+    def test_a_lost_start_leaves_a_job_pending(self):
+        """Callers read `active` for a job that no instance has begun.
+
+        Its start was sent to an instance that had just gone silent.
+        """
+        job = self.add()
+        (task,) = job.waiting.values()
+        self.board.place(task, 'a', 'boot')
+        self.end(task, 'lost')
+        self.assertEqual(1, self.board.count_pending(job.queue))
+        progress = record.decode_progress(job.progress.encode())
+        self.assertIs(record.JobPhase.QUEUED, progress.phase)
+
+    def test_a_job_that_began_and_was_lost_is_not_pending(self):
+        job = self.add()
+        (task,) = job.waiting.values()
+        self.board.place(task, 'a', 'boot')
+        self.board.note_started(job)
+        self.end(task, 'lost')
+        self.assertEqual(0, self.board.count_pending(job.queue))
+
     def test_progress_is_read_back_as_it_was_written(self):
         job = self.add(
             cases.make_step(2, checkpoints=True),
