Nothing of a foreign heartbeat is kept

Callers waited for jobs that were accepted: a check-in under the id of a living agent, of another service and with a high number, replaced what the agent had said and made all of its own heartbeats look old.

--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -74,6 +74,8 @@
     ----------
     heartbeat : persimmonsail.jobs.worker.Heartbeat
         The latest heartbeat.
+    described_at : float
+        When it arrived.
     acknowledged : int
         Ends up to this number are committed by the leader.
     pending : dict
@@ -121,6 +123,7 @@
         earlier_leases_until: float = 0.0,
     ) -> None:
         self.heartbeat = heartbeat
+        self.described_at = now
         self.late_calls = latecalls.LateCalls()
         if earlier_calls is not None:
             self.late_calls.inherit(earlier_calls, now)
@@ -171,6 +174,16 @@
         self.alive_at = now
         self.failed_at = 0.0
 
+    def expects(self, heartbeat: worker_module.Heartbeat) -> bool:
+        """Return whether a heartbeat of this boot is later than the last.
+
+        Heartbeats of another service are counted by another program.
+        """
+        return (
+            heartbeat.service != self.heartbeat.service
+            or heartbeat.sequence > self.heartbeat.sequence
+        )
+
     def note_heartbeat(
         self, heartbeat: worker_module.Heartbeat, now: float
     ) -> None:
@@ -180,6 +193,7 @@
         it is no evidence of the agent's end.
         """
         self.heartbeat = heartbeat
+        self.described_at = now
         if not heartbeat.clock_ms or not self.knows_agent_clock:
             self.failed_at = 0.0
             return
--- a/tests/jobs/test_agent.py
+++ b/tests/jobs/test_agent.py
@@ -1,6 +1,7 @@
 import contextlib
 import dataclasses
 import statistics
+from unittest import mock
 
 import anyio
 
@@ -87,6 +88,32 @@
         self.assertEqual('new', self.boot)
         self.assertEqual([], self.agent._ended_boots)
 
+    def make_foreign(self, sequence):
+        return dataclasses.replace(
+            make_heartbeat('first', sequence), service='other', leaving=True
+        )
+
+    def test_nothing_of_a_foreign_heartbeat_is_kept(self):
+        """An agent gets no work: its own heartbeats are taken for old ones.
+
+        Another program had sent one under its id, with a high number.
+        """
+        self.agent.note_heartbeat(make_heartbeat('first', 5))
+        self.agent.note_heartbeat(self.make_foreign(900))
+        self.agent.note_heartbeat(make_heartbeat('first', 6))
+        heartbeat = self.agent._incarnation.heartbeat
+        self.assertEqual(make_heartbeat('first', 6), heartbeat)
+
+    def test_an_agent_is_accepted_after_a_foreign_heartbeat(self):
+        """An agent gets no work: another program's heartbeat came first."""
+        with mock.patch.object(clock, 'read', return_value=100.0) as read:
+            self.agent.note_heartbeat(self.make_foreign(900))
+            for second in range(8):
+                read.return_value = 100.0 + second
+                self.agent.note_heartbeat(make_heartbeat('first', 5 + second))
+        heartbeat = self.agent._incarnation.heartbeat
+        self.assertEqual(make_heartbeat('first', 12), heartbeat)
+
     def test_a_successor_takes_over_once_the_boot_has_ended(self):
         self.agent.note_heartbeat(make_heartbeat('first'))
         self.agent.note_heartbeat(make_heartbeat('second'))
