What arrived during a standstill is read before a call times out

The call's one limit was cancelled before data that had come while the process stood still was read. Each receive has its own limit now, and what has arrived by then is read.

--- a/src/persimmonsail/httpclient.py
+++ b/src/persimmonsail/httpclient.py
@@ -31,6 +31,8 @@
 # Total time for a response that is still being received: a page of one
 # megabyte takes 8 s over a link of 1 Mbit/s.
 _MAX_CALL_SECONDS = 10.0
+# What has arrived is read within this time.
+_ARRIVED_SECONDS = 0.01
 
 _CONNECTION_ERRORS = (
     OSError,
@@ -132,8 +134,7 @@
         request = _encode(self._address, method, target, body, headers or {})
         sent_at = time.monotonic()
         try:
-            with deadline.enforce():
-                response = await connection.exchange(request, deadline)
+            response = await connection.exchange(request, deadline)
         except _CONNECTION_ERRORS as error:
             await connection.close()
             if peer:
@@ -250,6 +251,11 @@
         if self._scope.cancelled_caught:
             raise TimeoutError
 
+    @property
+    def is_final(self) -> bool:
+        """Whether no further data can extend the deadline."""
+        return self._deadline >= self._final_deadline
+
     def note_data(self, byte_count: int) -> None:
         """Extend the deadline after data was received."""
         self._received_bytes += byte_count
@@ -326,7 +332,8 @@
         if request.body:
             data += self._state.send(h11.Data(data=request.body)) or b''
         data += self._state.send(h11.EndOfMessage()) or b''
-        await self._stream.send(data)
+        with deadline.enforce():
+            await self._stream.send(data)
         status = 0
         content: list[bytes] = []
         while True:
@@ -342,13 +349,28 @@
 
     async def _receive(self, deadline: _Deadline) -> None:
         try:
-            data = await self._stream.receive(_READ_BYTES)
+            data = await self._receive_before(deadline)
         except anyio.EndOfStream:
             # The parser decides whether a response may end like this.
             data = b''
         deadline.note_data(len(data))
         self._state.receive_data(data)
 
+    async def _receive_before(self, deadline: _Deadline) -> bytes:
+        """Receive data before the deadline, or what has arrived by then.
+
+        If this process stood still past the deadline, data that came
+        meanwhile has not been read yet.
+        """
+        try:
+            with deadline.enforce():
+                return await self._stream.receive(_READ_BYTES)
+        except TimeoutError:
+            if deadline.is_final:
+                raise
+        with anyio.fail_after(_ARRIVED_SECONDS):
+            return await self._stream.receive(_READ_BYTES)
+
     def prepare_next_call(self) -> bool:
         """Prepare for another call; return whether that is possible."""
         self.last_used_at = time.monotonic()
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -161,6 +161,23 @@
             ):
                 await client.call('GET', '/v1/one')
 
+    async def test_data_that_came_during_a_standstill_is_read(self):
+        """A call fails although its answer kept coming.
+
+        The process stood still for most of the limit between two parts.
+        """
+        head = b'HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\n'
+        slow = (head, *(part for i in range(6) for part in (0.2, b'x')))
+        async with self.open(slow, timeout=0.5) as (client, _):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.stand_still, 0.28, 0.45)
+                answer = await client.call('GET', '/v1/one')
+        self.assertEqual(b'xxxxxx', answer.content)
+
+    async def stand_still(self, after, seconds):
+        await anyio.sleep(after)
+        time.sleep(seconds)  # noqa: ASYNC251
+
     async def test_an_answer_that_never_ends_is_given_up(self):
         endless = b'HTTP/1.1 200 OK\r\ncontent-length: 9999\r\n\r\n'
         parts = (endless, *(part for i in range(99) for part in (0.05, b'x')))
