--- a/tools/guards_unknown.py
+++ b/tools/guards_unknown.py
@@ -4,10 +4,36 @@
 
 _INCARNATION = 'src/persimmonsail/jobs/incarnation.py'
 _REPORTS = 'src/persimmonsail/jobs/reports.py'
+_MANDATE = 'src/persimmonsail/jobs/mandate.py'
+_REMOVED_INSTANCES_TESTS = ('tests/test_removed_instances.py',)
 _SILENT_AGENTS_TESTS = ('tests/test_silent_agents.py',)
 _UNLISTED_ENDS_TESTS = ('tests/test_unlisted_ends.py',)
 
 GUARDS = [
+    guard.Guard(
+        'a successor waits unless enough entries know its term',
+        'I2',
+        _MANDATE,
+        'if len(informed) >= required:',
+        'if True:',
+        _REMOVED_INSTANCES_TESTS,
+    ),
+    guard.Guard(
+        'a leader without the store needs most of the entries',
+        'I2',
+        _MANDATE,
+        'required = len(electorate) // 2 + 1',
+        'required = 1',
+        _REMOVED_INSTANCES_TESTS,
+    ),
+    guard.Guard(
+        'an entry that has restarted confirms no term it may have forgotten',
+        'I2',
+        'src/persimmonsail/jobs/terms.py',
+        'return self.informed and self.epoch == epoch',
+        'return self.epoch == epoch',
+        ('tests/jobs/test_terms.py',),
+    ),
     guard.Guard(
         'leases of an earlier process of a sidecar',
         'I2',
