Work of a job that is set aside is no new arrival

The meter of waiting work left such a job out, and counted its work as an arrival once it was planned again. Its last measured work is kept.

tests/jobs pass.

--- a/src/persimmonsail/jobs/backlogmeter.py
+++ b/src/persimmonsail/jobs/backlogmeter.py
@@ -222,14 +222,16 @@
             queue = queues_by_name.get(job.queue)
             if queue is None or not backlog.has_forecast(job.specification):
                 continue
-            if setaside.is_set_aside(job, now):
-                continue
-            slowdown = slowdowns.get(job.queue, 1.0)
-            try:
-                remaining = self._read_job(job, queue, slowdown, now, wall_ms)
-            except Exception as error:
-                setaside.set_aside(job, error, now)
-                continue
+            # That of a job which can't be read now stays as it was.
+            remaining = self._find_remaining(job, 0.0)
+            if not setaside.is_set_aside(job, now):
+                slowdown = slowdowns.get(job.queue, 1.0)
+                try:
+                    remaining = self._read_job(
+                        job, queue, slowdown, now, wall_ms
+                    )
+                except Exception as error:
+                    setaside.set_aside(job, error, now)
             if not job.phase.is_final:
                 remaining_by_job[job.id] = remaining
         self._remaining = remaining_by_job
