A crashing task of the stand-in never ends by itself

Traced: the stand-in stood still for 0.1 s after the task's start, so that its end was due and listed before the crash, 9 ms later. The leader rightly took the job for complete. A run that crashes its agent has no end of its own any more.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -323,8 +323,9 @@
             return self._refuse('old')
         self._lease_until_ms = max(self._lease_until_ms, body['untilMs'])
         payload = _Payload.parse(body['spec'])
+        crashes = task.partition('.')[2] in payload.crashing
         ends_at = None
-        if payload.seconds is not None:
+        if payload.seconds is not None and not crashes:
             ends_at = time.monotonic() + payload.seconds
         self._runs[task] = _Run(task, number, ends_at, self.faults.fail)
         self.starts.append(
@@ -332,7 +333,7 @@
                 self.boot, self._born_ms, task, number, time.time(), meant_for
             )
         )
-        if task.partition('.')[2] in payload.crashing:
+        if crashes:
             self._group.start_soon(self._crash_later, self._born_ms)
         return self._respond({})
 
