Few suspects of crashes are tried together

Cause: suspects whose wait for a trial of their own had ended started again all together, sixteen on an instance, with the task that had crashed them, and crashed again; with three crashes a task waits for its turn without a bound. Beside it, trials that crashed two instances at once looked like a power failure, so their crashes were no evidence, and bad tasks started up to nine times. Four suspects are tried together now at the most, a coincidence of two trials counts, and presence at one crash more than others is no evidence.

Ruled out by plays: isolation without an end (the instance is free 1 s later), a lost wait bound (suspect-waits shows 3 and 6 s held), the soak's checks.

--- a/src/persimmonsail/jobs/crashes.py
+++ b/src/persimmonsail/jobs/crashes.py
@@ -35,8 +35,9 @@
 # Up to this many recent runs can each be tried in isolation, and are unlikely
 # to be present by chance.
 _MAX_RECENT_RUNS = 4
-# A task present at fewer previous crashes may have been there by chance.
-_MIN_CRASHES_AS_EVIDENCE = 2
+# A task that was present at fewer crashes more than any other may have been
+# there by chance.
+_MIN_EXCESS_AS_EVIDENCE = 2
 # Runs that began within this time count as having begun simultaneously.
 _SAME_START_SECONDS = 0.04
 # Agents whose last answers lie within this time may have crashed
@@ -50,7 +51,8 @@
 # A task with this many crashes in a row, including excused ones, is not
 # excused again.
 _MAX_EXCUSED = 3
-# Fewer simultaneous crashes than this may be coincidence.
+# Fewer simultaneous crashes than this may be coincidence, in particular where
+# suspects are being tried.
 _MIN_SIMULTANEOUS = 3
 # Maximum number of other runs named in a log line about a crash.
 _MAX_LOGGED_RUNS = 4
@@ -78,6 +80,8 @@
     # When the first of them was reported.
     reported_at: float
     addresses: set[str] = dataclasses.field(default_factory=set)
+    # Those where a suspect had just been started.
+    trial_addresses: set[str] = dataclasses.field(default_factory=set)
     counted_crashes: list[_CountedCrash] = dataclasses.field(
         default_factory=list
     )
@@ -129,9 +133,18 @@
         )
         group.addresses.add(instance.address)
         suspects = self._list_suspects(crash)
+        if any(_is_trial(task, run) for task, run in suspects):
+            group.trial_addresses.add(instance.address)
         crashed = group.addresses | self._find_unreachable(group, now)
-        if not self._is_simultaneous(crashed):
-            self._count_suspects(group, instance, crash, suspects, now)
+        unexplained = crashed
+        if len(crashed) < _MIN_SIMULTANEOUS:
+            unexplained = crashed - group.trial_addresses
+        if not self._is_simultaneous(unexplained):
+            # A power failure looks the same if trials explain a part of it.
+            as_evidence = not (unexplained and self._is_simultaneous(crashed))
+            self._count_suspects(
+                group, instance, crash, suspects, now, as_evidence
+            )
             return
         self._roll_back(group, now)
         excused = [row for row in suspects if _may_excuse(row[0])]
@@ -347,6 +360,11 @@
     )
 
 
+def _is_trial(task: job_module.Task, run: fleet_pb2.CrashedRun) -> bool:
+    """Return whether a task had crashed before and had just begun again."""
+    return run.seconds < suspects_module.find_trial_seconds(task)
+
+
 def _find_isolated(
     suspects: t.Sequence[_Suspect], crash: fleet_pb2.Crash
 ) -> job_module.Task | None:
@@ -366,16 +384,15 @@
 
     Which of the job's tasks caused them makes no difference to the job.
     """
-    max_count = max(
-        (task.state.crashes.count for task, _ in suspects), default=0
-    )
+    counts = {task.state.crashes.count for task, _ in suspects}
+    max_count = max(counts, default=0)
+    next_count = max(counts - {max_count}, default=0)
+    if max_count - next_count < _MIN_EXCESS_AS_EVIDENCE:
+        return set()
     most_frequent = [
         row for row in suspects if row[0].state.crashes.count == max_count
     ]
-    if (
-        max_count < _MIN_CRASHES_AS_EVIDENCE
-        or len({task.job.id for task, _ in most_frequent}) > 1
-    ):
+    if len({task.job.id for task, _ in most_frequent}) > 1:
         return set()
     return {
         task.name
--- a/src/persimmonsail/jobs/fleet.py
+++ b/src/persimmonsail/jobs/fleet.py
@@ -103,6 +103,7 @@
             ordered_at=now,
             speed_limit_known=False,
             suspect=task.is_suspect,
+            trial_seconds=suspects.find_trial_seconds(task),
         )
         instance.add_run(run)
         if task.state.crashes.apart:
--- a/src/persimmonsail/jobs/instances.py
+++ b/src/persimmonsail/jobs/instances.py
@@ -71,6 +71,9 @@
     isolation_seconds : float
         For how long nothing else is started on its instance, if it is
         isolated.
+    trial_seconds : float
+        How long after its start a crash of its task is expected; 0 if it is
+        not suspected of any.
     """
 
     task: str
@@ -94,6 +97,7 @@
     reports_within_target: int = 0
     suspect: bool = False
     isolation_seconds: float = 0.0
+    trial_seconds: float = 0.0
 
     @property
     def id(self) -> tuple[str, int]:
@@ -250,6 +254,13 @@
         """The number of runs whose task is a crash suspect."""
         return sum(run.suspect for run in self.runs.values())
 
+    def count_trials(self, now: float) -> int:
+        """Return the number of runs that may be about to crash the agent."""
+        return sum(
+            now - (run.observed_at or now) < run.trial_seconds
+            for run in self.runs.values()
+        )
+
     def is_reserved(self, now: float) -> bool:
         """Return whether a crash suspect has or awaits it exclusively."""
         if now < self.reserved_until:
--- a/src/persimmonsail/jobs/placer.py
+++ b/src/persimmonsail/jobs/placer.py
@@ -133,6 +133,7 @@
             ordered_at=self._now,
             due_at=self._deadline,
             suspect=task.is_suspect,
+            trial_seconds=suspects.find_trial_seconds(task),
         )
         if task.step.best_effort_cpu:
             run.speed_limit = throttling.choose_initial_percent(
--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -233,6 +233,10 @@
         self._reserved_services: set[str] = set()
         # Masks of the instances of each service that accept new work.
         self._usable: dict[str, numpy.ndarray] = {}
+        # How many suspects are tried on each instance, once it is needed.
+        self._trials: numpy.ndarray | None = None
+        # Steps whose suspects can't be tried beside others in this round.
+        self._steps_without_batch: set[_StepId] = set()
         # Tasks are ordered by step, so only the last placer is reused.
         self._placer_step: _StepId | None = None
         self._placer: placer_module.Placer
@@ -248,13 +252,15 @@
         if queue.service in self._reserved_services and not idle:
             return []
         members = gangs.list_members(task, self._now)
+        min_speed = 0.0 if idle else placement.MIN_SPEED
         if suspects.needs_isolation(task, self._now):
             return self._place_isolated(task, queue)
+        if suspects.is_isolation_due(task):
+            return self._place_in_batch(task, queue, step, min_speed)
         if self._placer_step != step:
             usable = self._find_usable(queue.service)
             self._placer = self._make_placer(task, queue, usable)
             self._placer_step = step
-        min_speed = 0.0 if idle else placement.MIN_SPEED
         claims = self._placer.place(members, min_speed)
         if not claims:
             self._unplaceable_steps.add(step)
@@ -274,6 +280,8 @@
             row = self._snapshot.find_row(claim.instance)
             claim.task.isolation_wait_since = 0.0
             claim.task.trial_obstacle = ''
+            if claim.run.trial_seconds and self._trials is not None:
+                self._trials[row] += 1
             _commit(self._board, claim, self._snapshot.unused[row])
 
     def _place_isolated(
@@ -306,6 +314,28 @@
         self._commit_all([claim])
         return [claim]
 
+    def _place_in_batch(
+        self,
+        task: job_module.Task,
+        queue: queues.Queue,
+        step: _StepId,
+        min_speed: float,
+    ) -> list[placer_module.Claim]:
+        """Place a suspect that has waited long enough beside few others."""
+        if step in self._steps_without_batch:
+            return []
+        has_room = self._count_trials() < suspects.MAX_BATCH
+        allowed = self._find_usable(queue.service) & has_room
+        placer = self._make_placer(task, queue, allowed)
+        claims = placer.place([task], min_speed)
+        self._placer_step = None
+        if not claims:
+            self._steps_without_batch.add(step)
+            suspects.note_obstacle(task, suspects.Obstacle.NO_BATCH)
+            self._handle_unplaced([task], task, queue)
+        self._commit_all(claims)
+        return claims
+
     def _defer_trial(
         self, task: job_module.Task, obstacle: suspects.Obstacle
     ) -> list[placer_module.Claim]:
@@ -319,6 +349,15 @@
             task.isolation_wait_since = 0.0
         return []
 
+    def _count_trials(self) -> numpy.ndarray:
+        """Return how many suspects are tried on each instance."""
+        if self._trials is None:
+            self._trials = numpy.array(
+                [one.count_trials(self._now) for one in self._snapshot.fleet],
+                dtype=int,
+            )
+        return self._trials
+
     def _may_reserve(self, usable: numpy.ndarray, service: str) -> bool:
         reserved = sum(
             one.service == service and one.is_reserved(self._now)
--- a/src/persimmonsail/jobs/suspects.py
+++ b/src/persimmonsail/jobs/suspects.py
@@ -45,6 +45,12 @@
 # others would give no evidence. It waits longer, and for other such tasks.
 _LIKELY_CAUSE_CRASHES = 3
 _MAX_ISOLATION_TIMEOUT_SECONDS = 30.0
+# Maximum number of suspects that are tried together on an instance, once they
+# have waited that long. If its agent crashes, few innocent tasks are suspected
+# again; if it does not, all of them are cleared.
+MAX_BATCH = 4
+# How long a start counts as a trial at most. Slower crashes rarely coincide.
+_MAX_TRIAL_SECONDS = 1.5
 # An instance qualifies for the trial of a suspect if no other run began there
 # for this long: a run that began just before might equally be the cause of a
 # crash.
@@ -75,6 +81,8 @@
     # None has capacity, or the advisor has approved none.
     NO_INSTANCE = 'no-instance'
     NO_WITNESS = 'no-witness'
+    # None has capacity and fewer suspects than may be tried together.
+    NO_BATCH = 'no-batch'
 
 
 def note_obstacle(task: job_module.Task, obstacle: Obstacle) -> None:
@@ -186,6 +194,13 @@
     return min(seconds, _MAX_ISOLATION_SECONDS)
 
 
+def find_trial_seconds(task: job_module.Task) -> float:
+    """Return how long a start of a task is a trial: 0 for no suspect."""
+    if not is_isolation_due(task):
+        return 0.0
+    return min(_estimate_trial_seconds(task), _MAX_TRIAL_SECONDS)
+
+
 def _estimate_trial_seconds(task: job_module.Task) -> float:
     """Return the time within which a suspect's next crash is expected."""
     max_run_seconds = task.state.crashes.longest_ms / _MILLISECONDS
--- a/tests/jobs/test_crash_bounds.py
+++ b/tests/jobs/test_crash_bounds.py
@@ -29,6 +29,17 @@
     def test_two_instances_whose_agents_stay_away(self):
         self.check(instances=2, bad=3, harmless=24, down_seconds=3.0)
 
+    def test_ten_bad_tasks_on_two_instances(self):
+        """Coinciding trials excuse each other, and tasks start eight times."""
+        self.check(
+            instances=2,
+            bad=10,
+            harmless=100,
+            arrival_seconds=12.0,
+            down_seconds=1.0,
+            work_seconds=0.6,
+        )
+
     def test_six_instances(self):
         self.check(instances=6, bad=6, harmless=6)
 
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -26,6 +26,43 @@
         self.assertFalse(self.is_failed(innocent))
         self.assertEqual(3, innocent.state.crashes.count)
 
+    def test_one_crash_more_than_others_is_no_evidence(self):
+        """A harmless task that crashed once before is given up for it."""
+        innocent = self.add_task()
+        for instance in self.fleet[:3]:
+            bad = self.add_task()
+            self.crash(self.fleet[5], (bad, 0.02))
+            self.wait()
+            self.crash(instance, (bad, 0.02), (innocent, 0.01))
+            self.wait()
+        self.assertEqual(3, innocent.state.crashes.count)
+        self.assertEqual(0, innocent.state.crashes.proofs)
+
+    def test_trials_that_coincide_are_no_power_failure(self):
+        """Bad tasks excuse each other, and start eight times and more."""
+        del self.fleet[2:]
+        tried = self.add_task(), self.add_task()
+        for task, instance in zip(tried, self.fleet, strict=True):
+            self.crash(instance, (task, 0.01))
+            self.wait()
+        for task, instance in zip(tried, self.fleet, strict=True):
+            self.crash(instance, (task, 0.01, True))
+        for task in tried:
+            self.assertEqual(2, task.state.crashes.count)
+            self.assertEqual(0, task.state.crashes.excused)
+            self.assertEqual(1, task.state.crashes.proofs)
+
+    def test_a_power_failure_during_a_trial_is_no_evidence(self):
+        """A harmless task that is tried in isolation is given up."""
+        del self.fleet[2:]
+        innocent, other = self.add_task(), self.add_task()
+        self.crash(self.fleet[1], (other, 0.02), (innocent, 0.01))
+        self.wait()
+        self.crash(self.fleet[0], (self.add_task(), 0.01))
+        self.crash(self.fleet[1], (innocent, 0.01, True))
+        self.assertEqual(2, innocent.state.crashes.count)
+        self.assertEqual(0, innocent.state.crashes.proofs)
+
     def test_starts_beside_a_suspect_take_the_proof_from_its_crash(self):
         """A short job is reported as failed although it crashed nothing.
 
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -6,6 +6,7 @@
 from persimmonsail.jobs import record
 from persimmonsail.jobs import scheduling
 from persimmonsail.jobs import specification
+from persimmonsail.jobs import suspects
 from tests import base
 from tests.jobs import cases
 
@@ -425,3 +426,26 @@
             for claim in self.plan(now):
                 claim.run.observed_at = now
         self.assertEqual({}, job.waiting)
+
+    def add_suspects(self, count):
+        """Add suspects that have waited long for instances of their own."""
+        job = cases.make_job(cases.make_step(count), id='00000000000000ee')
+        self.board.add(job)
+        for task in job.tasks.values():
+            self.board.update_crashes(
+                task, record.Crashes(count=1, longest_ms=10)
+            )
+            task.isolation_wait_since = NOW - 5.0
+
+    def test_few_suspects_are_tried_together(self):
+        """All that crashed with a bad task start with it and crash again."""
+        self.board.forget(self.task.job.id)
+        self.add_suspects(10)
+        self.fleet[1].reserved_for = self.task.name
+        self.fleet[1].reserved_until = NOW + 60.0
+        claims = self.plan(NOW)
+        self.assertEqual(suspects.MAX_BATCH, len(claims))
+        for claim in claims:
+            claim.run.observed_at = NOW
+        self.assertEqual([], self.plan(NOW + 0.4))
+        self.assertEqual(suspects.MAX_BATCH, len(self.plan(NOW + 1.2)))
--- a/tools/soaking/trial.py
+++ b/tools/soaking/trial.py
@@ -33,6 +33,8 @@
 _MAX_EVACUATION_SECONDS = 5.0
 _CRASH_EVENTS = {'worker-crashed', 'crash-counted', 'crash-at-once'}
 _POLL_SECONDS = 0.2
+# Log lines kept for each job that did not end.
+_MAX_LINES_PER_JOB = 4
 _MAX_ATTEMPTS = platform_deployment.CONFIGURATION['routes'][0]['maxAttempts']
 # Jobs of a crowd for each instance, which has twenty seconds to do them, or
 # less than half of the time to drain.
@@ -236,6 +238,7 @@
                 report.violations.append(
                     f'{job.id}: did not end, states: {job.states}'
                 )
+                report.evidence += self._list_last_lines(job.id)
             report.violations += self._check_crashing(job, starts)
             report.violations += _check_cancelled(job, starts)
             report.violations += _check_failed(job, starts)
@@ -245,6 +248,9 @@
         crashing_jobs = {
             job.id for job in self._callers.jobs if job.crashes_agent
         }
+        if report.violations:
+            count = len(crashing_jobs)
+            report.evidence.append(f'jobs that crash agents: {count}')
         for id in self._list_abandoned() - crashing_jobs:
             report.violations.append(f'{id}: abandoned, but crashed no agent')
             report.evidence += self._list_crash_lines(id)
@@ -301,6 +307,11 @@
             if event.name == 'job-given-up'
         }
 
+    def _list_last_lines(self, id: str) -> list[str]:
+        """Return the latest log lines that name a job."""
+        lines = [line for _, line in self._read_events() if id in line]
+        return sorted(lines)[-_MAX_LINES_PER_JOB:]
+
     def _list_crash_lines(self, id: str) -> list[str]:
         """Return the log lines about crashes that name a job's tasks."""
         return [
