A test of leases waits for their first renewal

test_work_done_within_its_lease_is_not_done_again failed once (3 != 6): the sidecar was killed 12 ms after it had started the runs. Until its first renewal the runs hold the 2.5 s that a start grants, as promised, and take 2.5 s themselves, so they lapsed rightly. The test waits until the agent holds a lease of 3 s; what it checks is unchanged.

--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -248,6 +248,18 @@
             while len(await self.list_starts()) < count:  # noqa: ASYNC110
                 await anyio.sleep(0.05)
 
+    async def wait_lease(
+        self, name: str, remaining: float, seconds: float = 20.0
+    ) -> None:
+        """Wait until an agent's lease lasts for ``remaining`` seconds more."""
+        url = f'http://{self.runners[name]}/lease'
+        with anyio.fail_after(seconds):
+            while True:
+                response = await self.running.client.get(url)
+                if response.json()['remainingMs'] >= remaining * 1000:
+                    return
+                await anyio.sleep(0.05)
+
     def find_leader(self) -> str:
         """Return the entry that last logged that it leads."""
         leading = [
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -2,9 +2,11 @@
 
 Serves the platform's protocol. ``POST /connect`` sets the sidecar's
 address for heartbeats; ``POST /faults`` sets the faults to inject; ``GET
-/starts`` returns every start that was executed, in order. The payload of
-a task is its duration in milliseconds, or ``lasts`` to run until it is
-stopped. A prefix ``crash=KEYS`` lists tasks of the job, as
+/starts`` returns every start that was executed, in order, and ``GET /lease``
+for how long the runs may go on.
+
+The payload of a task is its duration in milliseconds, or ``lasts`` to run
+until it is stopped. A prefix ``crash=KEYS`` lists tasks of the job, as
 ``0.0.0/0.0.1``, that crash the agent shortly after each of their starts.
 
 A restarted agent keeps its id unless the faults say otherwise. It has lost
@@ -160,6 +162,7 @@
                 routing.Route('/connect', self._connect, **post),
                 routing.Route('/faults', self._set_faults, **post),
                 routing.Route('/starts', self._list_starts),
+                routing.Route('/lease', self._show_lease),
             ]
         )
 
@@ -435,6 +438,12 @@
             [dataclasses.asdict(start) for start in self.starts]
         )
 
+    async def _show_lease(
+        self, request: requests.Request
+    ) -> responses.Response:
+        remaining_ms = self._lease_until_ms - self._read_clock_ms()
+        return responses.JSONResponse({'remainingMs': remaining_ms})
+
     def _describe_start(self) -> dict:
         return {'born': self._born_ms} if self.faults.sends_born else {}
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -284,6 +284,8 @@
         body = deployed.make_body(3, payload=payload)
         await running.call('entry-1', 'POST', IDS[0], body)
         await running.wait_starts(3)
+        # The starts themselves grant 2.5 s.
+        await running.wait_lease('side-1', 3.0)
         control = sidecar.find('listening')[0]['control']
         await sidecar.stop(signal.SIGKILL)
         await entry.wait_event('run-lost', reason='unreachable')
