One owner for foreign heartbeats, doubtful connections and group errors

An incarnation tells whether a heartbeat is foreign, next to what it expects; one method closes idle connections by a condition; an election's task groups raise their first error through one context manager.

Tests of agent, incarnation, election, terms, mandate, the HTTP client, removed instances, guards and tests/platform pass.

--- a/src/persimmonsail/httpclient.py
+++ b/src/persimmonsail/httpclient.py
@@ -138,9 +138,11 @@
         except _CONNECTION_ERRORS as error:
             await connection.close()
             if peer:
-                await self._close_confirmed(peer)
+                # The peer may have ended.
+                await self._close_idle(lambda one: one.peer == peer)
             if isinstance(error, TimeoutError):
-                await self._close_unheard(sent_at)
+                # Connections may all go silent at one moment.
+                await self._close_idle(lambda one: one.last_used_at <= sent_at)
             raise exceptions.ServiceUnanswered(
                 deadline.describe(error)
             ) from error
@@ -173,25 +175,15 @@
             return await self._acquire_confirmed(peer)
         raise exceptions.PeerUnconfirmed(peer)
 
-    async def _close_confirmed(self, peer: str) -> None:
-        """Close the idle connections to a peer that may have ended.
+    async def _close_idle(
+        self, is_doubtful: t.Callable[['_Connection'], bool]
+    ) -> None:
+        """Close the idle connections that are probably silent.
 
-        They could be silent as well, and each would cost a timeout before
-        a new connection shows who is there.
+        Each would cost a timeout.
         """
-        closing = [one for one in self._idle if one.peer == peer]
-        self._idle = [one for one in self._idle if one.peer != peer]
-        for connection in closing:
-            await connection.close()
-
-    async def _close_unheard(self, since: float) -> None:
-        """Close the idle connections on which nothing came since a time.
-
-        Connections may all go silent at one moment, and each would cost a
-        timeout.
-        """
-        closing = [one for one in self._idle if one.last_used_at <= since]
-        self._idle = [one for one in self._idle if one.last_used_at > since]
+        closing = [one for one in self._idle if is_doubtful(one)]
+        self._idle = [one for one in self._idle if not is_doubtful(one)]
         for connection in closing:
             await connection.close()
 
--- a/src/persimmonsail/jobs/agent.py
+++ b/src/persimmonsail/jobs/agent.py
@@ -42,9 +42,6 @@
 # A link without orders for this long is treated as broken.
 _LINK_TIMEOUT_SECONDS = 2.0
 _RETRY_SECONDS = 0.1
-# Without a heartbeat of the known service for this long, one of another
-# service is the agent's own. Agents send one each second or so.
-_FOREIGN_SECONDS = 5.0
 # Number of ended boots and of crashes that are reported.
 _MAX_ENDED_BOOTS = 8
 # An agent's reason for refusing calls of an outdated epoch.
@@ -114,7 +111,7 @@
             logs.write_event('heartbeat-late', boot=heartbeat.boot)
             return
         if incarnation is not None and incarnation.boot == heartbeat.boot:
-            if self._is_foreign(incarnation, heartbeat):
+            if incarnation.is_foreign(heartbeat, clock.read()):
                 logs.write_warning(
                     'heartbeat-foreign',
                     boot=heartbeat.boot,
@@ -141,22 +138,6 @@
             self._renewal_requested.set()
         self._request_report()
 
-    def _is_foreign(
-        self,
-        incarnation: incarnation_module.Incarnation,
-        heartbeat: worker_module.Heartbeat,
-    ) -> bool:
-        """Return whether a heartbeat is another program's.
-
-        A boot has one service. Should the first heartbeat have been the other
-        program's, the agent's own ones are accepted when it sends no more.
-        """
-        silent_seconds = clock.read() - incarnation.described_at
-        return (
-            heartbeat.service != incarnation.heartbeat.service
-            and silent_seconds < _FOREIGN_SECONDS
-        )
-
     def _begin_incarnation(self, heartbeat: worker_module.Heartbeat) -> None:
         now = clock.read()
         self._successor = None
--- a/src/persimmonsail/jobs/election.py
+++ b/src/persimmonsail/jobs/election.py
@@ -13,6 +13,7 @@
 import uuid
 
 import anyio
+import anyio.abc
 import pydantic
 
 from persimmonsail import exceptions
@@ -115,6 +116,7 @@
         # the page's revision returns the changes from now on.
         page = await self._store.scan(record.LEADER)
         item = _find_leader(page)
+        # Without a leader no term up to the page's revision is the latest.
         self._terms.note_stored(item.revision if item else page.revision)
         if item is None:
             await self._campaign(page.revision, 0)
@@ -151,16 +153,13 @@
                 if not await self._is_alive(address):
                     group.cancel_scope.cancel()
 
-        try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(wait_end)
-                with contextlib.suppress(exceptions.HistoryLost):
-                    await self._store.watch_changes(
-                        record.LEADER, revision, _WATCH_SECONDS
-                    )
-                group.cancel_scope.cancel()
-        except ExceptionGroup as errors:
-            raise _find_cause(errors) from errors
+        async with _create_task_group() as group:
+            group.start_soon(wait_end)
+            with contextlib.suppress(exceptions.HistoryLost):
+                await self._store.watch_changes(
+                    record.LEADER, revision, _WATCH_SECONDS
+                )
+            group.cancel_scope.cancel()
 
     def _update_leader(self, current: ledger.LeaderItem) -> None:
         if self._id != current.id:
@@ -263,13 +262,10 @@
         async def read(key: str) -> None:
             items[key] = await self._store.get(key)
 
-        try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(read, record.HEAD)
-                group.start_soon(read, record.ELECTORATE)
-                lease = await self._store.grant_lease(LEASE_SECONDS)
-        except ExceptionGroup as errors:
-            raise _find_cause(errors) from errors
+        async with _create_task_group() as group:
+            group.start_soon(read, record.HEAD)
+            group.start_soon(read, record.ELECTORATE)
+            lease = await self._store.grant_lease(LEASE_SECONDS)
         id = uuid.uuid4().hex
         leader = ledger.LeaderItem(
             id=id, name=self._name, address=self.address
@@ -347,6 +343,16 @@
         raise exceptions.Deposed('the lease of the leader key has expired')
 
 
+@contextlib.asynccontextmanager
+async def _create_task_group() -> t.AsyncIterator[anyio.abc.TaskGroup]:
+    """Create a task group that raises the first error of its tasks."""
+    try:
+        async with anyio.create_task_group() as group:
+            yield group
+    except ExceptionGroup as errors:
+        raise _find_cause(errors) from errors
+
+
 def _find_cause(error: BaseException) -> BaseException:
     """Return the first error, unwrapped from all exception groups."""
     while isinstance(error, BaseExceptionGroup):
--- a/src/persimmonsail/jobs/incarnation.py
+++ b/src/persimmonsail/jobs/incarnation.py
@@ -21,6 +21,9 @@
 # The agent's clock may be slow by 2% of a lease of 6 s, and it detects the
 # end of a lease slightly late.
 LAPSE_MARGIN_SECONDS = 0.5
+# Without a heartbeat of the known service for this long, one of another
+# service is the agent's own. Agents send one each second or so.
+_FOREIGN_SECONDS = 5.0
 
 
 @dataclasses.dataclass
@@ -174,6 +177,17 @@
         self.alive_at = now
         self.failed_at = 0.0
 
+    def is_foreign(
+        self, heartbeat: worker_module.Heartbeat, now: float
+    ) -> bool:
+        """Return whether a heartbeat of this boot is another program's.
+
+        A boot has one service. Should the first heartbeat have been the other
+        program's, the agent's own ones are accepted when it sends no more.
+        """
+        is_other = heartbeat.service != self.heartbeat.service
+        return is_other and now - self.described_at < _FOREIGN_SECONDS
+
     def expects(self, heartbeat: worker_module.Heartbeat) -> bool:
         """Return whether a heartbeat of this boot is later than the last.
 
--- a/src/persimmonsail/jobs/terms.py
+++ b/src/persimmonsail/jobs/terms.py
@@ -41,7 +41,7 @@
         self._followers: dict[str, float] = {}
 
     def note_stored(self, epoch: int) -> None:
-        """Record a revision of the leader key, read from the store."""
+        """Record a term read from the store, or the revision that ended it."""
         self.epoch = max(self.epoch, epoch)
         self._informed = True
 
