The soak draws labels, limits, slow crashes and foreign heartbeats

A stand-in of an agent sends another program's heartbeats under its id, or crashes seconds after a task's start.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -39,6 +39,8 @@
 # Range of the clock at a start.
 _MIN_CLOCK_MS = 1_000
 _MAX_CLOCK_MS = 900_000
+# Numbers of another program's heartbeats begin here.
+_FOREIGN_SEQUENCE = 1_000_000
 
 
 @dataclasses.dataclass
@@ -77,6 +79,9 @@
         of older agents do not.
     clock_ms : int
         The clock at the next restart; 0 for a random one.
+    foreign_heartbeats : bool
+        Another program sends heartbeats of another service under the
+        agent's id, with higher numbers.
     """
 
     late_starts: int = 0
@@ -92,6 +97,7 @@
     new_ids: bool = False
     sends_born: bool = True
     clock_ms: int = 0
+    foreign_heartbeats: bool = False
 
 
 @dataclasses.dataclass
@@ -258,8 +264,14 @@
                     **self._describe_start(),
                 }
                 url = f'http://{self._sidecar_address}/v1/runners/{self.boot}'
+                sent = [body]
+                if self.faults.foreign_heartbeats:
+                    number = _FOREIGN_SEQUENCE + self._sequence
+                    foreign = {'service': 'other', 'seq': number}
+                    sent.append({**body, **foreign})
                 try:
-                    await client.put(url, json=body)
+                    for heartbeat in sent:
+                        await client.put(url, json=heartbeat)
                 except httpx.HTTPError as error:
                     logs.write_event('heartbeat-lost', error=repr(error))
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,7 @@
     'restart_with_late_calls',
 }
 EVACUATIONS = {'evacuate'}
+FEATURES = {'crash_slowly', 'send_foreign_heartbeats'}
 AGENTS = {'lose_worker', 'refuse_starts', 'restart_beside_silent_worker'}
 FAULTS = {
     'change_configuration',
@@ -96,6 +97,7 @@
         self.assertEqual(RESTARTS, set(faults.RESTARTS))
         self.assertEqual(EVACUATIONS, set(faults.EVACUATIONS))
         self.assertEqual(AGENTS, set(faults.AGENTS))
+        self.assertEqual(FEATURES, set(faults.FEATURES))
 
     def test_a_job_given_up_too_early_is_detected(self):
         failures = [
@@ -156,6 +158,7 @@
             evacuations=False,
             crowds=False,
             agents=False,
+            features=False,
         )
 
     async def test_short_run_with_restarting_agents(self):
@@ -165,17 +168,33 @@
             evacuations=False,
             crowds=False,
             agents=False,
+            features=False,
         )
 
     async def test_short_run_with_evacuations(self):
-        await self.run_seed(seed=14, seconds=8.0, crowds=False, agents=False)
+        await self.run_seed(
+            seed=14, seconds=8.0, crowds=False, agents=False, features=False
+        )
 
     async def test_short_run_with_a_crowd(self):
-        await self.run_seed(seed=15, seconds=9.0, agents=False)
+        await self.run_seed(seed=15, seconds=9.0, agents=False, features=False)
 
     async def test_short_run_with_lost_agents(self):
         await self.run_seed(
-            seed=16, seconds=9.0, evacuations=False, crowds=False
+            seed=16,
+            seconds=9.0,
+            evacuations=False,
+            crowds=False,
+            features=False,
+        )
+
+    async def test_short_run_with_features(self):
+        await self.run_seed(
+            seed=17,
+            seconds=9.0,
+            evacuations=False,
+            crowds=False,
+            agents=False,
         )
 
     async def test_regression_seeds(self):
@@ -188,6 +207,7 @@
                 evacuations=False,
                 crowds=False,
                 agents=False,
+                features=False,
             )
 
     async def test_regression_seeds_with_cancels(self):
@@ -198,5 +218,6 @@
                 evacuations=False,
                 crowds=False,
                 agents=False,
+                features=False,
             )
             await self.run_plan(plan)
--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -20,6 +20,9 @@
 # from submission to cancellation.
 _CANCELLED_SHARE = 0.2
 _CANCEL_DELAY_SECONDS = (0.0, 1.5)
+# Share of the jobs that need a label, or limit their tasks on an instance.
+_CONSTRAINED_SHARE = 0.3
+_MAX_PER_INSTANCE = (1, 3)
 # What a crowd submits: an instance runs two of its tasks at a time.
 _LARGE_BODY = platform_deployment.make_body(6, payload='400', cpu=4000)
 _CROWD_INTERVAL_SECONDS = 0.12
@@ -93,12 +96,14 @@
         rng: random.Random,
         cancel_rng: random.Random | None = None,
         gang_rng: random.Random | None = None,
+        constraint_rng: random.Random | None = None,
     ) -> None:
         self._site = site
         self._rng = rng
         # Separate, so that cancellations do not change a seed's submissions.
         self._cancel_rng = cancel_rng
         self._gang_rng = gang_rng
+        self._constraint_rng = constraint_rng
         self.jobs: list[Job] = []
         self._group: anyio.abc.TaskGroup
         # Cleared by the trial to stop further submissions.
@@ -132,7 +137,10 @@
             await anyio.sleep(_CROWD_INTERVAL_SECONDS)
 
     async def _follow(self, job: Job, body: dict | None = None) -> None:
-        if not await self._submit(job, body or self._make_body(job)):
+        if body is None:
+            body = self._make_body(job)
+            self._add_constraint(job, body)
+        if not await self._submit(job, body):
             return
         while not job.ended:
             await anyio.sleep(_POLL_SECONDS)
@@ -176,6 +184,18 @@
             *counts, payload=crash_directive + payload
         )
 
+    def _add_constraint(self, job: Job, body: dict) -> None:
+        """Limit on which instances, or how often on one, a job's tasks run."""
+        rng = self._constraint_rng
+        if rng is None or rng.random() >= _CONSTRAINED_SHARE:
+            return
+        constraint: dict[str, t.Any] = {'selector': 'a'}
+        # All members of a gang have to fit at the same time.
+        if not job.gang and rng.random() < 0.5:
+            constraint = {'maxPerServer': rng.randint(*_MAX_PER_INSTANCE)}
+        for phase in body['phases']:
+            phase.update(constraint)
+
     def _draw_gang(self) -> bool:
         if self._gang_rng is None:
             return False
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -24,6 +24,8 @@
 _RESTART_SECONDS = 0.3
 # Free capacity for none, two, four and more simultaneous tasks.
 _CAPACITIES_MILLICORES = (400, 1000, 2000, 6000)
+# Time from the start of a task to the crash that it causes.
+_SLOW_CRASH_SECONDS = (0.6, 8.0)
 # Share of the losses of history that also revoke the leased keys.
 _REVOKED_SHARE = 0.5
 
@@ -39,6 +41,8 @@
 # Drawn separately as well; not faults, but what operators do during them.
 EVACUATIONS: dict[str, tuple[_TargetKind, Fault]] = {}
 # Drawn separately as well.
+FEATURES: dict[str, tuple[_TargetKind, Fault]] = {}
+# Drawn separately as well.
 AGENTS: dict[str, tuple[_TargetKind, Fault]] = {}
 
 
@@ -368,6 +372,25 @@
     await site.set_faults(site.runners[name], silent=True, restart=True)
 
 
+@register('instance', FEATURES)
+async def crash_slowly(
+    site: site_module.Site, rng: random.Random, name: str
+) -> None:
+    """Have tasks crash a worker's agent seconds after their start."""
+    seconds = rng.uniform(*_SLOW_CRASH_SECONDS)
+    await _impair_worker(site, rng, name, _LONG_SECONDS, crash_seconds=seconds)
+
+
+@register('instance', FEATURES)
+async def send_foreign_heartbeats(
+    site: site_module.Site, rng: random.Random, name: str
+) -> None:
+    """Send heartbeats of another service under an agent's id."""
+    await _impair_worker(
+        site, rng, name, _LONG_SECONDS, foreign_heartbeats=True
+    )
+
+
 @register('zone', EVACUATIONS)
 async def evacuate(
     site: site_module.Site, rng: random.Random, name: str
--- a/tools/soaking/trial.py
+++ b/tools/soaking/trial.py
@@ -29,6 +29,7 @@
 _RESTART_INTERVAL_SECONDS = (0.5, 3.0)
 _EVACUATION_INTERVAL_SECONDS = (0.5, 3.0)
 _AGENT_INTERVAL_SECONDS = (1.0, 4.0)
+_FEATURE_INTERVAL_SECONDS = (1.0, 4.0)
 # No task may start in a zone later than this after its evacuation.
 _MAX_EVACUATION_SECONDS = 5.0
 _CRASH_EVENTS = {'worker-crashed', 'crash-counted', 'crash-at-once'}
@@ -53,7 +54,9 @@
     zones that operators evacuate. ``crowds`` adds a crowd of callers, and
     entries that reject jobs by the leader's forecast. ``agents`` adds agents
     that refuse starts, or are silent or lost while their sidecars restart,
-    and jobs whose tasks are a gang.
+    and jobs whose tasks are a gang. ``features`` adds jobs with labels and
+    limits on each instance, tasks that crash agents after seconds, and
+    another program's heartbeats.
     """
 
     seed: int
@@ -65,6 +68,7 @@
     evacuations: bool = True
     crowds: bool = True
     agents: bool = True
+    features: bool = True
 
 
 @dataclasses.dataclass
@@ -106,6 +110,7 @@
             random.Random(plan.seed + 1),
             random.Random(plan.seed + 3) if plan.cancels else None,
             random.Random(plan.seed + 7) if plan.agents else None,
+            random.Random(plan.seed + 9) if plan.features else None,
         )
         self._report = Report(plan.seed)
         self._schedule: list[str] = []
@@ -164,6 +169,12 @@
                 _AGENT_INTERVAL_SECONDS,
                 random.Random(plan.seed + 8),
             ),
+            (
+                plan.features,
+                faults.FEATURES,
+                _FEATURE_INTERVAL_SECONDS,
+                random.Random(plan.seed + 10),
+            ),
         )
         async with anyio.create_task_group() as group:
             for enabled, series, interval, rng in all_series:
