--- a/src/persimmonsail/jobs/scheduling.py
+++ b/src/persimmonsail/jobs/scheduling.py
@@ -15,6 +15,7 @@
 from persimmonsail.jobs import placement
 from persimmonsail.jobs import placer as placer_module
 from persimmonsail.jobs import queues
+from persimmonsail.jobs import ranking
 from persimmonsail.jobs import setaside
 from persimmonsail.jobs import suspects
 from persimmonsail import logs
@@ -48,8 +49,6 @@
 
 
 _StepId = tuple[str, tuple[int, int]]
-# A task with its sort key and its queue.
-_Ranked = tuple[tuple[bool, t.Any], job_module.Task, queues.Queue]
 
 
 def plan(
@@ -99,7 +98,7 @@
     )
     claims: list[placer_module.Claim] = []
     retried: dict[str, job_module.Job] = {}
-    for task, queue in _sort(
+    for task, queue in ranking.rank(
         board, queues_by_name, slowdowns, now, wall_seconds
     ):
         job = task.job
@@ -153,58 +152,6 @@
     return now - job.idle_since
 
 
-def _sort(
-    board: board_module.Board,
-    queues_by_name: t.Mapping[str, queues.Queue],
-    slowdowns: t.Mapping[str, float],
-    now: float,
-    wall_seconds: float,
-) -> list[tuple[job_module.Task, queues.Queue]]:
-    ranked: list[_Ranked] = []
-    wall_ms = wall_seconds * _MILLISECONDS
-    mean_works = order.measure_mean_works(board.jobs.values())
-    for job in board.jobs.values():
-        queue = queues_by_name.get(job.queue)
-        if queue is None or not job.waiting or setaside.is_set_aside(job, now):
-            continue
-        slowdown = slowdowns.get(job.queue, 1.0)
-        try:
-            ranked += _rank(
-                job, queue, slowdown, mean_works[job.queue], now, wall_ms
-            )
-        except Exception as error:
-            setaside.set_aside(job, error, now)
-    ranked.sort(key=lambda row: row[0])
-    return [(task, queue) for _, task, queue in ranked]
-
-
-def _rank(
-    job: job_module.Job,
-    queue: queues.Queue,
-    slowdown: float,
-    mean_work: float,
-    now: float,
-    wall_ms: float,
-) -> list[_Ranked]:
-    """Return the sort keys of a job's tasks that may start now."""
-    ranked: list[_Ranked] = []
-    # All tasks of a step are equally urgent.
-    keys: dict[tuple[int, int], t.Any] = {}
-    for task in job.waiting.values():
-        if task.not_before > now or task.due_ms > wall_ms:
-            continue
-        step = task.key.step_key
-        if step not in keys:
-            keys[step] = order.rate(
-                task, queue, wall_ms, slowdown, mean_work
-            ).sort_key
-        # Suspects first: they need an instance with no other starts, which
-        # only a few of them get at a time.
-        not_tried_next = not suspects.is_isolation_due(task)
-        ranked.append(((not_tried_next, keys[step]), task, queue))
-    return ranked
-
-
 class _Round:
     """One scheduling round and the steps that it could not place."""
 
