--- a/src/persimmonsail/jobs/crashes.py
+++ b/src/persimmonsail/jobs/crashes.py
@@ -7,12 +7,13 @@
 
 A crash is counted for a run that began shortly before it. It is evidence
 against a suspect if no other run began within the time in which such crashes
-occur, or if that suspect was present at more crashes than the few others. A
-start among many runs that were never tried is no evidence, since other faulty
-tasks may be among them. If many instances crash simultaneously, a common cause
-outside the tasks is likely, but several faulty tasks may also be the cause.
-Each task is therefore excused only a few times, and a task that was the last
-to begin is tried in isolation before it is colocated with others again.
+occur, or if that suspect was present at clearly more crashes than the few
+others. A start among many runs that were never tried is no evidence, since
+other faulty tasks may be among them. If many instances crash simultaneously, a
+common cause outside the tasks is likely, but several faulty tasks may also be
+the cause. Each task is therefore excused only a few times, and a task that was
+the last to begin is tried in isolation before it is colocated with others
+again.
 ``suspects.py`` defines the consequences for a task.
 """
 
@@ -35,8 +36,8 @@
 # Up to this many recent runs can each be tried in isolation, and are unlikely
 # to be present by chance.
 _MAX_RECENT_RUNS = 4
-# A task that was present at fewer crashes more than any other may have been
-# there by chance.
+# A suspect must have been present at this many crashes more than any other;
+# a smaller lead may be chance.
 _MIN_EXCESS_AS_EVIDENCE = 2
 # Runs that began within this time count as having begun simultaneously.
 _SAME_START_SECONDS = 0.04
@@ -51,8 +52,8 @@
 # A task with this many crashes in a row, including excused ones, is not
 # excused again.
 _MAX_EXCUSED = 3
-# Fewer simultaneous crashes than this may be coincidence, in particular where
-# suspects are being tried.
+# Fewer simultaneous crashes than this may be coincidence. If suspects had just
+# been started there, it is the likely explanation.
 _MIN_SIMULTANEOUS = 3
 # Maximum number of other runs named in a log line about a crash.
 _MAX_LOGGED_RUNS = 4
--- a/src/persimmonsail/jobs/election.py
+++ b/src/persimmonsail/jobs/election.py
@@ -116,7 +116,7 @@
         # the page's revision returns the changes from now on.
         page = await self._store.scan(record.LEADER)
         item = _find_leader(page)
-        # Without a leader no term up to the page's revision is the latest.
+        # If the key is absent, all terms up to the page's revision have ended.
         self._terms.note_stored(item.revision if item else page.revision)
         if item is None:
             await self._campaign(page.revision, 0)
--- a/src/persimmonsail/jobs/suspects.py
+++ b/src/persimmonsail/jobs/suspects.py
@@ -3,8 +3,9 @@
 Such a task is a suspect. It is started again isolated from other suspects. A
 suspect whose crash followed its start immediately is started where the least
 work would be lost, with no other start beside it, so that another crash is
-evidence against it. Three immediate crashes, two of them such evidence, fail
-the task's job. Slower crashes are weaker evidence, since an agent may crash by
+evidence against it. One that has waited long for that is started beside a few
+other suspects. Three immediate crashes, two of them such evidence, fail the
+task's job. Slower crashes are weaker evidence, since an agent may crash by
 itself in the same time, so more of them are required. A run that outlives the
 time in which its crashes occurred clears its task.
 """
@@ -195,7 +196,7 @@
 
 
 def find_trial_seconds(task: job_module.Task) -> float:
-    """Return how long a start of a task is a trial: 0 for no suspect."""
+    """Return how long a task's start is a trial; 0 if it needs none."""
     if not is_isolation_due(task):
         return 0.0
     return min(_estimate_trial_seconds(task), _MAX_TRIAL_SECONDS)
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -335,6 +335,16 @@
             instance, cases.make_step(), task, observed_at=observed_at
         )
 
+    def add_suspects(self, count):
+        """Add suspects that have waited long for instances of their own."""
+        job = cases.make_job(cases.make_step(count), id='00000000000000ee')
+        self.board.add(job)
+        for task in job.tasks.values():
+            self.board.update_crashes(
+                task, record.Crashes(count=1, longest_ms=10)
+            )
+            task.isolation_wait_since = NOW - 5.0
+
     def test_a_quiet_instance_is_preferred(self):
         self.add_other(self.fleet[0], NOW - 0.2, '00000000000000bb.0.0.0')
         for index in range(3):
@@ -427,16 +437,6 @@
                 claim.run.observed_at = now
         self.assertEqual({}, job.waiting)
 
-    def add_suspects(self, count):
-        """Add suspects that have waited long for instances of their own."""
-        job = cases.make_job(cases.make_step(count), id='00000000000000ee')
-        self.board.add(job)
-        for task in job.tasks.values():
-            self.board.update_crashes(
-                task, record.Crashes(count=1, longest_ms=10)
-            )
-            task.isolation_wait_since = NOW - 5.0
-
     def test_few_suspects_are_tried_together(self):
         """All that crashed with a bad task start with it and crash again."""
         self.board.forget(self.task.job.id)
